Lay out the bundles, the build and the peer transport

The bundles of the starting design need a build that formats, lints and tests them in one command before anything else can be added side by side.

Adds the Maven modules with a sibling for the tests of each, the ids and numbered result codes, the contract of the pure state machines with an architecture test that keeps I/O out of them, settings, log lines and the lifecycle that the binaries share, and a Thrift transport for peers.

libthrift wants slf4j at run time; slf4j-jdk14 sends it to the same handlers as System.Logger.

--- /dev/null
+++ b/siskintrail.bench/src/io/siskintrail/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments that print their figures as key=value lines. */
+package io.siskintrail.bench;
--- /dev/null
+++ b/siskintrail.control/src/io/siskintrail/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control replica: consensus shell, controllers and the administration API. */
+package io.siskintrail.control;
--- /dev/null
+++ b/siskintrail.pgm/src/io/siskintrail/pgm/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package io.siskintrail.pgm;
--- /dev/null
+++ b/siskintrail/src/io/siskintrail/lib/AccountId.java
@@ -0,0 +1,24 @@
+package io.siskintrail.lib;
+
+/**
+ * Names a client account.
+ *
+ * @param value the text form: 1 to 200 printable ASCII characters without spaces
+ */
+public record AccountId(String value) implements Comparable<AccountId> {
+
+    /** Checks the text form. */
+    public AccountId {
+        IdText.check("client account id", value);
+    }
+
+    @Override
+    public int compareTo(AccountId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/siskintrail/src/io/siskintrail/lib/FailureDomain.java
@@ -0,0 +1,24 @@
+package io.siskintrail.lib;
+
+/**
+ * Names a failure domain: the hosts and endpoints that one fault can take away together.
+ *
+ * @param value the text form: 1 to 200 printable ASCII characters without spaces
+ */
+public record FailureDomain(String value) implements Comparable<FailureDomain> {
+
+    /** Checks the text form. */
+    public FailureDomain {
+        IdText.check("failure domain", value);
+    }
+
+    @Override
+    public int compareTo(FailureDomain other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/siskintrail/src/io/siskintrail/lib/GenerationId.java
@@ -0,0 +1,24 @@
+package io.siskintrail.lib;
+
+/**
+ * Names one generation across all of its attempts and owners.
+ *
+ * @param value the text form: 1 to 200 printable ASCII characters without spaces
+ */
+public record GenerationId(String value) implements Comparable<GenerationId> {
+
+    /** Checks the text form. */
+    public GenerationId {
+        IdText.check("generation id", value);
+    }
+
+    @Override
+    public int compareTo(GenerationId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/siskintrail/src/io/siskintrail/lib/ResultCode.java
@@ -0,0 +1,72 @@
+package io.siskintrail.lib;
+
+/**
+ * Numbers every outcome that a caller, an operator or a log line can see. The table of all codes is
+ * docs/RESULT-CODES.md; a test keeps both the same.
+ *
+ * <p>Ranges: 1xxx requests of callers, 2xxx settings and command line, 3xxx rules, 4xxx control and
+ * storage, 5xxx orders and plain services, 6xxx membership and endpoints, 7xxx generations, 8xxx
+ * admission.
+ */
+public enum ResultCode {
+    OK(0, 200, "The operation was done."),
+
+    // 1xxx: requests of callers.
+    BAD_JSON(1001, 400, "The body is not valid JSON or a field has the wrong type."),
+    MISSING_FIELD(1002, 400, "A field that the request needs is missing."),
+    UNKNOWN_MODEL(1003, 404, "No rule or endpoint knows the model."),
+    INPUT_TOO_LONG(1004, 413, "The body, a header or the prompt is over its limit."),
+    MISSING_API_KEY(1005, 401, "The request carries no API key."),
+    UNKNOWN_API_KEY(1006, 401, "The API key belongs to no client account."),
+    NOT_FOUND(1007, 404, "Nothing is served at this path."),
+    KEY_REUSED(1008, 409, "The key was used before with a different body."),
+    INTERNAL(1099, 500, "A fault of this program; the log has the details."),
+
+    // 2xxx: settings and command line.
+    BAD_COMMAND_LINE(2001, 400, "An argument is unknown, missing or malformed."),
+    SETTINGS_UNREADABLE(2002, 400, "The settings file cannot be read or is not JSON."),
+    SETTINGS_UNKNOWN_KEY(2003, 400, "The settings have a key that is not known."),
+    SETTINGS_WRONG_TYPE(2004, 400, "A setting has the wrong type or is missing."),
+    SETTINGS_OUT_OF_RANGE(2005, 400, "A setting is outside its range."),
+    ADDRESS_IN_USE(2006, 500, "The address to listen on cannot be bound."),
+
+    // 3xxx: rules.
+
+    // 4xxx: control and storage.
+
+    // 5xxx: orders and plain services.
+
+    // 6xxx: membership and endpoints.
+    NO_ENDPOINT(6001, 503, "No endpoint that can run the request is known."),
+
+    // 7xxx: generations.
+    ATTEMPTS_EXHAUSTED(7001, 502, "Every allowed attempt of the generation failed."),
+
+    // 8xxx: admission.
+    NOT_RUN_SHUTTING_DOWN(8001, 503, "The host is stopping; the request was not run.");
+
+    private final int number;
+    private final int httpStatus;
+    private final String meaning;
+
+    ResultCode(int number, int httpStatus, String meaning) {
+        this.number = number;
+        this.httpStatus = httpStatus;
+        this.meaning = meaning;
+    }
+
+    /** Returns the number that callers, logs and the table in the docs use. */
+    public int number() {
+        return number;
+    }
+
+    /** Returns the HTTP status that goes with the code. */
+    public int httpStatus() {
+        return httpStatus;
+    }
+
+    /** Returns one sentence that says what the code means. */
+    public String meaning() {
+        return meaning;
+    }
+}
