--- a/siskintrail/src/io/siskintrail/internal/replicated/LogPosition.java
+++ b/siskintrail/src/io/siskintrail/internal/replicated/LogPosition.java
@@ -7,6 +7,8 @@
  * @param index the number of the entry, from 1; 0 stands for the empty log
  */
 public record LogPosition(long term, long index) implements Comparable<LogPosition> {
+    /** The position before the first entry. */
+    public static final LogPosition ZERO = new LogPosition(0, 0);
 
     /** Orders by index, then by term. */
     @Override
--- a/siskintrail/src/io/siskintrail/lib/ResultCode.java
+++ b/siskintrail/src/io/siskintrail/lib/ResultCode.java
@@ -33,6 +33,18 @@
     // 3xxx: rules.
 
     // 4xxx: control and storage.
+    CONTROL_UNAVAILABLE(4001, 503, "No control leader took the command; it was not proposed."),
+    CONTROL_OUTCOME_UNKNOWN(
+            4002, 503, "No answer came in time; the command may still be committed."),
+    LOG_DAMAGED(
+            4003,
+            500,
+            "A record in the middle of the write-ahead log is damaged; the replica stays down."),
+    SNAPSHOT_DAMAGED(4004, 500, "No snapshot file is whole; the replica does not start."),
+    STORAGE_FAILED(4005, 500, "A write or a sync failed; the replica stopped."),
+    DATA_FOLDER_IN_USE(4006, 500, "Another process holds the data folder."),
+    COMMAND_TOO_LARGE(
+            4007, 413, "The command is over the limit of one log entry; it was not proposed."),
 
     // 5xxx: orders and plain services.
 
