--- /dev/null
+++ b/siskintrail/src/io/siskintrail/internal/rules/Rules.java
@@ -0,0 +1,232 @@
+package io.siskintrail.internal.rules;
+
+import io.siskintrail.lib.AccountId;
+import io.siskintrail.lib.Rank;
+import io.siskintrail.lib.ServiceName;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The rules of a file with the defaults for what the file leaves open. Immutable; each look-up
+ * takes a few hash look-ups whatever the number of rules.
+ */
+public final class Rules {
+    /** The share of the slots that each rank keeps while it has work. */
+    public static final Map<Rank, Double> DEFAULT_FLOORS =
+            Map.of(Rank.URGENT, 0.20, Rank.BULK, 0.10);
+
+    /** The longest time in a queue by rank, in milliseconds. */
+    public static final Map<Rank, Long> DEFAULT_QUEUE_MILLIS =
+            Map.of(Rank.URGENT, 4_000L, Rank.BULK, 60_000L);
+
+    /** The weight of an account without a rule. */
+    public static final int DEFAULT_WEIGHT = 1;
+
+    /** Retries that each success of an account allows. */
+    public static final double DEFAULT_RETRY_SHARE = 0.10;
+
+    /** The share of a model's slots that resumed generations may take from other work. */
+    public static final double DEFAULT_RECOVERY_SHARE = 0.50;
+
+    /** The rules of an empty file. */
+    public static final Rules EMPTY = new Rules(List.of());
+
+    private final List<Rule> lines;
+    private final Map<RankSelector, Rank> ranks = new HashMap<>();
+    private final Map<AccountId, Integer> weights = new HashMap<>();
+    private final Map<Rank, Double> floors = new EnumMap<>(DEFAULT_FLOORS);
+    private final Map<AccountId, Limits> limits = new HashMap<>();
+    private final Map<QueueSelector, Long> queueMillis = new HashMap<>();
+    private final Map<AccountId, Double> retries = new HashMap<>();
+    private final Map<String, Double> recoveries = new HashMap<>();
+    private final Map<ServiceName, List<Rule.AtMostOnceRule>> atMostOnce = new HashMap<>();
+    private final List<Rule.PlacementRule> placements = new ArrayList<>();
+    private int defaultWeight = DEFAULT_WEIGHT;
+    private double defaultRetryShare = DEFAULT_RETRY_SHARE;
+    private double defaultRecoveryShare = DEFAULT_RECOVERY_SHARE;
+    private Limits defaultLimits = Limits.NONE;
+
+    private record RankSelector(AccountId account, String model, ServiceName service) {}
+
+    private record QueueSelector(AccountId account, Rank rank) {}
+
+    Rules(List<Rule> lines) {
+        this.lines = List.copyOf(lines);
+        lines.forEach(this::addDefault);
+        lines.forEach(this::add);
+        for (List<Rule.AtMostOnceRule> list : atMostOnce.values()) {
+            list.sort(
+                    Comparator.comparing((Rule.AtMostOnceRule r) -> r.path().endsWith("*"))
+                            .thenComparing(r -> -r.path().length()));
+        }
+    }
+
+    private void addDefault(Rule rule) {
+        if (rule instanceof Rule.WeightRule r && r.account().isEmpty()) {
+            defaultWeight = r.weight();
+        } else if (rule instanceof Rule.RetryRule r && r.account().isEmpty()) {
+            defaultRetryShare = r.share();
+        } else if (rule instanceof Rule.RecoveryRule r && r.model().isEmpty()) {
+            defaultRecoveryShare = r.share();
+        } else if (rule instanceof Rule.LimitRule r && r.account().isEmpty()) {
+            defaultLimits = merge(r, defaultLimits);
+        }
+    }
+
+    private void add(Rule rule) {
+        if (rule instanceof Rule.RankRule r) {
+            ranks.put(
+                    new RankSelector(
+                            r.account().orElse(null),
+                            r.model().orElse(null),
+                            r.service().orElse(null)),
+                    r.rank());
+        } else if (rule instanceof Rule.WeightRule r) {
+            r.account().ifPresent(a -> weights.put(a, r.weight()));
+        } else if (rule instanceof Rule.FloorRule r) {
+            floors.put(r.rank(), r.share());
+        } else if (rule instanceof Rule.LimitRule r) {
+            addLimit(r);
+        } else if (rule instanceof Rule.RetryRule r) {
+            r.account().ifPresent(a -> retries.put(a, r.share()));
+        } else if (rule instanceof Rule.RecoveryRule r) {
+            r.model().ifPresent(m -> recoveries.put(m, r.share()));
+        } else if (rule instanceof Rule.AtMostOnceRule r) {
+            atMostOnce.computeIfAbsent(r.service(), s -> new ArrayList<>()).add(r);
+        } else if (rule instanceof Rule.PlacementRule r) {
+            placements.add(r);
+        }
+    }
+
+    private void addLimit(Rule.LimitRule r) {
+        if (r.rank().isEmpty()) {
+            r.account().ifPresent(a -> limits.put(a, merge(r, defaultLimits)));
+        }
+        r.queueMillis()
+                .ifPresent(
+                        millis ->
+                                queueMillis.put(
+                                        new QueueSelector(
+                                                r.account().orElse(null), r.rank().orElse(null)),
+                                        millis));
+    }
+
+    private static Limits merge(Rule.LimitRule r, Limits base) {
+        return new Limits(
+                r.requestsPerSecond().orElse(base.requestsPerSecond()),
+                r.tokensPerSecond().orElse(base.tokensPerSecond()),
+                r.inFlight().orElse(base.inFlight()));
+    }
+
+    /** Returns all rules in the order of the file. */
+    public List<Rule> lines() {
+        return lines;
+    }
+
+    /**
+     * Returns the rank of a generation. A rule for account and model goes before one for the
+     * account, that before one for the model, and that before one for everything; without any of
+     * them the work is bulk.
+     */
+    public Rank rank(AccountId account, String model) {
+        return rank(account, model, null, Rank.BULK);
+    }
+
+    /**
+     * Returns the rank of a call of a plain service, by the same order of rules; without any of
+     * them the call is urgent.
+     */
+    public Rank rank(AccountId account, ServiceName service) {
+        return rank(account, null, service, Rank.URGENT);
+    }
+
+    private Rank rank(AccountId account, String model, ServiceName service, Rank otherwise) {
+        Rank both = ranks.get(new RankSelector(account, model, service));
+        if (both != null) {
+            return both;
+        }
+        Rank ofAccount = ranks.get(new RankSelector(account, null, null));
+        if (ofAccount != null) {
+            return ofAccount;
+        }
+        Rank ofTarget = ranks.get(new RankSelector(null, model, service));
+        if (ofTarget != null) {
+            return ofTarget;
+        }
+        return ranks.getOrDefault(new RankSelector(null, null, null), otherwise);
+    }
+
+    /** Returns the weight of a client account within its rank, at least 1. */
+    public int weight(AccountId account) {
+        return weights.getOrDefault(account, defaultWeight);
+    }
+
+    /** Returns the share of the slots, from 0 to 1, that a rank keeps while it has work. */
+    public double floor(Rank rank) {
+        return floors.get(rank);
+    }
+
+    /** Returns what a client account may ask for, over all routers together. */
+    public Limits limits(AccountId account) {
+        return limits.getOrDefault(account, defaultLimits);
+    }
+
+    /** Returns the longest time in a queue in milliseconds. */
+    public long queueMillis(AccountId account, Rank rank) {
+        Long both = queueMillis.get(new QueueSelector(account, rank));
+        if (both != null) {
+            return both;
+        }
+        Long ofAccount = queueMillis.get(new QueueSelector(account, null));
+        if (ofAccount != null) {
+            return ofAccount;
+        }
+        Long ofRank = queueMillis.get(new QueueSelector(null, rank));
+        if (ofRank != null) {
+            return ofRank;
+        }
+        return queueMillis.getOrDefault(
+                new QueueSelector(null, null), DEFAULT_QUEUE_MILLIS.get(rank));
+    }
+
+    /** Returns how many retries, from 0 to 1, each success of a client account allows. */
+    public double retryShare(AccountId account) {
+        return retries.getOrDefault(account, defaultRetryShare);
+    }
+
+    /**
+     * Returns the share of a model's slots, from 0 to 1, that resumed generations may take from
+     * other work at once.
+     */
+    public double recoveryShare(String model) {
+        return recoveries.getOrDefault(model, defaultRecoveryShare);
+    }
+
+    /**
+     * Returns the rule that forbids repeating a call, or empty when the call may be repeated. An
+     * exact path goes before a prefix, and a longer prefix before a shorter one.
+     *
+     * @param service the plain service
+     * @param method the HTTP method in capitals
+     * @param path the path below {@code /services/{name}}, beginning with a slash
+     */
+    public Optional<Rule.AtMostOnceRule> atMostOnce(
+            ServiceName service, String method, String path) {
+        for (Rule.AtMostOnceRule rule : atMostOnce.getOrDefault(service, List.of())) {
+            if (rule.matches(method, path)) {
+                return Optional.of(rule);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the engines that the rules ask for, in the order of the file. */
+    public List<Rule.PlacementRule> placements() {
+        return List.copyOf(placements);
+    }
+}
--- a/siskintrail/src/io/siskintrail/lib/ResultCode.java
+++ b/siskintrail/src/io/siskintrail/lib/ResultCode.java
@@ -31,6 +31,22 @@
     ADDRESS_IN_USE(2006, 500, "The address to listen on cannot be bound."),
 
     // 3xxx: rules.
+    RULE_WITHOUT_COMMENT(3001, 400, "The rule has no comment that says who asked for it."),
+    RULE_UNKNOWN_KIND(3002, 400, "The first word of the line is no kind of rule."),
+    RULE_UNKNOWN_KEY(3003, 400, "The rule has a key that its kind does not know."),
+    RULE_MISSING_KEY(3004, 400, "The rule lacks a word or key that its kind needs."),
+    RULE_REPEATED_KEY(3005, 400, "The rule gives a key twice."),
+    RULE_BAD_VALUE(3006, 400, "A value of the rule has the wrong form."),
+    RULE_OUT_OF_RANGE(3007, 400, "A value of the rule is outside its range."),
+    RULE_UNEXPECTED_WORD(3008, 400, "The line has a word or character that does not belong there."),
+    RULE_DUPLICATE(3009, 400, "An earlier line sets the same thing."),
+    RULE_CONFLICT(3010, 400, "The rule contradicts itself or other rules."),
+    RULES_TOO_LARGE(3011, 413, "The rules file is over its limit."),
+    RULES_REFUSED(3012, 400, "The rules file has errors; nothing of it was applied."),
+    RULES_NUMBER_TAKEN(3013, 409, "Another edit was made from the same number and won."),
+    RULES_NUMBER_UNKNOWN(3014, 409, "The edit was made from a number that does not exist."),
+    RULES_PENDING(3015, 504, "The edit is not confirmed; send the same edit again to learn."),
+    NOT_RUN_RULES_STALE(3016, 503, "The host cannot confirm its rules; the request was not run."),
 
     // 4xxx: control and storage.
     CONTROL_UNAVAILABLE(4001, 503, "No control leader took the command; it was not proposed."),
