Add the replicated control state with rules and hosts

Cause: edits race with equal numbers and are sent again after lost answers; hosts change while a majority of them is counted. Change: configuration section with numbered edits, bounded history and host changes one at a time, composed into ControlState.

--- /dev/null
+++ b/siskintrail/src/io/siskintrail/internal/control/ControlState.java
@@ -0,0 +1,34 @@
+package io.siskintrail.internal.control;
+
+import io.siskintrail.internal.replicated.LogPosition;
+import io.siskintrail.internal.replicated.ReplicatedState;
+
+/**
+ * All that the control log carries, composed of independent sections. A section is added by one
+ * more case of {@link ControlCommand}, {@link ControlAnswer} and {@link ControlImage}.
+ */
+public final class ControlState
+        implements ReplicatedState<ControlCommand, ControlAnswer, ControlImage> {
+    private final ConfigurationState configuration = new ConfigurationState();
+
+    @Override
+    public ControlAnswer apply(LogPosition position, long atMillis, ControlCommand command) {
+        ConfigurationCommand c = ((ControlCommand.ToConfiguration) command).command();
+        return new ControlAnswer.FromConfiguration(configuration.apply(position, atMillis, c));
+    }
+
+    /** Returns the section of rules and hosts; to be read on the thread that applies commands. */
+    public ConfigurationState configuration() {
+        return configuration;
+    }
+
+    @Override
+    public ControlImage image() {
+        return new ControlImage(configuration.image());
+    }
+
+    @Override
+    public void restore(ControlImage image) {
+        configuration.restore(image.configuration());
+    }
+}
