--- a/siskintrail/src/io/siskintrail/lib/ResultCode.java
+++ b/siskintrail/src/io/siskintrail/lib/ResultCode.java
@@ -63,6 +63,19 @@
             4007, 413, "The command is over the limit of one log entry; it was not proposed."),
 
     // 5xxx: orders and plain services.
+    ORDER_UNKNOWN(
+            5001, 502, "The order may or may not have run; it is not sent again under its key."),
+    ORDER_IN_PROGRESS(5002, 409, "The order is being worked on; ask again with the same key."),
+    ORDER_NOT_STARTED(5003, 503, "The order was not run: it could not be dispatched in time."),
+    ORDER_NOT_CONNECTED(5004, 503, "The order was not run: no endpoint could be connected to."),
+    ORDER_LEDGER_FULL(
+            5005, 503, "The order was not run: the ledger holds as many records as it may."),
+    ORDER_LEDGER_UNAVAILABLE(
+            5006,
+            503,
+            "Nothing was sent, and the ledger did not say in time whether the key ran before."),
+    ORDER_ANSWER_NOT_KEPT(5007, 410, "The order ran; its answer was too large to keep."),
+    ORDER_KEY_REQUIRED(5008, 400, "The rules want an idempotency key on this call."),
 
     // 6xxx: membership and endpoints.
     NO_ENDPOINT(6001, 503, "No endpoint that can run the request is known."),
