Keep an unknown order at least five minutes

Cause: a rule may give a window of seconds for derived keys; a router that hesitates between commit and call could then send beside a newer claim.

--- a/siskintrail.test/tst/io/siskintrail/internal/ledger/LedgerStateTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/ledger/LedgerStateTest.java
@@ -38,6 +38,14 @@
         assertThat(claim(3_499, "k", 3, 0)).isInstanceOf(LedgerAnswer.Unknown.class);
     }
 
+    @Test
+    void unknownOutlivesAShortRetention() {
+        claim(0, "k", 1, 10);
+        dispatch(0, "k", 1, 1);
+        assertThat(claim(1_499, "k", 2, 10)).isInstanceOf(LedgerAnswer.Unknown.class);
+        assertThat(claim(1_500, "k", 2, 10)).isInstanceOf(LedgerAnswer.Claimed.class);
+    }
+
     @Test
     void lateAnswerOfTheHolderReplacesUnknown() {
         claim(0, "k", 1, 3_000);
--- a/siskintrail/src/io/siskintrail/internal/ledger/LedgerLimits.java
+++ b/siskintrail/src/io/siskintrail/internal/ledger/LedgerLimits.java
@@ -7,7 +7,8 @@
  * @param maxAnswerBytes the largest body that is kept
  * @param maxTotalAnswerBytes all kept bodies together
  * @param claimMillis how long a claim holds without a dispatch
- * @param minRetentionMillis the shortest retention; longer than any router works on one order
+ * @param minUnknownMillis the shortest retention of an unknown order; longer than a router may
+ *     hesitate between the commit of a dispatch and the call
  * @param maxRetentionMillis the longest retention
  */
 public record LedgerLimits(
@@ -15,7 +16,7 @@
         int maxAnswerBytes,
         long maxTotalAnswerBytes,
         long claimMillis,
-        long minRetentionMillis,
+        long minUnknownMillis,
         long maxRetentionMillis) {
     private static final long MINUTE_MILLIS = 60_000;
     private static final long DAY_MILLIS = 24 * 60 * MINUTE_MILLIS;
@@ -23,9 +24,9 @@
     /** The bounds that a deployment runs with. */
     public static final LedgerLimits DEFAULT =
             new LedgerLimits(
-                    200_000, 64 << 10, 64L << 20, 15_000, 10 * MINUTE_MILLIS, 7 * DAY_MILLIS);
+                    200_000, 64 << 10, 16L << 20, 15_000, 5 * MINUTE_MILLIS, 30 * DAY_MILLIS);
 
     long retention(long asked) {
-        return Math.max(minRetentionMillis, Math.min(maxRetentionMillis, asked));
+        return Math.max(0, Math.min(maxRetentionMillis, asked));
     }
 }
--- a/siskintrail/src/io/siskintrail/internal/ledger/LedgerState.java
+++ b/siskintrail/src/io/siskintrail/internal/ledger/LedgerState.java
@@ -144,7 +144,8 @@
             return REFUSED;
         }
         if (r.state() != OrderState.DONE) {
-            put(r.ended(OrderState.DONE, bounded(c.answer()), atMillis));
+            long deadline = atMillis + r.retentionMillis();
+            put(r.ended(OrderState.DONE, bounded(c.answer()), deadline));
         }
         return ACCEPTED;
     }
@@ -154,7 +155,7 @@
         if (r == null || r.state() != OrderState.DISPATCHED || r.attempt() != c.attempt()) {
             return REFUSED;
         }
-        put(r.ended(OrderState.UNKNOWN, null, atMillis));
+        putUnknown(atMillis, r);
         return ACCEPTED;
     }
 
@@ -179,12 +180,17 @@
 
     private void settle(long atMillis, OrderRecord r) {
         if (mayHaveBeenSent(r)) {
-            put(r.ended(OrderState.UNKNOWN, null, atMillis));
+            putUnknown(atMillis, r);
         } else {
             remove(r);
         }
     }
 
+    private void putUnknown(long atMillis, OrderRecord r) {
+        long kept = Math.max(limits.minUnknownMillis(), r.retentionMillis());
+        put(r.ended(OrderState.UNKNOWN, null, atMillis + kept));
+    }
+
     /** Returns whether a new claim may replace {@code r}; overridden only by faulty variants. */
     boolean canBeClaimed(OrderRecord r) {
         return false;
--- a/siskintrail/src/io/siskintrail/internal/ledger/OrderRecord.java
+++ b/siskintrail/src/io/siskintrail/internal/ledger/OrderRecord.java
@@ -40,17 +40,9 @@
                 deadline);
     }
 
-    OrderRecord ended(OrderState end, StoredAnswer result, long atMillis) {
+    OrderRecord ended(OrderState end, StoredAnswer result, long deadline) {
         return new OrderRecord(
-                key,
-                claim,
-                digest,
-                end,
-                endpoint,
-                attempt,
-                result,
-                retentionMillis,
-                atMillis + retentionMillis);
+                key, claim, digest, end, endpoint, attempt, result, retentionMillis, deadline);
     }
 
     /** Returns whether a router still works on the order. */
