Add the dispatcher with fair queues and slot leases

Cause: routers that each see a part need one order of work: rank, then weighted fairness between client accounts, on slots that no two routers use at once. Change: a state machine per router (io.siskintrail.internal.policy) with virtual token counters, admission, retry budgets, joins, prefix hints, endpoint ramps, suspension, and a coordinator per pool that leases slots to the routers by demand.

--- /dev/null
+++ b/siskintrail.test/tst/io/siskintrail/internal/policy/DispatcherTest.java
@@ -0,0 +1,133 @@
+package io.siskintrail.internal.policy;
+
+import static com.google.common.truth.Truth.assertThat;
+import static io.siskintrail.internal.policy.Requests.engine;
+import static io.siskintrail.internal.policy.Requests.request;
+
+import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.HostId;
+import io.siskintrail.lib.Rank;
+import io.siskintrail.lib.ResultCode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class DispatcherTest {
+    private static final HostId SELF = new HostId("entry-1");
+    private static final EndpointId E1 = new EndpointId("e1");
+
+    private final Dispatcher dispatcher = new Dispatcher(SELF, 1, PolicyRules.DEFAULT);
+    private long now;
+
+    @BeforeEach
+    void setUpRouter() {
+        step(new PolicyInput.Peers(Set.of(SELF), true));
+    }
+
+    @Test
+    void startsARequestAtOnceWhenASlotIsFree() {
+        warmUp(4);
+        assertThat(step(new PolicyInput.Submit(request(1, "a", Rank.URGENT))))
+                .containsExactly(new PolicyEffect.Start(1, E1));
+    }
+
+    @Test
+    void refusesATargetThatNoEndpointServes() {
+        List<PolicyEffect> effects = step(new PolicyInput.Submit(request(1, "a", Rank.URGENT)));
+        assertThat(refusalOf(effects, 1)).isEqualTo(ResultCode.NO_ENDPOINT);
+    }
+
+    @Test
+    void rampsANewEndpoint() {
+        step(new PolicyInput.EndpointUp(engine("e1", 8)));
+        int started = 0;
+        for (int i = 0; i < 8; i++) {
+            started += starts(step(new PolicyInput.Submit(request(i, "a", Rank.BULK)))).size();
+        }
+        assertThat(started).isEqualTo(1);
+        assertThat(starts(advance(2_000))).hasSize(7);
+    }
+
+    @Test
+    void joinsAnEqualKeyInFlight() {
+        warmUp(4);
+        step(new PolicyInput.Submit(request(1, "a", Rank.URGENT, "k")));
+        assertThat(step(new PolicyInput.Submit(request(2, "a", Rank.URGENT, "k"))))
+                .containsExactly(new PolicyEffect.Join(2, 1));
+        step(new PolicyInput.Finished(1, Outcome.DONE, 10));
+        assertThat(starts(step(new PolicyInput.Submit(request(3, "a", Rank.URGENT, "k")))))
+                .containsExactly(3L);
+    }
+
+    @Test
+    void suspendsABulkGenerationForUrgentWorkAndResumesIt() {
+        warmUp(2);
+        step(new PolicyInput.Submit(request(1, "a", Rank.BULK)));
+        step(new PolicyInput.Submit(request(2, "a", Rank.BULK)));
+        advance(2_000);
+        List<PolicyEffect> effects = step(new PolicyInput.Submit(request(3, "b", Rank.URGENT)));
+        assertThat(effects).contains(new PolicyEffect.Suspend(1));
+        assertThat(starts(step(new PolicyInput.Suspended(1, 20)))).containsExactly(3L);
+        assertThat(starts(step(new PolicyInput.Finished(3, Outcome.DONE, 10)))).containsExactly(1L);
+    }
+
+    @Test
+    void keepsTheFloorOfBulkWork() {
+        warmUp(1);
+        step(new PolicyInput.Submit(request(1, "a", Rank.BULK)));
+        advance(2_000);
+        assertThat(step(new PolicyInput.Submit(request(2, "b", Rank.URGENT))))
+                .doesNotContain(new PolicyEffect.Suspend(1));
+    }
+
+    @Test
+    void dropsWorkWhoseWaitHasEnded() {
+        warmUp(1);
+        step(new PolicyInput.Submit(request(1, "a", Rank.URGENT)));
+        step(new PolicyInput.Submit(request(2, "a", Rank.URGENT)));
+        assertThat(refusalOf(advance(3_000), 2)).isEqualTo(ResultCode.NOT_RUN_DEADLINE);
+    }
+
+    @Test
+    void leavesAnEndpointAloneThatFails() {
+        warmUp(4);
+        step(new PolicyInput.Submit(request(1, "a", Rank.URGENT)));
+        step(new PolicyInput.Finished(1, Outcome.ENDPOINT_FAILED, 0));
+        assertThat(starts(step(new PolicyInput.Submit(request(2, "a", Rank.URGENT))))).isEmpty();
+        assertThat(starts(advance(1_500))).containsExactly(2L);
+    }
+
+    private void warmUp(int slots) {
+        step(new PolicyInput.EndpointUp(engine("e1", slots)));
+        advance(5_000);
+    }
+
+    private List<PolicyEffect> step(PolicyInput input) {
+        return dispatcher.step(now, input);
+    }
+
+    private List<PolicyEffect> advance(long millis) {
+        List<PolicyEffect> all = new ArrayList<>();
+        for (long end = now + millis; now < end; now += Dispatcher.TICK_MILLIS) {
+            all.addAll(step(new PolicyInput.Tick()));
+        }
+        return all;
+    }
+
+    private static List<Long> starts(List<PolicyEffect> effects) {
+        return effects.stream()
+                .filter(e -> e instanceof PolicyEffect.Start)
+                .map(e -> ((PolicyEffect.Start) e).ticket())
+                .toList();
+    }
+
+    private static ResultCode refusalOf(List<PolicyEffect> effects, long ticket) {
+        return effects.stream()
+                .filter(e -> e instanceof PolicyEffect.Refuse r && r.ticket() == ticket)
+                .map(e -> ((PolicyEffect.Refuse) e).failure().code())
+                .findFirst()
+                .orElse(null);
+    }
+}
--- /dev/null
+++ b/siskintrail/src/io/siskintrail/internal/policy/AccountStats.java
@@ -0,0 +1,22 @@
+package io.siskintrail.internal.policy;
+
+import io.siskintrail.lib.ResultCode;
+import java.util.EnumMap;
+import java.util.Map;
+
+/** Counts what happened to the requests of one account. */
+final class AccountStats {
+    long started;
+    long joined;
+    long suspended;
+    double served;
+    private final Map<ResultCode, Long> refused = new EnumMap<>(ResultCode.class);
+
+    void refused(ResultCode code) {
+        refused.merge(code, 1L, Long::sum);
+    }
+
+    Map<ResultCode, Long> refused() {
+        return new EnumMap<>(refused);
+    }
+}
--- /dev/null
+++ b/siskintrail/src/io/siskintrail/internal/policy/AllocationRound.java
@@ -0,0 +1,298 @@
+package io.siskintrail.internal.policy;
+
+import io.siskintrail.internal.policy.PolicyMessage.PoolState;
+import io.siskintrail.internal.policy.PolicyMessage.WaitingWork;
+import io.siskintrail.lib.AccountId;
+import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.HostId;
+import io.siskintrail.lib.Rank;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+/**
+ * One allocation of the slots of a pool: first to waiting work, in the order of floors, rank and
+ * virtual counters over all routers, then what is left to the routers with the least idle slots.
+ */
+final class AllocationRound {
+    private final long now;
+    private final List<EndpointState> members;
+    private final List<RouterSlots> routers;
+    private final Map<EndpointId, Integer> free;
+    private final Fairness fairness;
+    private final Map<RouterSlots, Map<EndpointId, Integer>> spare = new HashMap<>();
+    private final Map<Rank, PriorityQueue<Candidate>> unmet = new EnumMap<>(Rank.class);
+    private final Map<Rank, List<Candidate>> left = new EnumMap<>(Rank.class);
+    private final Map<Rank, Map<AccountId, Double>> keys = new EnumMap<>(Rank.class);
+    private int slots;
+    private int urgentRunning;
+    private int bulkRunning;
+    private int pending;
+
+    AllocationRound(
+            long now,
+            List<EndpointState> members,
+            List<RouterSlots> routers,
+            Map<EndpointId, Integer> free,
+            Fairness fairness) {
+        this.now = now;
+        this.members = members;
+        this.routers = routers;
+        this.free = free;
+        this.fairness = fairness;
+        for (Rank rank : Rank.values()) {
+            unmet.put(rank, new PriorityQueue<>());
+            left.put(rank, new ArrayList<>());
+            keys.put(rank, new HashMap<>());
+        }
+        count();
+        collect();
+    }
+
+    /** Grants, reclaims and asks for suspensions. */
+    void run() {
+        int bulkFloor = fairness.floorSlots(Rank.BULK, slots);
+        int urgentFloor = fairness.floorSlots(Rank.URGENT, slots);
+        int urgent = urgentRunning;
+        int bulkServed = 0;
+        while (true) {
+            int bulk = bulkRunning + bulkServed;
+            Rank rank = nextRank(urgent < urgentFloor, bulk < bulkFloor);
+            if (rank == null) {
+                break;
+            }
+            Candidate c = next(rank);
+            if (!serve(c, bulk > bulkFloor)) {
+                left.get(rank).add(c);
+                continue;
+            }
+            if (rank == Rank.URGENT) {
+                urgent++;
+            } else {
+                bulkServed++;
+            }
+            putBack(c);
+        }
+        if (left.values().stream().allMatch(List::isEmpty)) {
+            spread();
+        }
+    }
+
+    /** Returns the state of the pool as {@code router} is to see it. */
+    PoolState stateFor(HostId router) {
+        return new PoolState(
+                slots,
+                urgentRunning,
+                bulkRunning,
+                rival(Rank.URGENT, router),
+                rival(Rank.BULK, router));
+    }
+
+    private AccountId rival(Rank rank, HostId router) {
+        return left.get(rank).stream()
+                .filter(c -> !c.router.router.equals(router))
+                .min(Comparator.naturalOrder())
+                .map(c -> c.work.account())
+                .orElse(null);
+    }
+
+    private void count() {
+        for (EndpointState e : members) {
+            slots += e.capacity(now);
+        }
+        for (RouterSlots r : routers) {
+            urgentRunning += r.urgent();
+            bulkRunning += r.bulk();
+            pending += r.suspending(now);
+            Map<EndpointId, Integer> idle = new HashMap<>();
+            for (EndpointState e : members) {
+                EndpointId id = e.info.id();
+                pending += r.pending(id);
+                if (r.idle(id) > 0) {
+                    idle.put(id, r.idle(id));
+                }
+            }
+            spare.put(r, idle);
+        }
+    }
+
+    /** Lists the waiting work that the slots on their way to its router do not cover. */
+    private void collect() {
+        for (RouterSlots r : routers) {
+            for (WaitingWork w : r.waits()) {
+                int count = w.count();
+                while (count > 0 && cover(r, w)) {
+                    count--;
+                }
+                if (count > 0) {
+                    double key = fairness.counter(w.rank(), w.account());
+                    unmet.get(w.rank()).add(new Candidate(key, r, w, count));
+                }
+            }
+        }
+    }
+
+    private boolean cover(RouterSlots r, WaitingWork w) {
+        Map<EndpointId, Integer> idle = spare.get(r);
+        for (EndpointState e : members) {
+            EndpointId id = e.info.id();
+            boolean fits = w.preferred() == null || w.preferred().equals(id);
+            if (fits && idle.getOrDefault(id, 0) > 0 && e.serves(w.target())) {
+                idle.merge(id, -1, Integer::sum);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Rank nextRank(boolean urgentBelowFloor, boolean bulkBelowFloor) {
+        boolean urgentWaits = !unmet.get(Rank.URGENT).isEmpty();
+        boolean bulkWaits = !unmet.get(Rank.BULK).isEmpty();
+        if (urgentWaits && urgentBelowFloor) {
+            return Rank.URGENT;
+        }
+        if (bulkWaits && bulkBelowFloor) {
+            return Rank.BULK;
+        }
+        if (urgentWaits) {
+            return Rank.URGENT;
+        }
+        return bulkWaits ? Rank.BULK : null;
+    }
+
+    /** Takes the candidate whose account is next, requests of the account elsewhere included. */
+    private Candidate next(Rank rank) {
+        PriorityQueue<Candidate> queue = unmet.get(rank);
+        while (true) {
+            Candidate c = queue.poll();
+            double key = keys.get(rank).getOrDefault(c.work.account(), c.key);
+            if (key <= c.key) {
+                return c;
+            }
+            queue.add(new Candidate(key, c.router, c.work, c.count));
+        }
+    }
+
+    private void putBack(Candidate c) {
+        Rank rank = c.work.rank();
+        double key = c.key + fairness.step(rank, c.work.account());
+        keys.get(rank).put(c.work.account(), key);
+        if (c.count > 1) {
+            unmet.get(rank).add(new Candidate(key, c.router, c.work, c.count - 1));
+        }
+    }
+
+    private boolean serve(Candidate c, boolean maySuspend) {
+        EndpointState best = bestFree(c.work);
+        if (best != null) {
+            free.merge(best.info.id(), -1, Integer::sum);
+            c.router.grant(best.info.id(), 1);
+            return true;
+        }
+        if (pending > 0) {
+            pending--;
+            return true;
+        }
+        if (reclaim(c)) {
+            return true;
+        }
+        return c.work.rank() == Rank.URGENT && maySuspend && suspend(c);
+    }
+
+    private EndpointState bestFree(WaitingWork w) {
+        EndpointState best = null;
+        int most = 0;
+        for (EndpointState e : members) {
+            int n = free.getOrDefault(e.info.id(), 0);
+            if (n > 0 && e.serves(w.target())) {
+                if (e.info.id().equals(w.preferred())) {
+                    return e;
+                }
+                if (n > most) {
+                    most = n;
+                    best = e;
+                }
+            }
+        }
+        return best;
+    }
+
+    private boolean reclaim(Candidate c) {
+        for (EndpointState e : members) {
+            EndpointId id = e.info.id();
+            boolean fits = c.work.preferred() == null || c.work.preferred().equals(id);
+            if (!fits || !e.serves(c.work.target())) {
+                continue;
+            }
+            for (RouterSlots r : routers) {
+                if (r != c.router && spare.get(r).getOrDefault(id, 0) > 0) {
+                    spare.get(r).merge(id, -1, Integer::sum);
+                    r.grant(id, -1);
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    private boolean suspend(Candidate c) {
+        RouterSlots victim = null;
+        int most = 0;
+        for (RouterSlots r : routers) {
+            int bulk = -r.suspending(now);
+            for (EndpointState e : members) {
+                bulk += e.serves(c.work.target()) ? r.bulk(e.info.id()) : 0;
+            }
+            if (bulk > most) {
+                most = bulk;
+                victim = r;
+            }
+        }
+        if (victim == null) {
+            return false;
+        }
+        victim.askToSuspend(now);
+        bulkRunning--;
+        return true;
+    }
+
+    private void spread() {
+        ArrayDeque<EndpointState> open = new ArrayDeque<>(members);
+        while (!open.isEmpty() && !routers.isEmpty()) {
+            EndpointState e = open.poll();
+            EndpointId id = e.info.id();
+            if (free.getOrDefault(id, 0) <= 0) {
+                continue;
+            }
+            free.merge(id, -1, Integer::sum);
+            RouterSlots r = leastIdle(id);
+            spare.get(r).merge(id, 1, Integer::sum);
+            r.grant(id, 1);
+            open.add(e);
+        }
+    }
+
+    private RouterSlots leastIdle(EndpointId id) {
+        return routers.stream()
+                .min(
+                        Comparator.<RouterSlots>comparingInt(
+                                        r -> spare.get(r).values().stream().mapToInt(n -> n).sum())
+                                .thenComparingInt(r -> spare.get(r).getOrDefault(id, 0))
+                                .thenComparing(r -> r.router))
+                .orElseThrow();
+    }
+
+    private record Candidate(double key, RouterSlots router, WaitingWork work, int count)
+            implements Comparable<Candidate> {
+        @Override
+        public int compareTo(Candidate other) {
+            int byKey = Double.compare(key, other.key);
+            return byKey != 0 ? byKey : router.router.compareTo(other.router.router);
+        }
+    }
+}
--- /dev/null
+++ b/siskintrail/src/io/siskintrail/internal/policy/RouterSlots.java
@@ -0,0 +1,208 @@
+package io.siskintrail.internal.policy;
+
+import io.siskintrail.internal.policy.PolicyMessage.Claim;
+import io.siskintrail.internal.policy.PolicyMessage.HeldSlots;
+import io.siskintrail.internal.policy.PolicyMessage.PoolState;
+import io.siskintrail.internal.policy.PolicyMessage.WaitingWork;
+import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.HostId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What a coordinator has granted to one router and what that router last claimed. */
+final class RouterSlots {
+    private static final long SUSPEND_ASK_MILLIS = 100;
+
+    final HostId router;
+    private final Map<EndpointId, Cell> cells = new TreeMap<>();
+    private long claimSequence;
+    private long claimedAt;
+    private long appliedGrant;
+    private long sentGrant;
+    private long sentAt;
+    private long ackedAtSend;
+    private List<WaitingWork> waits = List.of();
+    private PoolState sentState;
+    private boolean changed;
+    private int suspendAsked;
+    private long suspendAskedAt;
+    private int suspendToSend;
+
+    RouterSlots(HostId router) {
+        this.router = router;
+    }
+
+    /** Takes in a claim; returns false when it is older than the last one. */
+    boolean apply(long now, Claim claim) {
+        if (claim.sequence() <= claimSequence) {
+            return false;
+        }
+        claimSequence = claim.sequence();
+        claimedAt = now;
+        appliedGrant = claim.appliedGrant();
+        waits = claim.waits();
+        cells.values().forEach(Cell::clearClaim);
+        for (HeldSlots h : claim.held()) {
+            cell(h.endpoint()).claim(h);
+        }
+        if (sentGrant == 0) {
+            cells.values().forEach(c -> c.sent = c.granted);
+        } else if (isCurrent()) {
+            cells.values().forEach(c -> c.sent = Math.min(c.sent, c.granted));
+        }
+        cells.values().removeIf(Cell::isEmpty);
+        return true;
+    }
+
+    /** Returns whether the last claim was made under the last grant. */
+    private boolean isCurrent() {
+        return appliedGrant >= sentGrant;
+    }
+
+    boolean isSilent(long now, int leaseMillis) {
+        return now - claimedAt > leaseMillis;
+    }
+
+    List<WaitingWork> waits() {
+        return waits;
+    }
+
+    Iterable<EndpointId> endpoints() {
+        return new ArrayList<>(cells.keySet());
+    }
+
+    /** Returns the slots of {@code id} that the router may be using. */
+    int committed(EndpointId id) {
+        Cell c = cells.get(id);
+        if (c == null) {
+            return 0;
+        }
+        int safe = Math.max(c.sent, c.running());
+        return isCurrent() ? safe : Math.max(safe, c.granted);
+    }
+
+    /** Returns slots that come free as soon as the router sees the last grant. */
+    int pending(EndpointId id) {
+        Cell c = cells.get(id);
+        return c == null ? 0 : committed(id) - Math.max(c.sent, c.running());
+    }
+
+    /** Returns the granted slots that are not in use. */
+    int idle(EndpointId id) {
+        Cell c = cells.get(id);
+        return c == null ? 0 : Math.max(0, c.sent - c.running());
+    }
+
+    int running(EndpointId id) {
+        Cell c = cells.get(id);
+        return c == null ? 0 : c.running();
+    }
+
+    int urgent() {
+        return cells.values().stream().mapToInt(c -> c.urgent).sum();
+    }
+
+    int bulk() {
+        return cells.values().stream().mapToInt(c -> c.bulk).sum();
+    }
+
+    int bulk(EndpointId id) {
+        Cell c = cells.get(id);
+        return c == null ? 0 : c.bulk;
+    }
+
+    void grant(EndpointId id, int change) {
+        Cell c = cell(id);
+        c.sent += change;
+        changed = true;
+    }
+
+    /** Returns bulk generations that it was asked to suspend and that are still on their way. */
+    int suspending(long now) {
+        return now - suspendAskedAt <= SUSPEND_ASK_MILLIS ? suspendAsked : 0;
+    }
+
+    void askToSuspend(long now) {
+        suspendAsked = suspending(now) + 1;
+        suspendAskedAt = now;
+        suspendToSend++;
+        changed = true;
+    }
+
+    /** Returns whether a grant has to be sent: for a change, a renewal or a lost one. */
+    boolean needsGrant(long now, PoolState state, long renewMillis, long resendMillis) {
+        if (changed) {
+            return true;
+        }
+        boolean newClaim = claimSequence != ackedAtSend;
+        if (newClaim && now - sentAt >= renewMillis) {
+            return true;
+        }
+        if (now - sentAt < resendMillis) {
+            return false;
+        }
+        boolean rivals = sentState == null || hasNewRival(state);
+        return rivals || newClaim && !isCurrent();
+    }
+
+    /** Returns the grant to send now. */
+    PolicyMessage.Grant send(long now, String pool, long sequence, int lease, PoolState state) {
+        changed = false;
+        sentGrant = sequence;
+        sentAt = now;
+        ackedAtSend = claimSequence;
+        sentState = state;
+        List<PolicyMessage.GrantedSlots> slots = new ArrayList<>();
+        cells.forEach(
+                (id, c) -> {
+                    if (c.sent > 0) {
+                        slots.add(new PolicyMessage.GrantedSlots(id, c.sent));
+                    }
+                });
+        int suspend = suspendToSend;
+        suspendToSend = 0;
+        return new PolicyMessage.Grant(pool, sequence, claimSequence, lease, slots, state, suspend);
+    }
+
+    private boolean hasNewRival(PoolState state) {
+        return isNew(sentState.urgentWaiting(), state.urgentWaiting())
+                || isNew(sentState.bulkWaiting(), state.bulkWaiting());
+    }
+
+    private static boolean isNew(Object before, Object now) {
+        return before == null && now != null;
+    }
+
+    private Cell cell(EndpointId id) {
+        return cells.computeIfAbsent(id, i -> new Cell());
+    }
+
+    private static final class Cell {
+        private int sent;
+        private int granted;
+        private int urgent;
+        private int bulk;
+
+        private int running() {
+            return urgent + bulk;
+        }
+
+        private void clearClaim() {
+            granted = 0;
+            urgent = 0;
+            bulk = 0;
+        }
+
+        private void claim(HeldSlots h) {
+            granted = h.granted();
+            urgent = h.urgent();
+            bulk = h.bulk();
+        }
+
+        private boolean isEmpty() {
+            return sent == 0 && granted == 0 && running() == 0;
+        }
+    }
+}
--- /dev/null
+++ b/siskintrail/src/io/siskintrail/internal/policy/SlotCoordinator.java
@@ -0,0 +1,127 @@
+package io.siskintrail.internal.policy;
+
+import io.siskintrail.internal.policy.PolicyMessage.Claim;
+import io.siskintrail.internal.policy.PolicyMessage.Grant;
+import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.HostId;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Splits the slots of one pool among the routers, with leases that follow their demand. Runs on the
+ * router that rendezvous hashing names; a new coordinator takes over what the routers hold and
+ * grants nothing else until every live router has claimed or the former leases have run out.
+ */
+final class SlotCoordinator {
+    static final int LEASE_MILLIS = 1_000;
+    private static final long RENEW_MILLIS = 150;
+    private static final long RESEND_MILLIS = 15;
+    private static final long REPORT_LAG_MILLIS = 1_000;
+    private static final long LOST_TTL_MILLIS = 10_000;
+
+    private final String pool;
+    private final long startedAt;
+    private final Map<HostId, RouterSlots> routers = new TreeMap<>();
+    private final Map<EndpointId, Lost> lost = new HashMap<>();
+    private long sequence;
+
+    SlotCoordinator(String pool, long now, long firstSequence) {
+        this.pool = pool;
+        this.startedAt = now;
+        this.sequence = firstSequence;
+    }
+
+    /** Takes in what a router holds and wants; returns false when the claim is out of date. */
+    boolean claim(long now, HostId from, Claim claim) {
+        return routers.computeIfAbsent(from, RouterSlots::new).apply(now, claim);
+    }
+
+    /**
+     * Splits the slots anew.
+     *
+     * @param members the endpoints of the pool
+     * @param live the live routers
+     * @param fairness order among accounts, and the floors
+     * @return the grants to be sent
+     */
+    Map<HostId, Grant> allocate(
+            long now, List<EndpointState> members, Set<HostId> live, Fairness fairness) {
+        routers.values().removeIf(r -> expire(now, r));
+        Map<EndpointId, Integer> free = free(now, members);
+        AllocationRound round =
+                new AllocationRound(now, members, List.copyOf(routers.values()), free, fairness);
+        if (mayGrant(now, live)) {
+            round.run();
+        }
+        Map<HostId, Grant> out = new LinkedHashMap<>();
+        for (RouterSlots r : routers.values()) {
+            PolicyMessage.PoolState state = round.stateFor(r.router);
+            if (r.needsGrant(now, state, RENEW_MILLIS, RESEND_MILLIS)) {
+                sequence++;
+                out.put(r.router, r.send(now, pool, sequence, LEASE_MILLIS, state));
+            }
+        }
+        return out;
+    }
+
+    private boolean mayGrant(long now, Set<HostId> live) {
+        return now - startedAt > LEASE_MILLIS || routers.keySet().containsAll(live);
+    }
+
+    private boolean expire(long now, RouterSlots r) {
+        if (!r.isSilent(now, LEASE_MILLIS)) {
+            return false;
+        }
+        for (EndpointId id : r.endpoints()) {
+            if (r.running(id) > 0) {
+                lost.merge(id, new Lost(now, r.running(id)), Lost::plus);
+            }
+        }
+        return true;
+    }
+
+    private Map<EndpointId, Integer> free(long now, List<EndpointState> members) {
+        Map<EndpointId, Integer> free = new TreeMap<>();
+        for (EndpointState e : members) {
+            EndpointId id = e.info.id();
+            int used = 0;
+            int running = 0;
+            for (RouterSlots r : routers.values()) {
+                used += r.committed(id);
+                running += r.running(id);
+            }
+            free.put(id, e.capacity(now) - used - orphans(now, e, running));
+        }
+        return free;
+    }
+
+    /** Returns the slots that requests of lost routers still hold, as far as can be known. */
+    private int orphans(long now, EndpointState e, int running) {
+        Lost l = lost.get(e.info.id());
+        if (l == null) {
+            return 0;
+        }
+        if (now - l.at > LOST_TTL_MILLIS && e.reported(now) < 0) {
+            lost.remove(e.info.id());
+            return 0;
+        }
+        if (e.reportedAt() <= l.at + REPORT_LAG_MILLIS) {
+            return l.count;
+        }
+        int left = Math.min(l.count, Math.max(0, e.reported(now) - running));
+        if (left == 0) {
+            lost.remove(e.info.id());
+        }
+        return left;
+    }
+
+    private record Lost(long at, int count) {
+        private Lost plus(Lost other) {
+            return new Lost(Math.max(at, other.at), count + other.count);
+        }
+    }
+}
--- a/siskintrail/src/io/siskintrail/lib/ResultCode.java
+++ b/siskintrail/src/io/siskintrail/lib/ResultCode.java
@@ -84,7 +84,15 @@
     ATTEMPTS_EXHAUSTED(7001, 502, "Every allowed attempt of the generation failed."),
 
     // 8xxx: admission.
-    NOT_RUN_SHUTTING_DOWN(8001, 503, "The host is stopping; the request was not run.");
+    NOT_RUN_SHUTTING_DOWN(8001, 503, "The host is stopping; the request was not run."),
+    NOT_RUN_DELAY(8002, 503, "The request could not start within its wait; it was not run."),
+    NOT_RUN_QUEUE_FULL(8003, 503, "Too many requests of the client account wait; it was not run."),
+    NOT_RUN_DEADLINE(8004, 503, "The wait for a start ended; the request was not run."),
+    NOT_RUN_REQUEST_RATE(8005, 429, "The client account is over its requests a second; not run."),
+    NOT_RUN_TOKEN_RATE(8006, 429, "The client account is over its tokens a second; not run."),
+    NOT_RUN_IN_FLIGHT(8007, 429, "The client account has too many requests in flight; not run."),
+    NOT_RUN_RETRY_BUDGET(8008, 429, "The client account has no retries left; it was not run."),
+    SUSPENDED_TOO_LONG(8009, 503, "A suspended generation could not go on within its wait.");
 
     private final int number;
     private final int httpStatus;
