--- a/siskintrail/src/io/siskintrail/internal/control/ControlState.java
+++ b/siskintrail/src/io/siskintrail/internal/control/ControlState.java
@@ -1,5 +1,6 @@
 package io.siskintrail.internal.control;
 
+import io.siskintrail.internal.ledger.LedgerState;
 import io.siskintrail.internal.replicated.LogPosition;
 import io.siskintrail.internal.replicated.ReplicatedState;
 
@@ -10,9 +11,13 @@
 public final class ControlState
         implements ReplicatedState<ControlCommand, ControlAnswer, ControlImage> {
     private final ConfigurationState configuration = new ConfigurationState();
+    private final LedgerState ledger = new LedgerState();
 
     @Override
     public ControlAnswer apply(LogPosition position, long atMillis, ControlCommand command) {
+        if (command instanceof ControlCommand.ToLedger c) {
+            return new ControlAnswer.FromLedger(ledger.apply(position, atMillis, c.command()));
+        }
         ConfigurationCommand c = ((ControlCommand.ToConfiguration) command).command();
         return new ControlAnswer.FromConfiguration(configuration.apply(position, atMillis, c));
     }
@@ -22,13 +27,19 @@
         return configuration;
     }
 
+    /** Returns the section of orders; to be read on the thread that applies commands. */
+    public LedgerState ledger() {
+        return ledger;
+    }
+
     @Override
     public ControlImage image() {
-        return new ControlImage(configuration.image());
+        return new ControlImage(configuration.image(), ledger.image());
     }
 
     @Override
     public void restore(ControlImage image) {
         configuration.restore(image.configuration());
+        ledger.restore(image.ledger());
     }
 }
