Limit bulk slots by pool and drive the policy in a bench

Cause: in a bulk flood every urgent start cost a suspension, so the allowed two per generation ran out, and asked suspensions stayed counted as slots on their way for 100 ms after they were done. Change: the coordinator limits bulk slots of each router and leaves sqrt(urgent running) / 2 of the pool unused; claims say what is being suspended. siskintrail-bench policy drives routers in virtual time.

--- /dev/null
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/Scenario.java
@@ -0,0 +1,38 @@
+package io.siskintrail.bench.policy;
+
+import java.util.Locale;
+import java.util.function.LongFunction;
+
+/** The experiments by the names that the command line uses. */
+public enum Scenario {
+    /** Bulk work at 4 and 10 times capacity. */
+    FLOOD_BULK(Floods::bulk),
+    /** Urgent work at 4 and 10 times capacity. */
+    FLOOD_URGENT(Floods::urgent);
+
+    private final LongFunction<Table> run;
+
+    Scenario(LongFunction<Table> run) {
+        this.run = run;
+    }
+
+    /** Runs ours and the baselines with {@code seed}. */
+    public Table run(long seed) {
+        return run.apply(seed);
+    }
+
+    /** Returns the name on the command line. */
+    public String text() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** Returns the scenario with that name, or null. */
+    public static Scenario of(String text) {
+        for (Scenario s : values()) {
+            if (s.text().equals(text)) {
+                return s;
+            }
+        }
+        return null;
+    }
+}
--- a/siskintrail/src/io/siskintrail/internal/policy/AllocationRound.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/AllocationRound.java
@@ -33,6 +33,8 @@
     private int urgentRunning;
     private int bulkRunning;
     private int pending;
+    private int unused;
+    private final Map<RouterSlots, Integer> unusedBulk = new HashMap<>();
 
     AllocationRound(
             long now,
@@ -58,6 +60,7 @@
     void run() {
         int bulkFloor = fairness.floorSlots(Rank.BULK, slots);
         int urgentFloor = fairness.floorSlots(Rank.URGENT, slots);
+        int headroom = fairness.headroom(urgentRunning);
         int urgent = urgentRunning;
         int bulkServed = 0;
         while (true) {
@@ -67,18 +70,21 @@
                 break;
             }
             Candidate c = next(rank);
-            if (!serve(c, bulk > bulkFloor)) {
+            boolean room = rank == Rank.URGENT || bulk < bulkFloor || unused > headroom;
+            if (!room || !serve(c, bulk > bulkFloor)) {
                 left.get(rank).add(c);
                 continue;
             }
+            unused--;
             if (rank == Rank.URGENT) {
                 urgent++;
             } else {
                 bulkServed++;
+                c.router.allowBulk();
             }
             putBack(c);
         }
-        if (left.values().stream().allMatch(List::isEmpty)) {
+        if (left.get(Rank.URGENT).isEmpty()) {
             spread();
         }
     }
@@ -104,11 +110,14 @@
     private void count() {
         for (EndpointState e : members) {
             slots += e.capacity(now);
+            unused += unused(e);
         }
         for (RouterSlots r : routers) {
             urgentRunning += r.urgent();
             bulkRunning += r.bulk();
-            pending += r.suspending(now);
+            pending += r.suspending();
+            unusedBulk.put(r, r.unusedBulk());
+            unused -= r.unusedBulk();
             Map<EndpointId, Integer> idle = new HashMap<>();
             for (EndpointState e : members) {
                 EndpointId id = e.info.id();
@@ -121,6 +130,14 @@
         }
     }
 
+    private int unused(EndpointState e) {
+        int n = free.getOrDefault(e.info.id(), 0);
+        for (RouterSlots r : routers) {
+            n += r.committed(e.info.id()) - r.running(e.info.id());
+        }
+        return n;
+    }
+
     /** Lists the waiting work that the slots on their way to its router do not cover. */
     private void collect() {
         for (RouterSlots r : routers) {
@@ -138,6 +155,19 @@
     }
 
     private boolean cover(RouterSlots r, WaitingWork w) {
+        if (w.rank() == Rank.BULK) {
+            boolean covered = unusedBulk.get(r) > 0;
+            unusedBulk.merge(r, covered ? -1 : 0, Integer::sum);
+            return covered;
+        }
+        if (coverUrgent(r, w)) {
+            unused--;
+            return true;
+        }
+        return false;
+    }
+
+    private boolean coverUrgent(RouterSlots r, WaitingWork w) {
         Map<EndpointId, Integer> idle = spare.get(r);
         for (EndpointState e : members) {
             EndpointId id = e.info.id();
@@ -194,6 +224,9 @@
             c.router.grant(best.info.id(), 1);
             return true;
         }
+        if (usesOwnIdle(c)) {
+            return true;
+        }
         if (pending > 0) {
             pending--;
             return true;
@@ -222,6 +255,11 @@
         return best;
     }
 
+    /** Lets bulk work use a slot that its router holds for urgent work. */
+    private boolean usesOwnIdle(Candidate c) {
+        return c.work.rank() == Rank.BULK && coverUrgent(c.router, c.work);
+    }
+
     private boolean reclaim(Candidate c) {
         for (EndpointState e : members) {
             EndpointId id = e.info.id();
@@ -244,11 +282,8 @@
         RouterSlots victim = null;
         int most = 0;
         for (RouterSlots r : routers) {
-            int bulk = -r.suspending(now);
-            for (EndpointState e : members) {
-                bulk += e.serves(c.work.target()) ? r.bulk(e.info.id()) : 0;
-            }
-            if (bulk > most) {
+            int bulk = r.suspendable();
+            if (bulk > most && runsBulkFor(r, c.work)) {
                 most = bulk;
                 victim = r;
             }
@@ -256,11 +291,15 @@
         if (victim == null) {
             return false;
         }
-        victim.askToSuspend(now);
+        victim.askToSuspend();
         bulkRunning--;
         return true;
     }
 
+    private boolean runsBulkFor(RouterSlots r, WaitingWork w) {
+        return members.stream().anyMatch(e -> e.serves(w.target()) && r.bulk(e.info.id()) > 0);
+    }
+
     private void spread() {
         ArrayDeque<EndpointState> open = new ArrayDeque<>(members);
         while (!open.isEmpty() && !routers.isEmpty()) {
--- a/siskintrail/src/io/siskintrail/internal/policy/Dispatcher.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/Dispatcher.java
@@ -23,7 +23,7 @@
  */
 public final class Dispatcher implements StateMachine<PolicyInput, PolicyEffect> {
     /** How often {@link PolicyInput.Tick} is to be given, in milliseconds. */
-    public static final long TICK_MILLIS = 5;
+    public static final long TICK_MILLIS = 2;
 
     private static final int MAX_PREFIX_PAIRS = 200_000;
     private static final long PREFIX_TTL_MILLIS = 600_000;
@@ -86,7 +86,7 @@
         apply(now, input);
         starter.pump(now);
         for (int i = 0; i < MAX_LOCAL_ROUNDS; i++) {
-            if (!leases.flush(now, starter.suspending(), out)) {
+            if (!leases.flush(now, starter, out)) {
                 break;
             }
             starter.pump(now);
@@ -282,6 +282,7 @@
         work.promptTokens += s.outputTokens();
         charge(work, cost(work.request, work.outputTokens));
         work.suspensions++;
+        leases.suspended(work.endpoint);
         work.state = Work.State.WAITING;
         work.deadline = now + rules.of(work.request.rank()).maxQueueMillis();
         enqueue(work);
--- a/siskintrail/src/io/siskintrail/internal/policy/Fairness.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/Fairness.java
@@ -30,6 +30,11 @@
         return lengths.meanCost(rank, account) / rules.of(account).weight();
     }
 
+    /** Returns how many slots bulk work leaves unused for the next urgent requests. */
+    int headroom(int urgentRunning) {
+        return (int) Math.ceil(rules.urgentHeadroom() * Math.sqrt(urgentRunning));
+    }
+
     /** Returns how many of {@code slots} the rank keeps while it has work. */
     int floorSlots(Rank rank, int slots) {
         return (int) Math.ceil(rules.of(rank).floor() * slots);
--- a/siskintrail/src/io/siskintrail/internal/policy/LeaseManager.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/LeaseManager.java
@@ -18,7 +18,7 @@
 /** Holds this router's slot leases and coordinates the pools that fall to this router. */
 final class LeaseManager {
     private static final long HEARTBEAT_MILLIS = 200;
-    private static final long CLAIM_GAP_MILLIS = 5;
+    private static final long CLAIM_GAP_MILLIS = 2;
     private static final long ROUND_GAP_MILLIS = 2;
     private static final long ROUND_MILLIS = 50;
     private static final int MAX_CLAIMED_ACCOUNTS = 16;
@@ -61,11 +61,28 @@
         return Math.min(lease.granted(now, e.info.id()), e.capacity(now)) - e.running();
     }
 
+    /** Returns how many more bulk generations this router may start in the pool of {@code e}. */
+    int usableBulk(long now, EndpointState e) {
+        PoolLease lease = leases.get(e.pool);
+        return lease == null ? 0 : lease.bulkLimit(now) - ownBulk(e.pool);
+    }
+
+    /** Notes that a bulk generation on {@code e} is suspended. */
+    void suspended(EndpointState e) {
+        PoolLease lease = leases.get(e.pool);
+        if (lease != null) {
+            lease.lowerBulkLimit();
+        }
+    }
+
     /** Gives a free slot of {@code e} back for a request that waits on another router. */
-    void giveBack(EndpointState e) {
+    void giveBack(EndpointState e, Rank rank) {
         PoolLease lease = leases.get(e.pool);
         lease.giveBack(e.info.id());
         lease.clearRivals();
+        if (rank == Rank.BULK) {
+            lease.lowerBulkLimit();
+        }
     }
 
     /** Notes that what this router holds or wants of the pools of {@code target} has changed. */
@@ -137,15 +154,15 @@
     /**
      * Sends the claims and grants that are due.
      *
-     * @param suspending bulk generations whose slots are about to come free for urgent work here
+     * @param starter knows what is being suspended and what could be
      * @return whether a grant for this router itself was applied
      */
-    boolean flush(long now, int suspending, List<PolicyEffect> out) {
+    boolean flush(long now, Starter starter, List<PolicyEffect> out) {
         for (PoolLease lease : leases.values()) {
             long gap = self.equals(lease.coordinator()) ? 0 : CLAIM_GAP_MILLIS;
             boolean due = lease.isDirty() && now - lease.claimedAt() >= gap;
             if (due || now - lease.claimedAt() >= HEARTBEAT_MILLIS) {
-                send(now, lease, suspending, out);
+                send(now, lease, starter, out);
             }
         }
         boolean applied = false;
@@ -176,15 +193,18 @@
         return applied;
     }
 
-    private void send(long now, PoolLease lease, int suspending, List<PolicyEffect> out) {
+    private void send(long now, PoolLease lease, Starter starter, List<PolicyEffect> out) {
         long appliedGrant = lease.appliedGrant();
         Claim claim =
                 new Claim(
                         lease.pool,
                         lease.nextClaim(now),
                         appliedGrant,
+                        lease.bulkLimit(now),
+                        starter.suspendable(now, lease.pool),
+                        starter.suspendingForOthers(),
                         held(now, lease),
-                        waits(lease.pool, suspending));
+                        waits(lease.pool, starter.suspending()));
         if (self.equals(lease.coordinator())) {
             receive(now, self, claim);
         } else {
--- a/siskintrail/src/io/siskintrail/internal/policy/PolicyMessage.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/PolicyMessage.java
@@ -48,6 +48,9 @@
      * @param pool the pool of endpoints
      * @param sequence grows with each claim of the sender on the pool
      * @param appliedGrant sequence of the last grant of this coordinator that the sender applied
+     * @param bulkLimit bulk generations that it may run, as far as it knows
+     * @param suspendable bulk generations that it could suspend now
+     * @param suspending bulk generations that it is suspending for work of other routers
      * @param held the slots it holds
      * @param waits the waiting work in the order in which the sender would start it
      */
@@ -55,6 +58,9 @@
             String pool,
             long sequence,
             long appliedGrant,
+            int bulkLimit,
+            int suspendable,
+            int suspending,
             List<HeldSlots> held,
             List<WaitingWork> waits)
             implements PolicyMessage {
@@ -102,6 +108,7 @@
      * @param ackedClaim the last claim of the receiver that the coordinator has seen
      * @param leaseMillis how long the grant holds after that claim was sent
      * @param slots all slots that the receiver may use; {@code held} of a missing endpoint is zero
+     * @param bulkLimit how many of them the receiver may use for bulk work
      * @param state how the whole pool stands
      * @param suspendBulk how many bulk generations the receiver is to suspend
      */
@@ -111,6 +118,7 @@
             long ackedClaim,
             int leaseMillis,
             List<GrantedSlots> slots,
+            int bulkLimit,
             PoolState state,
             int suspendBulk)
             implements PolicyMessage {
--- a/siskintrail/src/io/siskintrail/internal/policy/PolicyRules.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/PolicyRules.java
@@ -16,6 +16,8 @@
  * @param retryRatio retries that an account earns with each success
  * @param maxSuspensions how often one generation may be suspended
  * @param minRunMillis how long a generation runs before it may be suspended
+ * @param urgentHeadroom slots that bulk work leaves unused, times the square root of the running
+ *     urgent requests
  */
 public record PolicyRules(
         RankPolicy urgent,
@@ -26,7 +28,8 @@
         int maxQueued,
         double retryRatio,
         int maxSuspensions,
-        long minRunMillis) {
+        long minRunMillis,
+        double urgentHeadroom) {
 
     /** Rules of a deployment that has set none. */
     public static final PolicyRules DEFAULT =
@@ -39,7 +42,8 @@
                     10_000,
                     0.1,
                     2,
-                    1_000);
+                    500,
+                    0.5);
 
     /** Copies the map and checks the floors. */
     public PolicyRules {
@@ -70,6 +74,7 @@
                 maxQueued,
                 retryRatio,
                 maxSuspensions,
-                minRunMillis);
+                minRunMillis,
+                urgentHeadroom);
     }
 }
--- a/siskintrail/src/io/siskintrail/internal/policy/PoolLease.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/PoolLease.java
@@ -28,6 +28,7 @@
     private long claimedAt;
     private PoolState state = UNKNOWN;
     private int bulkAtGrant;
+    private int bulkLimit;
     private boolean dirty = true;
 
     PoolLease(String pool, long firstSequence) {
@@ -68,6 +69,7 @@
         }
         state = grant.state();
         bulkAtGrant = bulkRunning;
+        bulkLimit = grant.bulkLimit();
         dirty = true;
         return true;
     }
@@ -87,6 +89,17 @@
         dirty = true;
     }
 
+    /** Returns how many bulk generations may run in the pool. */
+    int bulkLimit(long now) {
+        return isValid(now) ? bulkLimit : 0;
+    }
+
+    /** Takes one off the limit of bulk generations, until the coordinator raises it. */
+    void lowerBulkLimit() {
+        bulkLimit = Math.max(0, bulkLimit - 1);
+        dirty = true;
+    }
+
     PoolState state() {
         return state;
     }
--- a/siskintrail/src/io/siskintrail/internal/policy/RouterSlots.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/RouterSlots.java
@@ -6,6 +6,7 @@
 import io.siskintrail.internal.policy.PolicyMessage.WaitingWork;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
+import io.siskintrail.lib.Rank;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,8 +14,6 @@
 
 /** What a coordinator has granted to one router and what that router last claimed. */
 final class RouterSlots {
-    private static final long SUSPEND_ASK_MILLIS = 100;
-
     final HostId router;
     private final Map<EndpointId, Cell> cells = new TreeMap<>();
     private long claimSequence;
@@ -27,8 +26,10 @@
     private PoolState sentState;
     private boolean changed;
     private int suspendAsked;
-    private long suspendAskedAt;
+    private int suspending;
     private int suspendToSend;
+    private int suspendable;
+    private int bulkLimit;
 
     RouterSlots(HostId router) {
         this.router = router;
@@ -43,14 +44,21 @@
         claimedAt = now;
         appliedGrant = claim.appliedGrant();
         waits = claim.waits();
+        suspendable = claim.suspendable();
+        suspending = claim.suspending();
+        if (isCurrent() && suspendToSend == 0) {
+            suspendAsked = 0;
+        }
         cells.values().forEach(Cell::clearClaim);
         for (HeldSlots h : claim.held()) {
             cell(h.endpoint()).claim(h);
         }
         if (sentGrant == 0) {
             cells.values().forEach(c -> c.sent = c.granted);
+            bulkLimit = claim.bulkLimit();
         } else if (isCurrent()) {
             cells.values().forEach(c -> c.sent = Math.min(c.sent, c.granted));
+            bulkLimit = hasBulkWaits() ? claim.bulkLimit() : bulk();
         }
         cells.values().removeIf(Cell::isEmpty);
         return true;
@@ -108,6 +116,25 @@
         return cells.values().stream().mapToInt(c -> c.bulk).sum();
     }
 
+    /** Returns bulk generations that the router may still start. */
+    int unusedBulk() {
+        return Math.max(0, bulkLimit - bulk());
+    }
+
+    void allowBulk() {
+        bulkLimit = Math.max(bulkLimit, bulk()) + 1;
+        changed = true;
+    }
+
+    /** Returns how many of its bulk generations the router could suspend, asked ones excluded. */
+    int suspendable() {
+        return suspendable - suspendAsked;
+    }
+
+    private boolean hasBulkWaits() {
+        return waits.stream().anyMatch(w -> w.rank() == Rank.BULK);
+    }
+
     int bulk(EndpointId id) {
         Cell c = cells.get(id);
         return c == null ? 0 : c.bulk;
@@ -120,13 +147,12 @@
     }
 
     /** Returns bulk generations that it was asked to suspend and that are still on their way. */
-    int suspending(long now) {
-        return now - suspendAskedAt <= SUSPEND_ASK_MILLIS ? suspendAsked : 0;
+    int suspending() {
+        return suspendAsked + suspending;
     }
 
-    void askToSuspend(long now) {
-        suspendAsked = suspending(now) + 1;
-        suspendAskedAt = now;
+    void askToSuspend() {
+        suspendAsked++;
         suspendToSend++;
         changed = true;
     }
@@ -163,7 +189,15 @@
                 });
         int suspend = suspendToSend;
         suspendToSend = 0;
-        return new PolicyMessage.Grant(pool, sequence, claimSequence, lease, slots, state, suspend);
+        return new PolicyMessage.Grant(
+                pool,
+                sequence,
+                claimSequence,
+                lease,
+                slots,
+                Math.max(bulkLimit, bulk()),
+                state,
+                suspend);
     }
 
     private boolean hasNewRival(PoolState state) {
--- a/siskintrail/src/io/siskintrail/internal/policy/Starter.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/Starter.java
@@ -54,6 +54,16 @@
         return suspending.size();
     }
 
+    /** Returns the bulk generations that are being suspended for other routers. */
+    int suspendingForOthers() {
+        int urgent = 0;
+        for (Target target : queues.targets()) {
+            FairQueue queue = queues.get(target, Rank.URGENT);
+            urgent += queue == null ? 0 : queue.size();
+        }
+        return Math.max(0, suspending.size() - urgent);
+    }
+
     /** Forgets work that runs no more. */
     void left(Work work) {
         bulk.remove(work);
@@ -86,7 +96,7 @@
             return false;
         }
         Work work = (rank == Rank.URGENT ? urgent : waitingBulk).head();
-        Placement.Choice choice = placement.choose(now, work, e -> leases.usable(now, e));
+        Placement.Choice choice = placement.choose(now, work, e -> usable(now, e, work));
         if (holds(now, work, choice)) {
             return false;
         }
@@ -94,7 +104,7 @@
             return false;
         }
         if (yields(work, view, belowFloor)) {
-            leases.giveBack(choice.usable());
+            leases.giveBack(choice.usable(), rank);
             return true;
         }
         queues.remove(work);
@@ -105,6 +115,21 @@
         return true;
     }
 
+    private int usable(long now, EndpointState e, Work work) {
+        int n = leases.usable(now, e);
+        boolean limited = n > 0 && work.request.rank() == Rank.BULK;
+        return limited ? Math.min(n, leases.usableBulk(now, e)) : n;
+    }
+
+    /** Returns how many bulk generations in {@code pool} could be suspended now. */
+    int suspendable(long now, String pool) {
+        int n = 0;
+        for (Work w : bulk) {
+            n += w.endpoint.pool.equals(pool) && maySuspend(now, w, null) ? 1 : 0;
+        }
+        return n;
+    }
+
     /** Decides whether {@code work} waits a moment for a slot where its prefix is cached. */
     private boolean holds(long now, Work work, Placement.Choice choice) {
         work.preferred = null;
@@ -160,7 +185,7 @@
     private boolean suspendOne(long now, Target target) {
         Work victim = null;
         for (Work w : bulk) {
-            boolean better = victim == null || w.promptTokens < victim.promptTokens;
+            boolean better = victim == null || isCheaper(w, victim);
             if (better && maySuspend(now, w, target)) {
                 victim = w;
             }
@@ -174,6 +199,13 @@
         return true;
     }
 
+    private static boolean isCheaper(Work w, Work than) {
+        if (w.suspensions != than.suspensions) {
+            return w.suspensions < than.suspensions;
+        }
+        return w.promptTokens < than.promptTokens;
+    }
+
     private boolean maySuspend(long now, Work w, Target target) {
         EndpointState e = w.endpoint;
         return endpoints.get(e.info.id()) == e
