--- a/siskintrail/src/io/siskintrail/internal/control/ConfigurationPublisher.java
+++ b/siskintrail/src/io/siskintrail/internal/control/ConfigurationPublisher.java
@@ -40,9 +40,9 @@
     }
 
     private void lead(long now, long until, List<PublisherEffect> effects) {
-        boolean began = !holdsLease(now);
+        boolean held = holdsLease(now);
         leaseUntil = until;
-        if (began) {
+        if (!held && holdsLease(now)) {
             acknowledged.clear();
             proposedMark = 0;
             push(effects);
