--- a/siskintrail.wire/src/io/siskintrail/wire/MessageKind.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/MessageKind.java
@@ -4,14 +4,16 @@
 public enum MessageKind {
     /** Consensus among control replicas. */
     CONSENSUS(1),
-    /** Proposals, log following and currency checks between hosts and control. */
+    /** Proposals and log following between hosts and control. */
     CONTROL(2),
     /** Copies of generations between routers. */
     BUDDY(3),
     /** Gossip about hosts and endpoints. */
     MEMBERSHIP(4),
     /** Usage exchange and slot leases between routers. */
-    POLICY(5);
+    POLICY(5),
+    /** Currency of the configuration between hosts and control. */
+    CURRENCY(6);
 
     private final short number;
 
