Add fake plain services and a binary for fake endpoints

Cause: orders cannot be tested without a service that counts how often it executed each key, and tests over processes need fakes of their own.

Change: what engines and services share (listening, announcing, kill, restart, pause, leave) moves to FakeEndpoint; FakeService counts executions by key; siskintrail-fake runs many endpoints in one process with an admin address that orders faults.

--- a/siskintrail.fake/src/io/siskintrail/fake/Announcer.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/Announcer.java
@@ -3,8 +3,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.siskintrail.lib.EndpointInfo;
 import io.siskintrail.lib.ModelId;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -31,22 +31,22 @@
                         return t;
                     });
 
-    private final FakeEngineSettings settings;
-    private final InetSocketAddress address;
-    private final long incarnation;
+    private final FakeAnnouncement target;
+    private final EndpointInfo info;
+    private final FakeEndpoint endpoint;
     private volatile boolean leaving;
     private volatile boolean paused;
     private volatile boolean stopped;
     private volatile int current;
 
-    Announcer(FakeEngineSettings settings, InetSocketAddress address, long incarnation) {
-        this.settings = settings;
-        this.address = address;
-        this.incarnation = incarnation;
+    Announcer(FakeAnnouncement target, EndpointInfo info, FakeEndpoint endpoint) {
+        this.target = target;
+        this.info = info;
+        this.endpoint = endpoint;
     }
 
     void start() {
-        if (!settings.announceTo().isEmpty()) {
+        if (!target.routers().isEmpty()) {
             TIMER.execute(this::renew);
         }
     }
@@ -80,17 +80,17 @@
     }
 
     private void announce() {
-        List<String> routers = settings.announceTo();
+        List<String> routers = target.routers();
         if (routers.isEmpty() || stopped) {
             return;
         }
-        int at = Math.floorMod(current + settings.id().hashCode(), routers.size());
+        int at = Math.floorMod(current + info.id().hashCode(), routers.size());
         HttpRequest request =
                 HttpRequest.newBuilder(
                                 URI.create("http://" + routers.get(at) + "/endpoints/announce"))
                         .timeout(TIMEOUT)
                         .header("Content-Type", "application/json")
-                        .header("Authorization", "Bearer " + settings.announceToken())
+                        .header("Authorization", "Bearer " + target.token())
                         .POST(HttpRequest.BodyPublishers.ofString(body()))
                         .build();
         CLIENT.sendAsync(request, HttpResponse.BodyHandlers.discarding())
@@ -105,22 +105,25 @@
 
     private String body() {
         ObjectNode json = MAPPER.createObjectNode();
-        json.put("id", settings.id());
-        json.put("address", Addresses.format(address));
-        json.put("kind", "ENGINE");
-        json.put("domain", settings.domain());
+        json.put("id", info.id().value());
+        json.put("address", info.address());
+        json.put("kind", info.kind().name());
+        json.put("domain", info.domain().value());
         ArrayNode models = json.putArray("models");
-        for (ModelId m : settings.models()) {
+        for (ModelId m : info.models()) {
             models.addObject()
                     .put("model", m.model())
                     .put("adapter", m.adapter())
                     .put("version", m.version());
         }
-        json.putArray("services");
-        json.put("slots", settings.slots());
-        json.put("checksFencing", settings.checksFencing());
-        json.put("incarnation", incarnation);
+        ArrayNode services = json.putArray("services");
+        info.services().forEach(s -> services.add(s.value()));
+        json.put("slots", info.slots());
+        json.put("checksFencing", info.checksFencing());
+        json.put("incarnation", info.incarnation());
         json.put("leaving", leaving);
+        json.put("running", endpoint.running());
+        json.put("waiting", endpoint.waiting());
         return json.toString();
     }
 }
--- a/siskintrail.fake/src/io/siskintrail/fake/EngineHandler.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/EngineHandler.java
@@ -1,18 +1,10 @@
 package io.siskintrail.fake;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 
 /** Answers the HTTP requests of one connection to a fake engine. */
 final class EngineHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -33,8 +25,10 @@
         }
         switch (request.uri()) {
             case COMPLETIONS -> complete(ctx, request);
-            case LOAD -> respond(ctx, HttpResponseStatus.OK, load());
-            default -> respond(ctx, HttpResponseStatus.NOT_FOUND, "{\"error\":\"no such path\"}");
+            case LOAD -> HttpAnswers.json(ctx, HttpResponseStatus.OK, load());
+            default ->
+                    HttpAnswers.json(
+                            ctx, HttpResponseStatus.NOT_FOUND, "{\"error\":\"no such path\"}");
         }
     }
 
@@ -57,11 +51,12 @@
             http.content().readBytes(body);
             request = EngineRequest.parse(body);
         } catch (IOException | IllegalArgumentException e) {
-            respond(ctx, HttpResponseStatus.BAD_REQUEST, "{\"error\":\"bad request\"}");
+            HttpAnswers.json(ctx, HttpResponseStatus.BAD_REQUEST, "{\"error\":\"bad request\"}");
             return;
         }
         if (!state.serves(request.model())) {
-            respond(ctx, HttpResponseStatus.CONFLICT, "{\"error\":\"model is not loaded\"}");
+            HttpAnswers.json(
+                    ctx, HttpResponseStatus.CONFLICT, "{\"error\":\"model is not loaded\"}");
             return;
         }
         if (state.diesOn(request.prompt())) {
@@ -75,15 +70,4 @@
         return "{\"running\":%d,\"waiting\":%d,\"slots\":%d}"
                 .formatted(state.running(), state.waiting(), state.settings().slots());
     }
-
-    private static void respond(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
-        FullHttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        status,
-                        Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-        HttpUtil.setContentLength(response, response.content().readableBytes());
-        ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-    }
 }
--- a/siskintrail.fake/src/io/siskintrail/fake/EngineStream.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/EngineStream.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
@@ -108,7 +107,7 @@
             }
             case CROSS_CHUNKS -> held = chunk;
             case RESET -> {
-                reset();
+                HttpAnswers.reset(ctx);
                 return;
             }
             case DELAY_CHUNK -> {
@@ -129,11 +128,6 @@
         }
     }
 
-    private void reset() {
-        ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-        ctx.close();
-    }
-
     private void finish() {
         ended = true;
         state.release();
--- a/siskintrail.fake/src/io/siskintrail/fake/FakeEngine.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/FakeEngine.java
@@ -1,95 +1,26 @@
 package io.siskintrail.fake;
 
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.group.ChannelGroup;
-import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.util.concurrent.GlobalEventExecutor;
-import io.siskintrail.service.Service;
-import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
-
-/**
- * A stand-in for a model engine: it streams the tokens of {@link FakeTokens} over HTTP, announces
- * itself to routers and can be killed, paused and made to send wrong chunks.
- */
-public final class FakeEngine implements Service {
-    private static final int MAX_BODY_BYTES = 8 << 20;
-    private static final int LINGER_RESET = 0;
-    private static final EventLoopGroup LOOPS = new NioEventLoopGroup(4, daemonThreads());
-
+import io.netty.channel.ChannelHandler;
+import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.EndpointInfo;
+import io.siskintrail.lib.EndpointKind;
+import io.siskintrail.lib.FailureDomain;
+import java.util.List;
+
+/** A stand-in for a model engine: it streams the tokens of {@link FakeTokens} over HTTP. */
+public final class FakeEngine extends FakeEndpoint {
     private final FakeEngineSettings settings;
     private final EngineState state;
-    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-    private final AtomicLong incarnation = new AtomicLong(System.currentTimeMillis());
-    private Channel listener;
-    private Announcer announcer;
-    private InetSocketAddress address;
 
     /** Prepares an engine. */
     public FakeEngine(FakeEngineSettings settings) {
+        super(
+                settings.listen(),
+                new FakeAnnouncement(settings.announceTo(), settings.announceToken()));
         this.settings = settings;
         this.state = new EngineState(settings);
     }
 
-    @Override
-    public void start() {
-        listen(Addresses.parse(settings.listen()));
-        announcer = new Announcer(settings, address, incarnation.get());
-        announcer.start();
-    }
-
-    @Override
-    public void stop() {
-        if (announcer != null) {
-            announcer.stop();
-        }
-        listener.close().syncUninterruptibly();
-        connections.close().awaitUninterruptibly(1, TimeUnit.SECONDS);
-    }
-
-    /** Resets all connections and refuses new ones, as a crashed process does. */
-    public void kill() {
-        announcer.stopSilently();
-        listener.close().syncUninterruptibly();
-        connections.forEach(c -> c.config().setOption(ChannelOption.SO_LINGER, LINGER_RESET));
-        connections.close().awaitUninterruptibly(1, TimeUnit.SECONDS);
-        state.forgetCache();
-    }
-
-    /** Starts again at the same address after {@link #kill()}, as a new incarnation. */
-    public void restart() {
-        state.setPaused(false);
-        listen(address);
-        announcer = new Announcer(settings, address, incarnation.incrementAndGet());
-        announcer.start();
-    }
-
-    /** Stops to send and to answer, with all connections open, until {@link #resume()}. */
-    public void pause() {
-        state.setPaused(true);
-        announcer.setPaused(true);
-    }
-
-    /** Goes on after {@link #pause()}. */
-    public void resume() {
-        state.setPaused(false);
-        announcer.setPaused(false);
-    }
-
-    /** Announces that the engine takes no new work; streams in flight go on. */
-    public void leave() {
-        announcer.leave();
-    }
-
     /** Makes the next stream that reaches {@code tokenOffset} show {@code fault} once. */
     public void inject(EngineFault fault, int tokenOffset) {
         state.inject(fault, tokenOffset);
@@ -97,7 +28,7 @@
 
     /** Kills the engine whenever a prompt holds {@code marker}. */
     public void dieOn(String marker) {
-        state.dieOn(marker, () -> LOOPS.next().execute(this::killFromLoop));
+        state.dieOn(marker, this::killSoon);
     }
 
     /** Returns the counters of the work done so far. */
@@ -105,51 +36,48 @@
         return state;
     }
 
-    /** Returns the address that the engine listens on. */
-    public InetSocketAddress address() {
-        return address;
-    }
-
-    /** Returns the endpoint id. */
+    @Override
     public String id() {
         return settings.id();
     }
 
-    private void killFromLoop() {
-        announcer.stopSilently();
-        listener.close();
-        connections.forEach(c -> c.config().setOption(ChannelOption.SO_LINGER, LINGER_RESET));
-        connections.close();
-        state.forgetCache();
+    @Override
+    public int running() {
+        return state.running();
     }
 
-    private void listen(InetSocketAddress at) {
-        listener =
-                new ServerBootstrap()
-                        .group(LOOPS)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(new Pipeline())
-                        .bind(at)
-                        .syncUninterruptibly()
-                        .channel();
-        address = (InetSocketAddress) listener.localAddress();
+    @Override
+    public int waiting() {
+        return state.waiting();
     }
 
-    private static java.util.concurrent.ThreadFactory daemonThreads() {
-        return new io.netty.util.concurrent.DefaultThreadFactory("fake-engine", true);
+    @Override
+    protected EndpointInfo describe(String address, long incarnation) {
+        return new EndpointInfo(
+                new EndpointId(settings.id()),
+                address,
+                EndpointKind.ENGINE,
+                new FailureDomain(settings.domain()),
+                settings.models(),
+                List.of(),
+                settings.slots(),
+                settings.checksFencing(),
+                incarnation,
+                false);
     }
 
-    /** Sets up the handlers of one connection. */
-    private final class Pipeline extends ChannelInitializer<Channel> {
-        @Override
-        protected void initChannel(Channel channel) {
-            connections.add(channel);
-            channel.pipeline()
-                    .addLast(new HttpServerCodec())
-                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                    .addLast(new EngineHandler(state));
-        }
+    @Override
+    protected ChannelHandler newHandler() {
+        return new EngineHandler(state);
+    }
+
+    @Override
+    protected void setPaused(boolean paused) {
+        state.setPaused(paused);
+    }
+
+    @Override
+    protected void forget() {
+        state.forgetCache();
     }
 }
--- /dev/null
+++ b/siskintrail.fake/src/io/siskintrail/fake/ServiceState.java
@@ -0,0 +1,58 @@
+package io.siskintrail.fake;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+
+/** What the connections of one fake service share. Safe for use by several threads. */
+final class ServiceState {
+    private final Map<String, Integer> executions = new ConcurrentHashMap<>();
+    private final AtomicReference<ServiceFault> fault = new AtomicReference<>(ServiceFault.NONE);
+    private final AtomicInteger running = new AtomicInteger();
+    private final int answerMillis;
+    private volatile boolean paused;
+
+    ServiceState(int answerMillis) {
+        this.answerMillis = answerMillis;
+    }
+
+    int answerMillis() {
+        return answerMillis;
+    }
+
+    boolean paused() {
+        return paused;
+    }
+
+    void setPaused(boolean paused) {
+        this.paused = paused;
+    }
+
+    void inject(ServiceFault next) {
+        fault.set(next);
+    }
+
+    ServiceFault takeFault() {
+        return fault.getAndSet(ServiceFault.NONE);
+    }
+
+    /** Executes the call with {@code key}; returns how often that happened so far. */
+    int execute(String key) {
+        running.incrementAndGet();
+        return executions.merge(key, 1, Integer::sum);
+    }
+
+    void answered() {
+        running.decrementAndGet();
+    }
+
+    int running() {
+        return running.get();
+    }
+
+    Map<String, Integer> executions() {
+        return new TreeMap<>(executions);
+    }
+}
