Serve rules from control and refuse work under stale ones

Cause: the thin control binary held a file; routers knew no rules. Change: control settings with peers, routers and hashed operator tokens; administration API for rules, hosts and status; the router follows the configuration, refuses new work with 3016 and is not ready while it cannot confirm it. The log is still in memory until the replica lands.

--- a/siskintrail.bench/src/io/siskintrail/bench/QuickstartExperiment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/QuickstartExperiment.java
@@ -2,6 +2,7 @@
 
 import io.siskintrail.control.ControlService;
 import io.siskintrail.control.ControlSettings;
+import io.siskintrail.control.internal.http.OperatorTokens;
 import io.siskintrail.fake.FakeEngine;
 import io.siskintrail.fake.FakeEngineSettings;
 import io.siskintrail.fake.FakeTokens;
@@ -12,8 +13,9 @@
 import io.siskintrail.service.Service;
 import io.siskintrail.service.ShutdownSignal;
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -35,8 +37,16 @@
     private static final int ENGINES = 2;
     private static final long READY_MILLIS = 10_000;
 
+    private static final String CONTROL = "control-1";
+    private static final String ROUTER = "router-1";
+    private static final String SHARED_KEY = "quickstart-shared-key";
+    private static final String OPERATOR_TOKEN = "quickstart-operator";
+
+    private final String controlPeerAddress = freeAddress();
+    private final String routerPeerAddress = freeAddress();
     private final Deque<Service> running = new ArrayDeque<>();
     private final List<FakeEngine> engines = new ArrayList<>();
+    private ControlService control;
     private RouterService router;
 
     @Override
@@ -49,6 +59,7 @@
                 stop();
             }
         }
+        System.out.printf("control http://%s%ntoken   %s%n", control.httpAddress(), OPERATOR_TOKEN);
         System.out.printf("router  http://%s%nAPI key %s%n", router.httpAddress(), API_KEY);
         System.out.printf(
                 "try:    curl -N http://%s/v1/completions -H 'Authorization: Bearer %s' -d"
@@ -61,7 +72,7 @@
 
     @Override
     public void start() {
-        ControlService control = new ControlService(controlSettings());
+        control = new ControlService(controlSettings());
         router = new RouterService(routerSettings());
         startOne(control);
         startOne(router);
@@ -124,31 +135,43 @@
         return all;
     }
 
-    private static ControlSettings controlSettings() {
-        try {
-            Path rules = Files.createTempFile("quickstart", ".rules");
-            Files.writeString(rules, "rank account=quickstart urgent # quickstart\n");
-            rules.toFile().deleteOnExit();
-            return new ControlSettings("host-1", "local", "127.0.0.1:0", rules.toString());
-        } catch (IOException e) {
-            throw new java.io.UncheckedIOException("cannot write the rules file", e);
-        }
+    private ControlSettings controlSettings() {
+        return new ControlSettings(
+                CONTROL,
+                "local",
+                "127.0.0.1:0",
+                controlPeerAddress,
+                SHARED_KEY,
+                "",
+                List.of(),
+                List.of(new ControlSettings.Peer(ROUTER, "local", routerPeerAddress)),
+                List.of(
+                        new ControlSettings.Operator(
+                                "quickstart", OperatorTokens.hashOf(OPERATOR_TOKEN))));
     }
 
-    private static RouterSettings routerSettings() {
+    private RouterSettings routerSettings() {
         return new RouterSettings(
-                "host-1",
+                ROUTER,
                 "local",
                 "127.0.0.1:0",
-                "127.0.0.1:0",
-                "quickstart-shared-key",
+                routerPeerAddress,
+                SHARED_KEY,
                 ANNOUNCE_TOKEN,
                 List.of(),
-                List.of(),
+                List.of(new RouterSettings.Peer(CONTROL, "local", controlPeerAddress)),
                 List.of(new RouterSettings.Account("quickstart", ApiKeys.hashOf(API_KEY))),
                 null);
     }
 
+    private static String freeAddress() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException("no free port on loopback", e);
+        }
+    }
+
     private FakeEngineSettings engineSettings(int number) {
         return new FakeEngineSettings(
                 "engine-" + number,
--- a/siskintrail.bench/src/io/siskintrail/bench/StreamingCaller.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/StreamingCaller.java
@@ -36,7 +36,7 @@
         this.apiKey = apiKey;
     }
 
-    /** Waits until the router lists a model. */
+    /** Waits until the router takes work and lists a model. */
     void awaitModels(int endpoints, long timeoutMillis) throws IOException, InterruptedException {
         long deadline = System.nanoTime() + timeoutMillis * NANOS_PER_MILLI;
         while (System.nanoTime() < deadline) {
@@ -45,6 +45,7 @@
                             builder("/v1/models").GET().build(),
                             HttpResponse.BodyHandlers.ofString());
             if (response.statusCode() == 200
+                    && ready()
                     && MAPPER.readTree(response.body()).path("data").size() > 0) {
                 Thread.sleep(POLL_MILLIS * endpoints);
                 return;
@@ -54,6 +55,14 @@
         throw new IOException("router at " + address + " lists no model");
     }
 
+    private boolean ready() throws IOException, InterruptedException {
+        return client.send(
+                                builder("/health/ready").GET().build(),
+                                HttpResponse.BodyHandlers.discarding())
+                        .statusCode()
+                == 200;
+    }
+
     /**
      * Streams one completion.
      *
--- a/siskintrail.control/src/io/siskintrail/control/ControlService.java
+++ b/siskintrail.control/src/io/siskintrail/control/ControlService.java
@@ -2,20 +2,31 @@
 
 import io.micronaut.context.ApplicationContext;
 import io.micronaut.runtime.server.EmbeddedServer;
-import io.siskintrail.control.internal.http.RulesFile;
+import io.siskintrail.control.internal.configuration.ConfigurationService;
+import io.siskintrail.control.internal.configuration.ControlLog;
+import io.siskintrail.control.internal.configuration.MemoryControlLog;
+import io.siskintrail.control.internal.http.OperatorTokens;
+import io.siskintrail.internal.control.Configuration;
+import io.siskintrail.internal.rules.RulesParser;
+import io.siskintrail.lib.HostId;
+import io.siskintrail.lib.HostInfo;
+import io.siskintrail.service.ControlLoop;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
+import io.siskintrail.wire.Addresses;
+import io.siskintrail.wire.ThriftPeerTransport;
 import java.util.Map;
 
 /** A control replica in this process. */
 public final class ControlService implements Service {
     private static final System.Logger LOG = System.getLogger(ControlService.class.getName());
+    private static final int MAX_BODY_BYTES = 8 * RulesParser.MAX_CHARACTERS;
 
     private final ControlSettings settings;
+    private final ControlLoop loop = new ControlLoop("control");
+    private ThriftPeerTransport transport;
+    private ControlLog log;
+    private ConfigurationService configuration;
     private ApplicationContext context;
     private EmbeddedServer server;
 
@@ -26,10 +37,25 @@
 
     @Override
     public void start() {
+        transport =
+                new ThriftPeerTransport(
+                        settings.hostId(),
+                        Addresses.parse(settings.peerAddress()),
+                        settings.sharedKey());
+        settings.replicas().forEach(p -> addPeer(p.info()));
+        settings.routers().forEach(p -> addPeer(p.info()));
+        log = new MemoryControlLog();
+        configuration =
+                new ConfigurationService(
+                        log.client(), transport, loop, log::lease, settings.routerHosts());
+        configuration.onChange(this::addPeers);
+        transport.start();
+        log.start();
+        configuration.start();
         context =
                 ApplicationContext.builder()
                         .properties(httpProperties())
-                        .singletons(new RulesFile(readRules()))
+                        .singletons(configuration, new OperatorTokens(settings.operators()))
                         .start();
         server = context.getBean(EmbeddedServer.class).start();
         LogEvent.info(LOG, "control.started")
@@ -38,35 +64,45 @@
                 .write();
     }
 
+    private void addPeer(HostInfo host) {
+        transport.addPeer(host.id(), Addresses.parse(host.peerAddress()));
+    }
+
+    private void addPeers(Configuration next) {
+        next.hosts().forEach(this::addPeer);
+    }
+
     @Override
     public void stop() {
         server.stop();
         context.close();
+        configuration.stop();
+        log.stop();
+        transport.close();
+        loop.stop();
         LogEvent.info(LOG, "control.stopped").with("host", settings.host()).write();
     }
 
-    /** Returns the port of the administration API. */
-    public int httpPort() {
-        return server.getPort();
+    /** Returns the id of this process. */
+    public HostId hostId() {
+        return settings.hostId();
     }
 
-    private String readRules() {
-        try {
-            return Files.readString(Path.of(settings.rulesFile()));
-        } catch (IOException e) {
-            throw new UncheckedIOException("cannot read rules " + settings.rulesFile(), e);
-        }
+    /** Returns {@code ip:port} of the administration API. */
+    public String httpAddress() {
+        return hostPart(settings.httpAddress()) + ":" + server.getPort();
     }
 
     private Map<String, Object> httpProperties() {
         String address = settings.httpAddress();
-        int colon = address.lastIndexOf(':');
-        int port = Integer.parseInt(address.substring(colon + 1));
+        int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
         return Map.of(
                 "micronaut.server.host",
-                address.substring(0, colon),
+                hostPart(address),
                 "micronaut.server.port",
                 port == 0 ? -1 : port,
+                "micronaut.server.max-request-size",
+                MAX_BODY_BYTES,
                 "micronaut.application.name",
                 "siskintrail-control",
                 "endpoints.all.enabled",
@@ -76,4 +112,8 @@
                 "endpoints.prometheus.enabled",
                 true);
     }
+
+    private static String hostPart(String address) {
+        return address.substring(0, address.lastIndexOf(':'));
+    }
 }
--- a/siskintrail.control/src/io/siskintrail/control/ControlSettings.java
+++ b/siskintrail.control/src/io/siskintrail/control/ControlSettings.java
@@ -2,24 +2,109 @@
 
 import static io.siskintrail.service.SettingsException.require;
 
+import io.siskintrail.lib.FailureDomain;
+import io.siskintrail.lib.HostId;
+import io.siskintrail.lib.HostInfo;
+import java.util.List;
+
 /**
  * Settings of a control replica.
  *
- * @param host the id of this host
+ * @param host the id of this process among all processes of the deployment
  * @param domain the failure domain of this host
  * @param httpAddress {@code ip:port} of the administration API; port 0 takes a free one
- * @param rulesFile the rules file to start from
+ * @param peerAddress {@code ip:port} for the other processes
+ * @param sharedKey the key that all processes of the deployment authenticate each other with
+ * @param dataFolder the folder on disk that holds the state; empty keeps it in memory, which is
+ *     allowed only to a single replica for trying out
+ * @param replicas the other control replicas
+ * @param routers the routers of a new deployment; later ones are added through the API
+ * @param operators who may use the administration API
  */
-public record ControlSettings(String host, String domain, String httpAddress, String rulesFile) {
+public record ControlSettings(
+        String host,
+        String domain,
+        String httpAddress,
+        String peerAddress,
+        String sharedKey,
+        String dataFolder,
+        List<Peer> replicas,
+        List<Peer> routers,
+        List<Operator> operators) {
+    private static final int MIN_SECRET_LENGTH = 8;
 
     /** Checks the settings as a whole. */
     public ControlSettings {
         require(host != null && !host.isEmpty(), "host", "a host id");
         require(domain != null && !domain.isEmpty(), "domain", "a failure domain");
+        requireAddress(httpAddress, "httpAddress");
+        requireAddress(peerAddress, "peerAddress");
+        require(
+                sharedKey != null && sharedKey.length() >= MIN_SECRET_LENGTH,
+                "sharedKey",
+                "at least %d characters".formatted(MIN_SECRET_LENGTH));
+        dataFolder = dataFolder == null ? "" : dataFolder;
+        replicas = replicas == null ? List.of() : List.copyOf(replicas);
+        routers = routers == null ? List.of() : List.copyOf(routers);
+        operators = operators == null ? List.of() : List.copyOf(operators);
+        require(
+                !dataFolder.isEmpty() || replicas.isEmpty(),
+                "dataFolder",
+                "a folder, because there are other replicas");
+    }
+
+    /** Returns the id of this process. */
+    public HostId hostId() {
+        return new HostId(host);
+    }
+
+    /** Returns the routers of a new deployment. */
+    public List<HostInfo> routerHosts() {
+        return routers.stream().map(Peer::info).toList();
+    }
+
+    /**
+     * Another process of the deployment.
+     *
+     * @param host its host id
+     * @param domain its failure domain
+     * @param peerAddress {@code ip:port} where it takes messages of peers
+     */
+    public record Peer(String host, String domain, String peerAddress) {
+
+        /** Checks the address. */
+        public Peer {
+            requireAddress(peerAddress, "peerAddress");
+        }
+
+        HostInfo info() {
+            return new HostInfo(new HostId(host), new FailureDomain(domain), peerAddress);
+        }
+    }
+
+    /**
+     * An operator.
+     *
+     * @param operator the name that the history shows
+     * @param tokenSha256 the SHA-256 of the token in hexadecimal
+     */
+    public record Operator(String operator, String tokenSha256) {
+        private static final String HEX_OF_32_BYTES = "[0-9a-f]{64}";
+
+        /** Checks the name and the hash. */
+        public Operator {
+            require(operator != null && !operator.isEmpty(), "operator", "a name");
+            require(
+                    tokenSha256 != null && tokenSha256.matches(HEX_OF_32_BYTES),
+                    "tokenSha256",
+                    "64 lower-case hexadecimal digits");
+        }
+    }
+
+    private static void requireAddress(String value, String key) {
         require(
-                httpAddress != null && httpAddress.matches("[0-9a-fA-F.:\\[\\]]+:\\d{1,5}"),
-                "httpAddress",
+                value != null && value.matches("[0-9a-fA-F.:\\[\\]]+:\\d{1,5}"),
+                key,
                 "an IP number and a port, as 10.0.0.1:8080");
-        require(rulesFile != null && !rulesFile.isEmpty(), "rulesFile", "a path");
     }
 }
--- a/siskintrail.control/src/io/siskintrail/control/internal/configuration/ConfigurationService.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/configuration/ConfigurationService.java
@@ -1,5 +1,6 @@
 package io.siskintrail.control.internal.configuration;
 
+import io.siskintrail.internal.control.Configuration;
 import io.siskintrail.internal.control.ConfigurationAnswer;
 import io.siskintrail.internal.control.ConfigurationCommand;
 import io.siskintrail.internal.control.ConfigurationImage;
@@ -32,7 +33,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -57,6 +60,7 @@
     private final List<Waiter> waiters = new ArrayList<>();
     private volatile ConfigurationImage image = state.image();
     private volatile Map<HostId, Long> acknowledged = Map.of();
+    private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
     private volatile boolean stopped;
     private long appliedIndex;
     private boolean seeding;
@@ -84,6 +88,11 @@
         transport.handle(MessageKind.CURRENCY, this::receive);
     }
 
+    /** Adds a listener that is called on the control thread with each new configuration. */
+    public void onChange(Consumer<Configuration> listener) {
+        listeners.add(listener);
+    }
+
     @Override
     public void start() {
         client.follow(
@@ -195,6 +204,7 @@
 
     private void publishState() {
         image = state.image();
+        listeners.forEach(l -> l.accept(image.current()));
         step(new PublisherInput.Committed(image));
         releaseWaiters();
     }
--- /dev/null
+++ b/siskintrail.control/src/io/siskintrail/control/internal/http/OperatorFilter.java
@@ -0,0 +1,46 @@
+package io.siskintrail.control.internal.http;
+
+import io.micronaut.http.HttpHeaders;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.annotation.RequestFilter;
+import io.micronaut.http.annotation.ServerFilter;
+import io.siskintrail.lib.Failure;
+import io.siskintrail.lib.ResultCode;
+import java.util.Optional;
+
+/** Lets operators with a known token through to the administration API and notes who they are. */
+@ServerFilter("/admin/**")
+final class OperatorFilter {
+    /** The request attribute that holds the name of the operator. */
+    static final String OPERATOR = "siskintrail.operator";
+
+    private static final String BEARER = "Bearer ";
+
+    private final OperatorTokens tokens;
+
+    OperatorFilter(OperatorTokens tokens) {
+        this.tokens = tokens;
+    }
+
+    /** Returns a refusal, or null to go on. */
+    @RequestFilter
+    HttpResponse<?> check(HttpRequest<?> request) {
+        String header = request.getHeaders().get(HttpHeaders.AUTHORIZATION);
+        if (header == null || !header.startsWith(BEARER)) {
+            return ErrorBody.response(
+                    new Failure(
+                            ResultCode.MISSING_OPERATOR_TOKEN,
+                            "expected header Authorization: Bearer TOKEN"));
+        }
+        Optional<String> operator = tokens.operatorOf(header.substring(BEARER.length()).trim());
+        if (operator.isEmpty()) {
+            return ErrorBody.response(
+                    new Failure(
+                            ResultCode.UNKNOWN_OPERATOR_TOKEN,
+                            "the token is not in the settings of this control host"));
+        }
+        request.setAttribute(OPERATOR, operator.get());
+        return null;
+    }
+}
--- a/siskintrail.wire/src/io/siskintrail/wire/PeerSender.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/PeerSender.java
@@ -42,6 +42,10 @@
         thread.interrupt();
     }
 
+    InetSocketAddress address() {
+        return address;
+    }
+
     /** Returns false when the queue is full and the message was dropped. */
     boolean offer(Envelope envelope) {
         return queue.offer(envelope);
--- a/siskintrail.wire/src/io/siskintrail/wire/ThriftPeerTransport.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/ThriftPeerTransport.java
@@ -49,8 +49,12 @@
         this.tag = new EnvelopeTag(sharedKey);
     }
 
-    /** Adds or replaces the address of a peer. */
-    public void addPeer(HostId peer, InetSocketAddress address) {
+    /** Adds a peer or changes its address; does nothing when the address is known already. */
+    public synchronized void addPeer(HostId peer, InetSocketAddress address) {
+        PeerSender known = senders.get(peer);
+        if (known != null && known.address().equals(address)) {
+            return;
+        }
         PeerSender sender = new PeerSender(peer.value(), address);
         PeerSender old = senders.put(peer, sender);
         if (old != null) {
--- a/siskintrail/src/io/siskintrail/lib/ResultCode.java
+++ b/siskintrail/src/io/siskintrail/lib/ResultCode.java
@@ -30,6 +30,11 @@
     SETTINGS_WRONG_TYPE(2004, 400, "A setting has the wrong type or is missing."),
     SETTINGS_OUT_OF_RANGE(2005, 400, "A setting is outside its range."),
     ADDRESS_IN_USE(2006, 500, "The address to listen on cannot be bound."),
+    MISSING_OPERATOR_TOKEN(2007, 401, "The request carries no operator token."),
+    UNKNOWN_OPERATOR_TOKEN(2008, 401, "The token belongs to no operator."),
+    FILE_UNREADABLE(2009, 400, "A file that the command names cannot be read."),
+    CONTROL_UNREACHABLE(2010, 503, "The command got no answer from a control host."),
+    BAD_ANSWER(2011, 502, "A control host gave an answer that the command cannot read."),
 
     // 3xxx: rules.
     RULE_WITHOUT_COMMENT(3001, 400, "The rule has no comment that says who asked for it."),
@@ -48,6 +53,8 @@
     RULES_NUMBER_UNKNOWN(3014, 409, "The edit was made from a number that does not exist."),
     RULES_PENDING(3015, 504, "The edit is not confirmed; send the same edit again to learn."),
     NOT_RUN_RULES_STALE(3016, 503, "The host cannot confirm its rules; the request was not run."),
+    HOSTS_PENDING(3017, 409, "An earlier change of the hosts is not in force yet."),
+    HOSTS_REFUSED(3018, 409, "The hosts cannot be changed so."),
 
     // 4xxx: control and storage.
     CONTROL_UNAVAILABLE(4001, 503, "No control leader took the command; it was not proposed."),
