--- a/siskintrail.control/src/io/siskintrail/control/internal/http/OperatorFilter.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/http/OperatorFilter.java
@@ -1,5 +1,6 @@
 package io.siskintrail.control.internal.http;
 
+import io.micronaut.core.annotation.Nullable;
 import io.micronaut.http.HttpHeaders;
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
@@ -25,6 +26,7 @@
 
     /** Returns a refusal, or null to go on. */
     @RequestFilter
+    @Nullable
     HttpResponse<?> check(HttpRequest<?> request) {
         String header = request.getHeaders().get(HttpHeaders.AUTHORIZATION);
         if (header == null || !header.startsWith(BEARER)) {
--- a/siskintrail/src/io/siskintrail/internal/control/ConfigurationPublisher.java
+++ b/siskintrail/src/io/siskintrail/internal/control/ConfigurationPublisher.java
@@ -108,7 +108,7 @@
 
     private long onMajorityOf(List<HostInfo> hosts) {
         if (hosts.isEmpty()) {
-            return 0;
+            return image.current().version();
         }
         long[] versions =
                 hosts.stream()
