--- /dev/null
+++ b/siskintrail.test/tst/io/siskintrail/internal/rules/ExampleRulesTest.java
@@ -0,0 +1,61 @@
+package io.siskintrail.internal.rules;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.siskintrail.lib.AccountId;
+import io.siskintrail.lib.Rank;
+import io.siskintrail.lib.ServiceName;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Loads the example files of the operators' pages. */
+class ExampleRulesTest {
+
+    private static Rules load(String name) throws IOException {
+        Path file = Path.of(System.getProperty("siskintrail.root"), "docs", "operations", name);
+        RulesCheck check = RulesParser.parse(Files.readString(file));
+        assertThat(check).isInstanceOf(RulesCheck.Accepted.class);
+        return ((RulesCheck.Accepted) check).rules();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "amman.rules, clinics, quoting, URGENT, 4",
+        "amman.rules, schools, quoting, BULK, 2",
+        "amman.rules, ministry-health, quoting, URGENT, 1",
+        "reykjanes.rules, fishing-keflavik, audit, URGENT, 4",
+        "reykjanes.rules, corner-shop, audit, BULK, 1",
+    })
+    void ranksAndWeighsAsTheOperatorsAsked(
+            String file, String account, String model, Rank rank, int weight) throws IOException {
+        Rules rules = load(file);
+        assertThat(rules.rank(new AccountId(account), model)).isEqualTo(rank);
+        assertThat(rules.weight(new AccountId(account))).isEqualTo(weight);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "amman.rules, depot, /work-orders/new, 13",
+        "reykjanes.rules, refill, /orders, 25",
+    })
+    void protectsOrdersAndPlacesTheFleet(String file, String service, String path, int replicas)
+            throws IOException {
+        Rules rules = load(file);
+        ServiceName name = new ServiceName(service);
+        assertThat(rules.atMostOnce(name, "POST", path)).isPresent();
+        assertThat(rules.atMostOnce(name, "GET", path)).isEmpty();
+        assertThat(rules.placements().stream().mapToInt(Rule.PlacementRule::replicas).sum())
+                .isEqualTo(replicas);
+    }
+
+    @Test
+    void everyRuleNamesWhoAskedForIt() throws IOException {
+        for (Rule rule : load("amman.rules").lines()) {
+            assertThat(rule.source().asker()).containsMatch("[A-Z][a-z]+ [A-Z][a-z]+");
+        }
+    }
+}
