--- a/siskintrail.bench/src/io/siskintrail/bench/Main.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/Main.java
@@ -12,6 +12,7 @@
     private static final Map<String, Supplier<Experiment>> EXPERIMENTS = new TreeMap<>();
 
     static {
+        EXPERIMENTS.put("in-force", InForceBench::new);
         EXPERIMENTS.put("quickstart", QuickstartExperiment::new);
     }
 
