Let small accounts displace one far over its share

Cause: in big-caller the long requests of one account held every slot that small accounts did not use at that moment, and a small burst had to wait for one of them to end; equal accounts gave granted slots back to each other; counters were lifted to the big account's. Change: accounts over twice their nominal share leave sqrt headroom to the others and may be suspended for them, within the same bounds as bulk work; suspension is asked for by the coordinator only; slots granted for waiting work are not given back; an account may lag by a bounded credit.

--- a/siskintrail.bench/src/io/siskintrail/bench/Main.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/Main.java
@@ -13,6 +13,7 @@
 
     static {
         EXPERIMENTS.put("in-force", InForceBench::new);
+        EXPERIMENTS.put("policy", PolicyBench::new);
         EXPERIMENTS.put("quickstart", QuickstartExperiment::new);
     }
 
--- a/siskintrail.bench/src/io/siskintrail/bench/PolicyBench.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/PolicyBench.java
@@ -14,7 +14,7 @@
  * Measures the policy under load against its baselines: {@code policy SCENARIO [--seed N]}. The
  * same seed gives the same figures. Prints key=value lines, CSV, and each missed target.
  */
-public final class PolicyBench {
+public final class PolicyBench implements Experiment {
     private static final int OK = 0;
     private static final int TARGET_MISSED = 1;
     private static final int BAD_ARGUMENTS = 2;
@@ -28,6 +28,7 @@
      * @param args the name of a scenario or {@code all}, and options
      * @return 0 when every target was met, 1 when one was missed, 2 for bad arguments
      */
+    @Override
     public int run(String[] args) {
         Options options = new Options().addOption(null, "seed", true, "seed of the arrivals");
         CommandLine line;
--- a/siskintrail.bench/src/io/siskintrail/bench/policy/Scenario.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/Scenario.java
@@ -8,7 +8,9 @@
     /** Bulk work at 4 and 10 times capacity. */
     FLOOD_BULK(Floods::bulk),
     /** Urgent work at 4 and 10 times capacity. */
-    FLOOD_URGENT(Floods::urgent);
+    FLOOD_URGENT(Floods::urgent),
+    /** One account asks far more than all others. */
+    BIG_CALLER(BigCaller::run);
 
     private final LongFunction<Table> run;
 
--- a/siskintrail.test/tst/io/siskintrail/internal/policy/DispatcherTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/policy/DispatcherTest.java
@@ -46,6 +46,7 @@
         for (int i = 0; i < 8; i++) {
             started += starts(step(new PolicyInput.Submit(request(i, "a", Rank.BULK)))).size();
         }
+        started += starts(advance(50)).size();
         assertThat(started).isEqualTo(1);
         assertThat(starts(advance(2_000))).hasSize(7);
     }
@@ -67,10 +68,11 @@
         step(new PolicyInput.Submit(request(1, "a", Rank.BULK)));
         step(new PolicyInput.Submit(request(2, "a", Rank.BULK)));
         advance(2_000);
-        List<PolicyEffect> effects = step(new PolicyInput.Submit(request(3, "b", Rank.URGENT)));
-        assertThat(effects).contains(new PolicyEffect.Suspend(1));
-        assertThat(starts(step(new PolicyInput.Suspended(1, 20)))).containsExactly(3L);
-        assertThat(starts(step(new PolicyInput.Finished(3, Outcome.DONE, 10)))).containsExactly(1L);
+        assertThat(settle(new PolicyInput.Submit(request(3, "b", Rank.URGENT))))
+                .contains(new PolicyEffect.Suspend(1));
+        assertThat(starts(settle(new PolicyInput.Suspended(1, 20)))).containsExactly(3L);
+        assertThat(starts(settle(new PolicyInput.Finished(3, Outcome.DONE, 10))))
+                .containsExactly(1L);
     }
 
     @Test
@@ -78,7 +80,7 @@
         warmUp(1);
         step(new PolicyInput.Submit(request(1, "a", Rank.BULK)));
         advance(2_000);
-        assertThat(step(new PolicyInput.Submit(request(2, "b", Rank.URGENT))))
+        assertThat(settle(new PolicyInput.Submit(request(2, "b", Rank.URGENT))))
                 .doesNotContain(new PolicyEffect.Suspend(1));
     }
 
@@ -108,6 +110,13 @@
         return dispatcher.step(now, input);
     }
 
+    /** Gives an input and lets the exchange with the coordinator take its course. */
+    private List<PolicyEffect> settle(PolicyInput input) {
+        List<PolicyEffect> all = new ArrayList<>(step(input));
+        all.addAll(advance(20));
+        return all;
+    }
+
     private List<PolicyEffect> advance(long millis) {
         List<PolicyEffect> all = new ArrayList<>();
         for (long end = now + millis; now < end; now += Dispatcher.TICK_MILLIS) {
--- a/siskintrail/src/io/siskintrail/internal/policy/AllocationRound.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/AllocationRound.java
@@ -28,11 +28,15 @@
     private final Map<RouterSlots, Map<EndpointId, Integer>> spare = new HashMap<>();
     private final Map<Rank, PriorityQueue<Candidate>> unmet = new EnumMap<>(Rank.class);
     private final Map<Rank, List<Candidate>> left = new EnumMap<>(Rank.class);
+    private final Map<Rank, List<Candidate>> rivals = new EnumMap<>(Rank.class);
     private final Map<Rank, Map<AccountId, Double>> keys = new EnumMap<>(Rank.class);
     private int slots;
     private int urgentRunning;
     private int bulkRunning;
     private int pending;
+    private int bulkFloor;
+    private int bulkSuspended;
+    private final Map<Rank, Integer> headroom = new EnumMap<>(Rank.class);
     private int unused;
     private final Map<RouterSlots, Integer> unusedBulk = new HashMap<>();
 
@@ -50,35 +54,45 @@
         for (Rank rank : Rank.values()) {
             unmet.put(rank, new PriorityQueue<>());
             left.put(rank, new ArrayList<>());
+            rivals.put(rank, new ArrayList<>());
             keys.put(rank, new HashMap<>());
         }
         count();
+        bulkFloor = fairness.floorSlots(Rank.BULK, slots);
+        for (Rank rank : Rank.values()) {
+            headroom.put(rank, fairness.shareHeadroom(rank, slots));
+        }
         collect();
     }
 
     /** Grants, reclaims and asks for suspensions. */
     void run() {
-        int bulkFloor = fairness.floorSlots(Rank.BULK, slots);
         int urgentFloor = fairness.floorSlots(Rank.URGENT, slots);
-        int headroom = fairness.headroom(urgentRunning);
         int urgent = urgentRunning;
         int bulkServed = 0;
         while (true) {
-            int bulk = bulkRunning + bulkServed;
+            int bulk = bulkRunning + bulkServed - bulkSuspended;
             Rank rank = nextRank(urgent < urgentFloor, bulk < bulkFloor);
             if (rank == null) {
                 break;
             }
             Candidate c = next(rank);
-            boolean room = rank == Rank.URGENT || bulk < bulkFloor || unused > headroom;
-            if (!room || !serve(c, bulk > bulkFloor)) {
+            boolean allowed = rank == Rank.BULK && unusedBulk.get(c.router) > 0;
+            boolean room = allowed || hasRoom(rank, c.work.account(), bulk);
+            boolean served = room ? serve(c, bulk > bulkFloor) : displace(c);
+            if (!served) {
                 left.get(rank).add(c);
+                rivals.get(rank).add(c);
                 continue;
             }
-            unused--;
+            if (allowed) {
+                unusedBulk.merge(c.router, -1, Integer::sum);
+            } else if (room) {
+                unused--;
+            }
             if (rank == Rank.URGENT) {
                 urgent++;
-            } else {
+            } else if (!allowed) {
                 bulkServed++;
                 c.router.allowBulk();
             }
@@ -95,12 +109,33 @@
                 slots,
                 urgentRunning,
                 bulkRunning,
+                isTight(Rank.URGENT),
+                isTight(Rank.BULK),
                 rival(Rank.URGENT, router),
                 rival(Rank.BULK, router));
     }
 
+    private boolean hasRoom(Rank rank, AccountId account, int bulk) {
+        if (rank == Rank.BULK && bulk < bulkFloor) {
+            return true;
+        }
+        if (rank == Rank.BULK && unused <= fairness.headroom(urgentRunning)) {
+            return false;
+        }
+        return !isTight(rank) || !fairness.isOverShare(rank, account, slots);
+    }
+
+    /** Returns whether only the slots are left that accounts over their share leave to others. */
+    private boolean isTight(Rank rank) {
+        int forRank = unused;
+        if (rank == Rank.URGENT) {
+            forRank += Math.max(0, bulkRunning - bulkSuspended - bulkFloor);
+        }
+        return forRank <= headroom.get(rank);
+    }
+
     private AccountId rival(Rank rank, HostId router) {
-        return left.get(rank).stream()
+        return rivals.get(rank).stream()
                 .filter(c -> !c.router.router.equals(router))
                 .min(Comparator.naturalOrder())
                 .map(c -> c.work.account())
@@ -156,18 +191,18 @@
 
     private boolean cover(RouterSlots r, WaitingWork w) {
         if (w.rank() == Rank.BULK) {
-            boolean covered = unusedBulk.get(r) > 0;
+            boolean covered = unusedBulk.get(r) > 0 && coverByIdle(r, w);
             unusedBulk.merge(r, covered ? -1 : 0, Integer::sum);
             return covered;
         }
-        if (coverUrgent(r, w)) {
+        if (coverByIdle(r, w)) {
             unused--;
             return true;
         }
         return false;
     }
 
-    private boolean coverUrgent(RouterSlots r, WaitingWork w) {
+    private boolean coverByIdle(RouterSlots r, WaitingWork w) {
         Map<EndpointId, Integer> idle = spare.get(r);
         for (EndpointState e : members) {
             EndpointId id = e.info.id();
@@ -229,12 +264,17 @@
         }
         if (pending > 0) {
             pending--;
+            rivals.get(c.work.rank()).add(c);
             return true;
         }
         if (reclaim(c)) {
             return true;
         }
-        return c.work.rank() == Rank.URGENT && maySuspend && suspend(c);
+        if (suspend(c, maySuspend)) {
+            rivals.get(c.work.rank()).add(c);
+            return true;
+        }
+        return false;
     }
 
     private EndpointState bestFree(WaitingWork w) {
@@ -257,7 +297,7 @@
 
     /** Lets bulk work use a slot that its router holds for urgent work. */
     private boolean usesOwnIdle(Candidate c) {
-        return c.work.rank() == Rank.BULK && coverUrgent(c.router, c.work);
+        return c.work.rank() == Rank.BULK && coverByIdle(c.router, c.work);
     }
 
     private boolean reclaim(Candidate c) {
@@ -278,26 +318,45 @@
         return false;
     }
 
-    private boolean suspend(Candidate c) {
+    private boolean suspend(Candidate c, boolean bulkAboveFloor) {
+        Rank rank = c.work.rank();
+        if (rank == Rank.URGENT && bulkAboveFloor && suspend(c, SuspendKind.BULK)) {
+            bulkSuspended++;
+            return true;
+        }
+        return displace(c);
+    }
+
+    /** Makes an account far over its share give way to one that is below its own. */
+    private boolean displace(Candidate c) {
+        Rank rank = c.work.rank();
+        if (!fairness.mayDisplace(rank, c.work.account(), slots)) {
+            return false;
+        }
+        SuspendKind kind =
+                rank == Rank.URGENT ? SuspendKind.URGENT_OVER_SHARE : SuspendKind.BULK_OVER_SHARE;
+        return suspend(c, kind);
+    }
+
+    private boolean suspend(Candidate c, SuspendKind kind) {
         RouterSlots victim = null;
         int most = 0;
         for (RouterSlots r : routers) {
-            int bulk = r.suspendable();
-            if (bulk > most && runsBulkFor(r, c.work)) {
-                most = bulk;
+            int possible = r.suspendable(kind);
+            if (possible > most && runsFor(r, c.work)) {
+                most = possible;
                 victim = r;
             }
         }
         if (victim == null) {
             return false;
         }
-        victim.askToSuspend();
-        bulkRunning--;
+        victim.askToSuspend(kind);
         return true;
     }
 
-    private boolean runsBulkFor(RouterSlots r, WaitingWork w) {
-        return members.stream().anyMatch(e -> e.serves(w.target()) && r.bulk(e.info.id()) > 0);
+    private boolean runsFor(RouterSlots r, WaitingWork w) {
+        return members.stream().anyMatch(e -> e.serves(w.target()) && r.running(e.info.id()) > 0);
     }
 
     private void spread() {
--- a/siskintrail/src/io/siskintrail/internal/policy/Dispatcher.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/Dispatcher.java
@@ -43,6 +43,7 @@
     private final Admission admission;
     private final UsageExchange usage;
     private final LeaseManager leases;
+    private final Suspender suspender;
     private final Starter starter;
     private PolicyRules rules;
     private long orders;
@@ -68,16 +69,16 @@
         admission = new Admission(queues, counters, rules);
         usage = new UsageExchange(self, incarnation, counters, admission);
         leases = new LeaseManager(self, incarnation << SEQUENCE_BITS, endpoints, queues, fairness);
+        suspender = new Suspender(endpoints, fairness, this::suspend);
         starter =
                 new Starter(
-                        endpoints,
                         new Placement(endpoints, prefixes),
                         queues,
                         leases,
                         fairness,
-                        this::start,
-                        this::suspend);
-        starter.rules(rules);
+                        suspender,
+                        this::start);
+        rulesChanged(rules);
     }
 
     @Override
@@ -176,7 +177,8 @@
         rules = newRules;
         fairness.rules(newRules);
         admission.rules(newRules);
-        starter.rules(newRules);
+        suspender.rules(newRules);
+        counters.values().forEach(c -> c.credit(newRules.burstCredit()));
     }
 
     private void submit(long now, WorkRequest request) {
@@ -282,7 +284,9 @@
         work.promptTokens += s.outputTokens();
         charge(work, cost(work.request, work.outputTokens));
         work.suspensions++;
-        leases.suspended(work.endpoint);
+        if (work.request.rank() == Rank.BULK) {
+            leases.suspended(work.endpoint);
+        }
         work.state = Work.State.WAITING;
         work.deadline = now + rules.of(work.request.rank()).maxQueueMillis();
         enqueue(work);
@@ -330,7 +334,7 @@
     }
 
     private void leave(Work work) {
-        starter.left(work);
+        suspender.ended(work);
         admission.ended(work.request);
         work.endpoint.occupy(work.request.rank(), -1);
     }
--- a/siskintrail/src/io/siskintrail/internal/policy/Fairness.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/Fairness.java
@@ -7,6 +7,9 @@
 
 /** Says which account is next within a rank, and how much a start moves it back. */
 final class Fairness {
+    private static final double OVER_SHARE = 2;
+    private static final double BELOW_SHARE = 1.25;
+
     private final Map<Rank, VirtualCounters> counters = new EnumMap<>(Rank.class);
     private final LengthEstimator lengths;
     private PolicyRules rules;
@@ -30,6 +33,24 @@
         return lengths.meanCost(rank, account) / rules.of(account).weight();
     }
 
+    /** Returns whether {@code account} runs far more than its nominal share of {@code slots}. */
+    boolean isOverShare(Rank rank, AccountId account, int slots) {
+        VirtualCounters c = counters.get(rank);
+        return c.running(account) > OVER_SHARE * c.nominalSlots(account, slots);
+    }
+
+    /** Returns whether others far over their share may be suspended for {@code account}. */
+    boolean mayDisplace(Rank rank, AccountId account, int slots) {
+        VirtualCounters c = counters.get(rank);
+        return c.running(account) < BELOW_SHARE * c.nominalSlots(account, slots);
+    }
+
+    /** Returns how many slots accounts over their share leave to the bursts of the others. */
+    int shareHeadroom(Rank rank, int slots) {
+        int within = counters.get(rank).runningWithinShare(slots, OVER_SHARE);
+        return (int) Math.ceil(rules.shareHeadroom() * Math.sqrt(within));
+    }
+
     /** Returns how many slots bulk work leaves unused for the next urgent requests. */
     int headroom(int urgentRunning) {
         return (int) Math.ceil(rules.urgentHeadroom() * Math.sqrt(urgentRunning));
--- a/siskintrail/src/io/siskintrail/internal/policy/LeaseManager.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/LeaseManager.java
@@ -32,7 +32,7 @@
     private final Map<String, Coordinated> coordinated = new TreeMap<>();
     private Set<HostId> routers = new TreeSet<>();
     private boolean quorate;
-    private int suspendAsked;
+    private Suspensions suspendAsked = Suspensions.NONE;
 
     LeaseManager(
             HostId self,
@@ -67,6 +67,16 @@
         return lease == null ? 0 : lease.bulkLimit(now) - ownBulk(e.pool);
     }
 
+    /** Returns whether the next start on {@code e} uses a slot granted for waiting work. */
+    boolean isFresh(EndpointState e) {
+        return leases.get(e.pool).isFresh();
+    }
+
+    /** Notes a start on {@code e}. */
+    void used(EndpointState e) {
+        leases.get(e.pool).used();
+    }
+
     /** Notes that a bulk generation on {@code e} is suspended. */
     void suspended(EndpointState e) {
         PoolLease lease = leases.get(e.pool);
@@ -96,6 +106,8 @@
     PoolView view(Target target) {
         int slots = 0;
         int bulk = 0;
+        boolean urgentTight = false;
+        boolean bulkTight = false;
         AccountId urgentRival = null;
         AccountId bulkRival = null;
         for (String pool : pools(target)) {
@@ -103,16 +115,23 @@
             PoolState s = lease.state();
             slots += s.slots();
             bulk += lease.bulkRunning(ownBulk(pool));
+            urgentTight |= s.urgentTight();
+            bulkTight |= s.bulkTight();
             urgentRival = urgentRival == null ? s.urgentWaiting() : urgentRival;
             bulkRival = bulkRival == null ? s.bulkWaiting() : bulkRival;
         }
-        return new PoolView(slots, bulk, urgentRival, bulkRival);
+        return new PoolView(slots, bulk, urgentTight, bulkTight, urgentRival, bulkRival);
     }
 
-    /** Returns and clears how many bulk generations the coordinators want suspended. */
-    int takeSuspendAsked() {
-        int n = suspendAsked;
-        suspendAsked = 0;
+    /** Returns the slots of the largest pool that this router uses. */
+    int slots() {
+        return leases.values().stream().mapToInt(l -> l.state().slots()).max().orElse(0);
+    }
+
+    /** Returns and clears how many generations the coordinators want suspended. */
+    Suspensions takeSuspendAsked() {
+        Suspensions n = suspendAsked;
+        suspendAsked = Suspensions.NONE;
         return n;
     }
 
@@ -126,7 +145,7 @@
     void receive(HostId from, Grant grant) {
         PoolLease lease = leases.get(grant.pool());
         if (lease != null && lease.apply(from, grant, ownBulk(grant.pool()))) {
-            suspendAsked += grant.suspendBulk();
+            suspendAsked = suspendAsked.plus(grant.suspend());
         }
     }
 
@@ -201,10 +220,10 @@
                         lease.nextClaim(now),
                         appliedGrant,
                         lease.bulkLimit(now),
-                        starter.suspendable(now, lease.pool),
-                        starter.suspendingForOthers(),
+                        starter.suspendable(now, lease.pool, lease.state().slots()),
+                        starter.suspending(lease.pool),
                         held(now, lease),
-                        waits(lease.pool, starter.suspending()));
+                        waits(lease.pool));
         if (self.equals(lease.coordinator())) {
             receive(now, self, claim);
         } else {
@@ -223,36 +242,25 @@
         return held;
     }
 
-    private List<WaitingWork> waits(String pool, int suspending) {
+    private List<WaitingWork> waits(String pool) {
         List<WaitingWork> waits = new ArrayList<>();
         for (Target target : queues.targets()) {
             if (pools(target).contains(pool)) {
-                addWaits(queues.get(target, Rank.URGENT), suspending, waits);
-                addWaits(queues.get(target, Rank.BULK), 0, waits);
+                addWaits(queues.get(target, Rank.URGENT), waits);
+                addWaits(queues.get(target, Rank.BULK), waits);
             }
         }
         return waits;
     }
 
-    private static void addWaits(FairQueue queue, int covered, List<WaitingWork> waits) {
+    private static void addWaits(FairQueue queue, List<WaitingWork> waits) {
         if (queue == null) {
             return;
         }
-        int skip = covered;
         for (Work head : queue.heads(MAX_CLAIMED_ACCOUNTS)) {
             WorkRequest r = head.request;
             int count = queue.size(r.account());
-            int skipped = Math.min(skip, count);
-            skip -= skipped;
-            if (count > skipped) {
-                waits.add(
-                        new WaitingWork(
-                                r.rank(),
-                                r.account(),
-                                r.target(),
-                                count - skipped,
-                                head.preferred));
-            }
+            waits.add(new WaitingWork(r.rank(), r.account(), r.target(), count, head.preferred));
         }
     }
 
--- a/siskintrail/src/io/siskintrail/internal/policy/PolicyMessage.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/PolicyMessage.java
@@ -49,8 +49,8 @@
      * @param sequence grows with each claim of the sender on the pool
      * @param appliedGrant sequence of the last grant of this coordinator that the sender applied
      * @param bulkLimit bulk generations that it may run, as far as it knows
-     * @param suspendable bulk generations that it could suspend now
-     * @param suspending bulk generations that it is suspending for work of other routers
+     * @param suspendable generations that it could suspend now
+     * @param suspending generations that it is suspending
      * @param held the slots it holds
      * @param waits the waiting work in the order in which the sender would start it
      */
@@ -59,7 +59,7 @@
             long sequence,
             long appliedGrant,
             int bulkLimit,
-            int suspendable,
+            Suspensions suspendable,
             int suspending,
             List<HeldSlots> held,
             List<WaitingWork> waits)
@@ -110,7 +110,7 @@
      * @param slots all slots that the receiver may use; {@code held} of a missing endpoint is zero
      * @param bulkLimit how many of them the receiver may use for bulk work
      * @param state how the whole pool stands
-     * @param suspendBulk how many bulk generations the receiver is to suspend
+     * @param suspend how many generations the receiver is to suspend
      */
     record Grant(
             String pool,
@@ -120,7 +120,7 @@
             List<GrantedSlots> slots,
             int bulkLimit,
             PoolState state,
-            int suspendBulk)
+            Suspensions suspend)
             implements PolicyMessage {
 
         /** Copies the list. */
@@ -143,6 +143,8 @@
      * @param slots slots of all endpoints
      * @param urgentRunning slots in use by urgent work
      * @param bulkRunning slots in use by bulk work
+     * @param urgentTight whether urgent work of accounts over their share may not reuse slots
+     * @param bulkTight the same for bulk work
      * @param urgentWaiting the next urgent account at other routers, or null when none waits
      * @param bulkWaiting the next bulk account at other routers, or null when none waits
      */
@@ -150,6 +152,8 @@
             int slots,
             int urgentRunning,
             int bulkRunning,
+            boolean urgentTight,
+            boolean bulkTight,
             AccountId urgentWaiting,
             AccountId bulkWaiting) {}
 }
--- a/siskintrail/src/io/siskintrail/internal/policy/PolicyRules.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/PolicyRules.java
@@ -18,6 +18,10 @@
  * @param minRunMillis how long a generation runs before it may be suspended
  * @param urgentHeadroom slots that bulk work leaves unused, times the square root of the running
  *     urgent requests
+ * @param shareHeadroom slots that accounts far over their share leave unused, times the square root
+ *     of the running requests of the others
+ * @param burstCredit how far an account that used less than its share may be ahead of others, in
+ *     output tokens
  */
 public record PolicyRules(
         RankPolicy urgent,
@@ -29,7 +33,9 @@
         double retryRatio,
         int maxSuspensions,
         long minRunMillis,
-        double urgentHeadroom) {
+        double urgentHeadroom,
+        double shareHeadroom,
+        double burstCredit) {
 
     /** Rules of a deployment that has set none. */
     public static final PolicyRules DEFAULT =
@@ -43,7 +49,9 @@
                     0.1,
                     2,
                     500,
-                    0.5);
+                    0.5,
+                    1.5,
+                    2_000);
 
     /** Copies the map and checks the floors. */
     public PolicyRules {
@@ -75,6 +83,8 @@
                 retryRatio,
                 maxSuspensions,
                 minRunMillis,
-                urgentHeadroom);
+                urgentHeadroom,
+                shareHeadroom,
+                burstCredit);
     }
 }
--- a/siskintrail/src/io/siskintrail/internal/policy/PoolLease.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/PoolLease.java
@@ -16,7 +16,7 @@
  */
 final class PoolLease {
     private static final int REMEMBERED_CLAIMS = 64;
-    private static final PoolState UNKNOWN = new PoolState(0, 0, 0, null, null);
+    private static final PoolState UNKNOWN = new PoolState(0, 0, 0, false, false, null, null);
 
     final String pool;
     private final Map<EndpointId, Integer> granted = new HashMap<>();
@@ -29,6 +29,7 @@
     private PoolState state = UNKNOWN;
     private int bulkAtGrant;
     private int bulkLimit;
+    private int fresh;
     private boolean dirty = true;
 
     PoolLease(String pool, long firstSequence) {
@@ -63,10 +64,13 @@
         }
         appliedGrant = grant.sequence();
         expiresAt = Math.max(expiresAt, sentAt + grant.leaseMillis());
+        int before = granted.values().stream().mapToInt(n -> n).sum();
         granted.clear();
         for (GrantedSlots s : grant.slots()) {
             granted.put(s.endpoint(), s.count());
         }
+        int after = granted.values().stream().mapToInt(n -> n).sum();
+        fresh = Math.max(0, fresh + after - before);
         state = grant.state();
         bulkAtGrant = bulkRunning;
         bulkLimit = grant.bulkLimit();
@@ -83,6 +87,16 @@
         return isValid(now) ? granted.getOrDefault(endpoint, 0) : 0;
     }
 
+    /** Returns whether the next start uses a slot that was granted for waiting work. */
+    boolean isFresh() {
+        return fresh > 0;
+    }
+
+    /** Notes a start. */
+    void used() {
+        fresh = Math.max(0, fresh - 1);
+    }
+
     /** Gives one slot of {@code endpoint} back to the coordinator. */
     void giveBack(EndpointId endpoint) {
         granted.computeIfPresent(endpoint, (e, n) -> n > 1 ? n - 1 : null);
@@ -108,7 +122,13 @@
     void clearRivals() {
         state =
                 new PoolState(
-                        state.slots(), state.urgentRunning(), state.bulkRunning(), null, null);
+                        state.slots(),
+                        state.urgentRunning(),
+                        state.bulkRunning(),
+                        state.urgentTight(),
+                        state.bulkTight(),
+                        null,
+                        null);
     }
 
     /** Returns the bulk generations of the pool, own changes since the last grant included. */
--- a/siskintrail/src/io/siskintrail/internal/policy/RouterSlots.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/RouterSlots.java
@@ -23,12 +23,12 @@
     private long sentAt;
     private long ackedAtSend;
     private List<WaitingWork> waits = List.of();
-    private PoolState sentState;
+    private boolean sentRivals;
     private boolean changed;
-    private int suspendAsked;
+    private Suspensions suspendAsked = Suspensions.NONE;
     private int suspending;
-    private int suspendToSend;
-    private int suspendable;
+    private Suspensions suspendToSend = Suspensions.NONE;
+    private Suspensions suspendable = Suspensions.NONE;
     private int bulkLimit;
 
     RouterSlots(HostId router) {
@@ -46,8 +46,8 @@
         waits = claim.waits();
         suspendable = claim.suspendable();
         suspending = claim.suspending();
-        if (isCurrent() && suspendToSend == 0) {
-            suspendAsked = 0;
+        if (isCurrent() && suspendToSend.sum() == 0) {
+            suspendAsked = Suspensions.NONE;
         }
         cells.values().forEach(Cell::clearClaim);
         for (HeldSlots h : claim.held()) {
@@ -126,9 +126,9 @@
         changed = true;
     }
 
-    /** Returns how many of its bulk generations the router could suspend, asked ones excluded. */
-    int suspendable() {
-        return suspendable - suspendAsked;
+    /** Returns how many generations of {@code kind} the router could suspend beside asked ones. */
+    int suspendable(SuspendKind kind) {
+        return suspendable.of(kind) - suspendAsked.sum();
     }
 
     private boolean hasBulkWaits() {
@@ -146,14 +146,14 @@
         changed = true;
     }
 
-    /** Returns bulk generations that it was asked to suspend and that are still on their way. */
+    /** Returns generations that it suspends or was asked to suspend. */
     int suspending() {
-        return suspendAsked + suspending;
+        return suspendAsked.sum() + suspending;
     }
 
-    void askToSuspend() {
-        suspendAsked++;
-        suspendToSend++;
+    void askToSuspend(SuspendKind kind) {
+        suspendAsked = suspendAsked.plusOne(kind);
+        suspendToSend = suspendToSend.plusOne(kind);
         changed = true;
     }
 
@@ -169,8 +169,9 @@
         if (now - sentAt < resendMillis) {
             return false;
         }
-        boolean rivals = sentState == null || hasNewRival(state);
-        return rivals || newClaim && !isCurrent();
+        boolean rivals = state.urgentWaiting() != null || state.bulkWaiting() != null;
+        boolean firstRival = rivals && !sentRivals;
+        return firstRival || newClaim && (rivals || !isCurrent());
     }
 
     /** Returns the grant to send now. */
@@ -179,7 +180,7 @@
         sentGrant = sequence;
         sentAt = now;
         ackedAtSend = claimSequence;
-        sentState = state;
+        sentRivals = state.urgentWaiting() != null || state.bulkWaiting() != null;
         List<PolicyMessage.GrantedSlots> slots = new ArrayList<>();
         cells.forEach(
                 (id, c) -> {
@@ -187,8 +188,8 @@
                         slots.add(new PolicyMessage.GrantedSlots(id, c.sent));
                     }
                 });
-        int suspend = suspendToSend;
-        suspendToSend = 0;
+        Suspensions suspend = suspendToSend;
+        suspendToSend = Suspensions.NONE;
         return new PolicyMessage.Grant(
                 pool,
                 sequence,
@@ -200,15 +201,6 @@
                 suspend);
     }
 
-    private boolean hasNewRival(PoolState state) {
-        return isNew(sentState.urgentWaiting(), state.urgentWaiting())
-                || isNew(sentState.bulkWaiting(), state.bulkWaiting());
-    }
-
-    private static boolean isNew(Object before, Object now) {
-        return before == null && now != null;
-    }
-
     private Cell cell(EndpointId id) {
         return cells.computeIfAbsent(id, i -> new Cell());
     }
--- /dev/null
+++ b/siskintrail/src/io/siskintrail/internal/policy/Suspensions.java
@@ -0,0 +1,42 @@
+package io.siskintrail.internal.policy;
+
+/**
+ * Numbers of generations for each {@link SuspendKind}.
+ *
+ * @param bulk any bulk generations
+ * @param urgentOverShare urgent generations of accounts far over their share
+ * @param bulkOverShare bulk generations of accounts far over their share
+ */
+public record Suspensions(int bulk, int urgentOverShare, int bulkOverShare) {
+    /** No generation at all. */
+    public static final Suspensions NONE = new Suspensions(0, 0, 0);
+
+    static Suspensions of(int[] counts) {
+        return new Suspensions(counts[0], counts[1], counts[2]);
+    }
+
+    int of(SuspendKind kind) {
+        return switch (kind) {
+            case BULK -> bulk;
+            case URGENT_OVER_SHARE -> urgentOverShare;
+            case BULK_OVER_SHARE -> bulkOverShare;
+        };
+    }
+
+    int sum() {
+        return bulk + urgentOverShare + bulkOverShare;
+    }
+
+    Suspensions plus(Suspensions other) {
+        return new Suspensions(
+                bulk + other.bulk,
+                urgentOverShare + other.urgentOverShare,
+                bulkOverShare + other.bulkOverShare);
+    }
+
+    Suspensions plusOne(SuspendKind kind) {
+        int[] counts = {bulk, urgentOverShare, bulkOverShare};
+        counts[kind.ordinal()]++;
+        return of(counts);
+    }
+}
--- a/siskintrail/src/io/siskintrail/internal/policy/VirtualCounters.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/VirtualCounters.java
@@ -17,21 +17,24 @@
  * Holds the virtual token counters of one rank: the service of each account divided by its weight,
  * of this router and, with the lag of the exchange, of all others.
  *
- * <p>An account that starts to wait while none of its requests waits elsewhere is lifted to the
- * least counter among the waiting accounts, so that idle time earns no credit. Values of different
- * routers are not comparable; only differences between accounts of one router are.
+ * <p>An account that has nothing in flight is lifted to the least counter among the active ones
+ * when it comes back, so that idle time earns nothing. An account that uses less than its share may
+ * fall behind the waiting ones by a bounded credit, which lets its bursts start at once. Values of
+ * different routers are not comparable; only differences between accounts of one router are.
  */
 final class VirtualCounters {
     private static final int SENDS = 3;
+    private static final Comparator<Entry> BY_COUNTER =
+            Comparator.<Entry>comparingDouble(e -> e.counter).thenComparing(e -> e.account);
 
     private final Rank rank;
     private final ToDoubleFunction<AccountId> weights;
     private final Consumer<AccountId> onChange;
     private final Map<AccountId, Entry> entries = new TreeMap<>();
-    private final TreeSet<Entry> backlogged =
-            new TreeSet<>(
-                    Comparator.<Entry>comparingDouble(e -> e.counter)
-                            .thenComparing(e -> e.account));
+    private final TreeSet<Entry> active = new TreeSet<>(BY_COUNTER);
+    private final TreeSet<Entry> backlogged = new TreeSet<>(BY_COUNTER);
+    private double credit;
+    private double activeWeight;
     private double lastLeast;
 
     /**
@@ -47,6 +50,11 @@
         this.onChange = onChange;
     }
 
+    /** Sets how far a waiting account may be behind the others, in output tokens. */
+    void credit(double tokens) {
+        credit = tokens;
+    }
+
     /** Returns the counter of {@code account}. */
     double counter(AccountId account) {
         Entry e = entries.get(account);
@@ -59,6 +67,28 @@
         return e == null ? 0 : e.remoteInFlight;
     }
 
+    /** Returns requests of {@code account} that run on all routers. */
+    int running(AccountId account) {
+        Entry e = entries.get(account);
+        return e == null ? 0 : e.running();
+    }
+
+    /** Returns the slots that {@code account} would have if all active accounts wanted more. */
+    double nominalSlots(AccountId account, int slots) {
+        double weight = weights.applyAsDouble(account);
+        return slots * weight / Math.max(weight, activeWeight);
+    }
+
+    /** Returns the requests that run of accounts with at most {@code factor} nominal shares. */
+    int runningWithinShare(int slots, double factor) {
+        int n = 0;
+        for (Entry e : active) {
+            int running = e.running();
+            n += running <= factor * nominalSlots(e.account, slots) ? running : 0;
+        }
+        return n;
+    }
+
     /** Charges {@code cost} for service given here; a negative cost corrects an earlier charge. */
     void charge(AccountId account, double cost) {
         Entry e = entry(account);
@@ -151,41 +181,52 @@
         if (cost == 0) {
             return;
         }
-        boolean in = backlogged.remove(e);
-        e.counter += cost / weights.applyAsDouble(e.account);
-        if (in) {
+        move(e, e.counter + cost / weights.applyAsDouble(e.account));
+    }
+
+    private void move(Entry e, double counter) {
+        boolean wasActive = active.remove(e);
+        boolean wasBacklogged = backlogged.remove(e);
+        e.counter = counter;
+        if (wasActive) {
+            active.add(e);
+        }
+        if (wasBacklogged) {
             backlogged.add(e);
         }
         onChange.accept(e.account);
     }
 
     private void refresh(Entry e) {
-        boolean waits = e.localWaiting + e.remoteWaiting > 0;
-        if (waits == e.waits) {
-            return;
+        boolean nowActive = e.localInFlight + e.remoteInFlight > 0;
+        boolean nowWaiting = e.localWaiting + e.remoteWaiting > 0;
+        if (nowActive && !active.contains(e)) {
+            lift(e, active.isEmpty() ? lastLeast : active.first().counter);
+            active.add(e);
+            e.activeWeight = weights.applyAsDouble(e.account);
+            activeWeight += e.activeWeight;
+        }
+        if (nowWaiting && !backlogged.contains(e)) {
+            if (!backlogged.isEmpty()) {
+                lift(e, backlogged.first().counter - credit / weights.applyAsDouble(e.account));
+            }
+            backlogged.add(e);
         }
-        e.waits = waits;
-        if (!waits) {
+        if (!nowWaiting) {
             backlogged.remove(e);
-            lastLeast = Math.max(lastLeast, backlogged.isEmpty() ? e.counter : least());
-            return;
         }
-        lift(e);
-        backlogged.add(e);
+        if (!nowActive && active.remove(e)) {
+            activeWeight -= e.activeWeight;
+            lastLeast = Math.max(lastLeast, active.isEmpty() ? e.counter : active.first().counter);
+        }
     }
 
-    private void lift(Entry e) {
-        double least = backlogged.isEmpty() ? lastLeast : least();
+    private void lift(Entry e, double least) {
         if (e.counter < least) {
-            e.counter = least;
-            onChange.accept(e.account);
+            move(e, least);
         }
     }
 
-    private double least() {
-        return backlogged.first().counter;
-    }
-
     /** Counts of one account on one other router. */
     record Remote(double service, long requests, int inFlight, int waiting) {
         private static final Remote NONE = new Remote(0, 0, 0, 0);
@@ -196,12 +237,12 @@
         private final Map<HostId, Remote> remotes = new HashMap<>();
         private double counter;
         private double service;
+        private double activeWeight;
         private long requests;
         private int localWaiting;
         private int localInFlight;
         private int remoteWaiting;
         private int remoteInFlight;
-        private boolean waits;
         private int unsent;
 
         private Entry(AccountId account, double counter) {
@@ -209,6 +250,10 @@
             this.counter = counter;
         }
 
+        private int running() {
+            return localInFlight - localWaiting + remoteInFlight - remoteWaiting;
+        }
+
         private void sumRemotes() {
             remoteWaiting = remotes.values().stream().mapToInt(Remote::waiting).sum();
             remoteInFlight = remotes.values().stream().mapToInt(Remote::inFlight).sum();
