Let operators drain a router through the configuration

Cause: a router has to stop taking work before it is serviced, and stay so over its restart. Change: the configuration names draining hosts; siskintrail drain HOST [--undo]; the follower gives no permission to a draining host. Conclusion: draining is in force like any rule.

--- a/siskintrail.control/src/io/siskintrail/control/internal/http/HostsController.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/http/HostsController.java
@@ -68,6 +68,16 @@
         return change(new ConfigurationCommand.PutHost(info));
     }
 
+    @Post("/{id}/drain")
+    CompletionStage<HttpResponse<?>> drain(String id) {
+        return change(new ConfigurationCommand.SetDraining(new HostId(id), true));
+    }
+
+    @Delete("/{id}/drain")
+    CompletionStage<HttpResponse<?>> undrain(String id) {
+        return change(new ConfigurationCommand.SetDraining(new HostId(id), false));
+    }
+
     @Delete("/{id}")
     CompletionStage<HttpResponse<?>> remove(String id) {
         return change(new ConfigurationCommand.RemoveHost(new HostId(id)));
@@ -91,7 +101,9 @@
                                     .formatted(pending.version())));
         }
         return ErrorBody.response(
-                new Failure(ResultCode.HOSTS_REFUSED, "the last host cannot be removed"));
+                new Failure(
+                        ResultCode.HOSTS_REFUSED,
+                        "the host is unknown, or the last one to be removed"));
     }
 
     private static HttpResponse<?> unavailable(Throwable thrown) {
--- a/siskintrail.control/src/io/siskintrail/control/internal/http/StatusController.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/http/StatusController.java
@@ -37,14 +37,16 @@
      * @param id its host id
      * @param domain its failure domain
      * @param peerAddress where it takes messages of peers
+     * @param draining whether it takes no new work
      * @param version the version it has, null when this replica does not know
      */
-    record Host(String id, String domain, String peerAddress, Long version) {
-        static Host of(HostInfo host, Map<HostId, Long> versions) {
+    record Host(String id, String domain, String peerAddress, boolean draining, Long version) {
+        static Host of(HostInfo host, boolean draining, Map<HostId, Long> versions) {
             return new Host(
                     host.id().value(),
                     host.domain().value(),
                     host.peerAddress(),
+                    draining,
                     versions.get(host.id()));
         }
     }
@@ -59,6 +61,8 @@
                 c.rulesNumber(),
                 c.version(),
                 image.inForceVersion(),
-                c.hosts().stream().map(h -> Host.of(h, versions)).toList());
+                c.hosts().stream()
+                        .map(h -> Host.of(h, c.draining().contains(h.id()), versions))
+                        .toList());
     }
 }
--- a/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
+++ b/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
@@ -99,6 +99,7 @@
         "rules show --control http://127.0.0.1:1, 5, 2010",
         "status --token-file missing-file, 2, 2009",
         "hosts remove nobody, 0, ''",
+        "drain nobody, 3, 3018",
     })
     void saysWhatIsWrongWithTheCommand(String line, int status, String code) {
         assertThat(run(line.split(" "))).isEqualTo(status);
--- a/siskintrail.pgm/src/io/siskintrail/pgm/CommandCatalog.java
+++ b/siskintrail.pgm/src/io/siskintrail/pgm/CommandCatalog.java
@@ -50,6 +50,15 @@
                                             .setLimit((int) number(l, "limit", DEFAULT_HISTORY))),
                     new CommandSpec(
                             "status", List.of(), List.of(), true, (l, o) -> new StatusCommand()),
+                    new CommandSpec(
+                            "drain",
+                            List.of("HOST"),
+                            List.of(Option.builder().longOpt("undo").build()),
+                            true,
+                            (l, o) ->
+                                    new DrainCommand()
+                                            .setHost(o.get(0))
+                                            .setUndo(l.hasOption("undo"))),
                     new CommandSpec(
                             "hosts", List.of(), List.of(), true, (l, o) -> new HostsCommand()),
                     new CommandSpec(
--- a/siskintrail.pgm/src/io/siskintrail/pgm/CommandSpec.java
+++ b/siskintrail.pgm/src/io/siskintrail/pgm/CommandSpec.java
@@ -31,7 +31,7 @@
         StringBuilder usage = new StringBuilder(name);
         operands.forEach(o -> usage.append(' ').append(o));
         for (Option o : options) {
-            String text = "--" + o.getLongOpt() + " " + o.getArgName();
+            String text = "--" + o.getLongOpt() + (o.hasArg() ? " " + o.getArgName() : "");
             usage.append(o.isRequired() ? " " + text : " [" + text + "]");
         }
         return usage.toString();
--- a/siskintrail.pgm/src/io/siskintrail/pgm/StatusCommand.java
+++ b/siskintrail.pgm/src/io/siskintrail/pgm/StatusCommand.java
@@ -22,12 +22,13 @@
         if (!status.path("leads").asBoolean()) {
             output().line(Messages.text("status.follower"));
         }
-        Table table = new Table("HOST", "DOMAIN", "ADDRESS", "VERSION");
+        Table table = new Table("HOST", "DOMAIN", "ADDRESS", "STATE", "VERSION");
         for (JsonNode host : status.path("hosts")) {
             table.row(
                     host.path("id").asText(),
                     host.path("domain").asText(),
                     host.path("peerAddress").asText(),
+                    host.path("draining").asBoolean() ? "draining" : "in use",
                     host.path("version").isNumber() ? host.path("version").asLong() : UNKNOWN);
         }
         table.print(output());
--- a/siskintrail.test/tst/io/siskintrail/internal/control/ConfigurationStateTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/control/ConfigurationStateTest.java
@@ -65,6 +65,21 @@
         assertThat(state.image().previousHosts()).containsExactly(host(1), host(2));
     }
 
+    @Test
+    void drainsKnownHostsUntilTheyAreRemoved() {
+        apply(new ConfigurationCommand.SeedHosts(List.of(host(1), host(2))));
+        apply(new ConfigurationCommand.MarkInForce(1));
+        assertThat(apply(new ConfigurationCommand.SetDraining(host(2).id(), true)))
+                .isEqualTo(new ConfigurationAnswer.HostsChanged(2));
+        assertThat(apply(new ConfigurationCommand.SetDraining(host(2).id(), true)))
+                .isEqualTo(new ConfigurationAnswer.HostsChanged(2));
+        assertThat(state.current().admits(host(2).id())).isFalse();
+        assertThat(apply(new ConfigurationCommand.SetDraining(host(3).id(), true)))
+                .isEqualTo(new ConfigurationAnswer.HostsRefused());
+        apply(new ConfigurationCommand.RemoveHost(host(2).id()));
+        assertThat(state.current().draining()).isEmpty();
+    }
+
     @Test
     void marksOnlyWhatExistsAndNeverGoesBack() {
         edit(0, "a", "huda");
--- a/siskintrail.test/tst/io/siskintrail/internal/control/CurrencyAction.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/control/CurrencyAction.java
@@ -33,7 +33,8 @@
         EDIT,
         RACE,
         LOSE_MESSAGES,
-        CHANGE_HOSTS
+        CHANGE_HOSTS,
+        DRAIN
     }
 
     /** Each kind, those that let edits through more than once. */
--- a/siskintrail.test/tst/io/siskintrail/internal/control/CurrencyFuzz.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/control/CurrencyFuzz.java
@@ -277,6 +277,7 @@
             case EDIT -> operators[action.a() % OPERATORS].edit(number());
             case RACE -> race();
             case LOSE_MESSAGES -> network.lose(action.amount() % 40);
+            case DRAIN -> drain(action);
             case CHANGE_HOSTS -> changeHosts(action);
             default -> throw new IllegalArgumentException(action.toString());
         }
@@ -320,6 +321,12 @@
         }
     }
 
+    private void drain(CurrencyAction action) {
+        HostId host = hosts[action.a()].id;
+        boolean draining = action.amount() % 2 == 0;
+        control.propose(new ConfigurationCommand.SetDraining(host, draining), answer -> {});
+    }
+
     private void changeHosts(CurrencyAction action) {
         HostInfo host = info(action.b());
         ConfigurationCommand command =
@@ -342,7 +349,7 @@
         run(SETTLE_MILLIS);
         Configuration newest = control.state().current();
         for (Host host : hosts) {
-            if (newest.has(host.id) != host.mayTakeWork()) {
+            if (newest.admits(host.id) != host.mayTakeWork()) {
                 throw new CurrencyOracle.Violation("%s does not recover", host.id);
             }
             if (host.mayTakeWork() && !host.view.equals(newest)) {
--- a/siskintrail.test/tst/io/siskintrail/internal/control/CurrencyVariantsTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/control/CurrencyVariantsTest.java
@@ -30,7 +30,7 @@
 
         @Override
         public boolean mayTakeWork(long nowMillis) {
-            return counted() && applied().has(self);
+            return counted() && applied().admits(self);
         }
     }
 
--- a/siskintrail.wire.test/tst/io/siskintrail/wire/ControlStateCodecTest.java
+++ b/siskintrail.wire.test/tst/io/siskintrail/wire/ControlStateCodecTest.java
@@ -31,7 +31,8 @@
     private static final HostInfo INFO =
             new HostInfo(HOST, new FailureDomain("marka"), "127.0.0.1:7000");
     private static final Configuration CONFIGURATION =
-            new Configuration(3, 2, "rank urgent # H: ü\n", "huda", 99, List.of(INFO));
+            new Configuration(
+                    3, 2, "rank urgent # H: ü\n", "huda", 99, List.of(INFO), List.of(HOST));
     private static final RulesEdit EDIT =
             new RulesEdit(2, 3, "huda", 99, "ff", List.of("a"), List.of("b"), true);
 
@@ -44,6 +45,7 @@
                                 new ConfigurationCommand.MarkInForce(4),
                                 new ConfigurationCommand.SeedHosts(List.of(INFO)),
                                 new ConfigurationCommand.PutHost(INFO),
+                                new ConfigurationCommand.SetDraining(HOST, true),
                                 new ConfigurationCommand.RemoveHost(HOST))
                         .map(ControlCommand.ToConfiguration::new),
                 Stream.of(new ControlCommand.ToLedger(new LedgerCommand.SettleHost(HOST, 5))));
--- a/siskintrail.wire/idl/control.thrift
+++ b/siskintrail.wire/idl/control.thrift
@@ -30,7 +30,8 @@
   3: required binary rulesDeflated,
   4: required string byOperator,
   5: required i64 rulesAtMillis,
-  6: required list<HostInfoData> hosts
+  6: required list<HostInfoData> hosts,
+  7: required list<string> draining
 }
 
 struct ApplyRulesData {
@@ -39,6 +40,11 @@
   3: required string byOperator
 }
 
+struct SetDrainingData {
+  1: required string host,
+  2: required bool draining
+}
+
 struct SeedHostsData {
   1: required list<HostInfoData> hosts
 }
@@ -48,7 +54,8 @@
   2: i64 markInForce,
   3: SeedHostsData seedHosts,
   4: HostInfoData putHost,
-  5: string removeHost
+  5: string removeHost,
+  6: SetDrainingData setDraining
 }
 
 struct RulesEditData {
--- a/siskintrail.wire/src/io/siskintrail/wire/ConfigurationCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/ConfigurationCodec.java
@@ -12,6 +12,7 @@
 import io.siskintrail.wire.gen.control.NumberTakenData;
 import io.siskintrail.wire.gen.control.RulesAppliedData;
 import io.siskintrail.wire.gen.control.SeedHostsData;
+import io.siskintrail.wire.gen.control.SetDrainingData;
 import org.apache.thrift.TBase;
 import org.apache.thrift.TException;
 
@@ -84,6 +85,10 @@
         if (command instanceof ConfigurationCommand.PutHost c) {
             return ConfigurationCommandData.putHost(ConfigurationValues.toData(c.host()));
         }
+        if (command instanceof ConfigurationCommand.SetDraining c) {
+            return ConfigurationCommandData.setDraining(
+                    new SetDrainingData(c.host().value(), c.draining()));
+        }
         ConfigurationCommand.RemoveHost c = (ConfigurationCommand.RemoveHost) command;
         return ConfigurationCommandData.removeHost(c.host().value());
     }
@@ -105,6 +110,10 @@
                             ConfigurationValues.fromData(data.getPutHost()));
             case REMOVE_HOST ->
                     new ConfigurationCommand.RemoveHost(new HostId(data.getRemoveHost()));
+            case SET_DRAINING ->
+                    new ConfigurationCommand.SetDraining(
+                            new HostId(data.getSetDraining().getHost()),
+                            data.getSetDraining().isDraining());
         };
     }
 
--- a/siskintrail.wire/src/io/siskintrail/wire/ConfigurationValues.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/ConfigurationValues.java
@@ -39,7 +39,8 @@
                 DeflatedText.pack(c.rulesText()),
                 c.operator(),
                 c.rulesAtMillis(),
-                toData(c.hosts()));
+                toData(c.hosts()),
+                c.draining().stream().map(HostId::value).toList());
     }
 
     static Configuration fromData(ConfigurationData d) {
@@ -49,7 +50,8 @@
                 DeflatedText.unpack(d.getRulesDeflated()),
                 d.getByOperator(),
                 d.getRulesAtMillis(),
-                fromData(d.getHosts()));
+                fromData(d.getHosts()),
+                d.getDraining().stream().map(HostId::new).toList());
     }
 
     static RulesEditData toData(RulesEdit e) {
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/control/ConfigurationCommandData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/control/ConfigurationCommandData.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField SEED_HOSTS_FIELD_DESC = new org.apache.thrift.protocol.TField("seedHosts", org.apache.thrift.protocol.TType.STRUCT, (short)3);
   private static final org.apache.thrift.protocol.TField PUT_HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("putHost", org.apache.thrift.protocol.TType.STRUCT, (short)4);
   private static final org.apache.thrift.protocol.TField REMOVE_HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("removeHost", org.apache.thrift.protocol.TType.STRING, (short)5);
+  private static final org.apache.thrift.protocol.TField SET_DRAINING_FIELD_DESC = new org.apache.thrift.protocol.TField("setDraining", org.apache.thrift.protocol.TType.STRUCT, (short)6);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -21,7 +22,8 @@
     MARK_IN_FORCE((short)2, "markInForce"),
     SEED_HOSTS((short)3, "seedHosts"),
     PUT_HOST((short)4, "putHost"),
-    REMOVE_HOST((short)5, "removeHost");
+    REMOVE_HOST((short)5, "removeHost"),
+    SET_DRAINING((short)6, "setDraining");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +49,8 @@
           return PUT_HOST;
         case 5: // REMOVE_HOST
           return REMOVE_HOST;
+        case 6: // SET_DRAINING
+          return SET_DRAINING;
         default:
           return null;
       }
@@ -102,6 +106,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, HostInfoData.class)));
     tmpMap.put(_Fields.REMOVE_HOST, new org.apache.thrift.meta_data.FieldMetaData("removeHost", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SET_DRAINING, new org.apache.thrift.meta_data.FieldMetaData("setDraining", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SetDrainingData.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ConfigurationCommandData.class, metaDataMap);
   }
@@ -152,6 +158,12 @@
     return x;
   }
 
+  public static ConfigurationCommandData setDraining(SetDrainingData value) {
+    ConfigurationCommandData x = new ConfigurationCommandData();
+    x.setSetDraining(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -181,6 +193,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type java.lang.String for field 'removeHost', but got " + value.getClass().getSimpleName());
+      case SET_DRAINING:
+        if (value instanceof SetDrainingData) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type SetDrainingData for field 'setDraining', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -239,6 +256,16 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case SET_DRAINING:
+          if (field.type == SET_DRAINING_FIELD_DESC.type) {
+            SetDrainingData setDraining;
+            setDraining = new SetDrainingData();
+            setDraining.read(iprot);
+            return setDraining;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -271,6 +298,10 @@
         java.lang.String removeHost = (java.lang.String)value_;
         oprot.writeString(removeHost);
         return;
+      case SET_DRAINING:
+        SetDrainingData setDraining = (SetDrainingData)value_;
+        setDraining.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -304,6 +335,11 @@
           java.lang.String removeHost;
           removeHost = iprot.readString();
           return removeHost;
+        case SET_DRAINING:
+          SetDrainingData setDraining;
+          setDraining = new SetDrainingData();
+          setDraining.read(iprot);
+          return setDraining;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -335,6 +371,10 @@
         java.lang.String removeHost = (java.lang.String)value_;
         oprot.writeString(removeHost);
         return;
+      case SET_DRAINING:
+        SetDrainingData setDraining = (SetDrainingData)value_;
+        setDraining.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -353,6 +393,8 @@
         return PUT_HOST_FIELD_DESC;
       case REMOVE_HOST:
         return REMOVE_HOST_FIELD_DESC;
+      case SET_DRAINING:
+        return SET_DRAINING_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -440,6 +482,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.REMOVE_HOST");
   }
 
+  public SetDrainingData getSetDraining() {
+    if (getSetField() == _Fields.SET_DRAINING) {
+      return (SetDrainingData)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'setDraining' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setSetDraining(SetDrainingData value) {
+    setField_ = _Fields.SET_DRAINING;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SET_DRAINING");
+  }
+
   public boolean isSetApplyRules() {
     return setField_ == _Fields.APPLY_RULES;
   }
@@ -465,6 +520,11 @@
   }
 
 
+  public boolean isSetSetDraining() {
+    return setField_ == _Fields.SET_DRAINING;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof ConfigurationCommandData) {
       return equals((ConfigurationCommandData)other);
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/control/ConfigurationData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/control/ConfigurationData.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField BY_OPERATOR_FIELD_DESC = new org.apache.thrift.protocol.TField("byOperator", org.apache.thrift.protocol.TType.STRING, (short)4);
   private static final org.apache.thrift.protocol.TField RULES_AT_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("rulesAtMillis", org.apache.thrift.protocol.TType.I64, (short)5);
   private static final org.apache.thrift.protocol.TField HOSTS_FIELD_DESC = new org.apache.thrift.protocol.TField("hosts", org.apache.thrift.protocol.TType.LIST, (short)6);
+  private static final org.apache.thrift.protocol.TField DRAINING_FIELD_DESC = new org.apache.thrift.protocol.TField("draining", org.apache.thrift.protocol.TType.LIST, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ConfigurationDataStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ConfigurationDataTupleSchemeFactory();
@@ -29,6 +30,7 @@
   public @org.apache.thrift.annotation.Nullable java.lang.String byOperator; // required
   public long rulesAtMillis; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<HostInfoData> hosts; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> draining; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -40,7 +42,8 @@
     RULES_DEFLATED((short)3, "rulesDeflated"),
     BY_OPERATOR((short)4, "byOperator"),
     RULES_AT_MILLIS((short)5, "rulesAtMillis"),
-    HOSTS((short)6, "hosts");
+    HOSTS((short)6, "hosts"),
+    DRAINING((short)7, "draining");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -68,6 +71,8 @@
           return RULES_AT_MILLIS;
         case 6: // HOSTS
           return HOSTS;
+        case 7: // DRAINING
+          return DRAINING;
         default:
           return null;
       }
@@ -131,6 +136,9 @@
     tmpMap.put(_Fields.HOSTS, new org.apache.thrift.meta_data.FieldMetaData("hosts", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, HostInfoData.class))));
+    tmpMap.put(_Fields.DRAINING, new org.apache.thrift.meta_data.FieldMetaData("draining", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ConfigurationData.class, metaDataMap);
   }
@@ -144,7 +152,8 @@
     java.nio.ByteBuffer rulesDeflated,
     java.lang.String byOperator,
     long rulesAtMillis,
-    java.util.List<HostInfoData> hosts)
+    java.util.List<HostInfoData> hosts,
+    java.util.List<java.lang.String> draining)
   {
     this();
     this.version = version;
@@ -156,6 +165,7 @@
     this.rulesAtMillis = rulesAtMillis;
     setRulesAtMillisIsSet(true);
     this.hosts = hosts;
+    this.draining = draining;
   }
 
   /**
@@ -179,6 +189,10 @@
       }
       this.hosts = __this__hosts;
     }
+    if (other.isSetDraining()) {
+      java.util.List<java.lang.String> __this__draining = new java.util.ArrayList<java.lang.String>(other.draining);
+      this.draining = __this__draining;
+    }
   }
 
   @Override
@@ -197,6 +211,7 @@
     setRulesAtMillisIsSet(false);
     this.rulesAtMillis = 0;
     this.hosts = null;
+    this.draining = null;
   }
 
   public long getVersion() {
@@ -374,6 +389,47 @@
     }
   }
 
+  public int getDrainingSize() {
+    return (this.draining == null) ? 0 : this.draining.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getDrainingIterator() {
+    return (this.draining == null) ? null : this.draining.iterator();
+  }
+
+  public void addToDraining(java.lang.String elem) {
+    if (this.draining == null) {
+      this.draining = new java.util.ArrayList<java.lang.String>();
+    }
+    this.draining.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getDraining() {
+    return this.draining;
+  }
+
+  public ConfigurationData setDraining(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> draining) {
+    this.draining = draining;
+    return this;
+  }
+
+  public void unsetDraining() {
+    this.draining = null;
+  }
+
+  /** Returns true if field draining is set (has been assigned a value) and false otherwise */
+  public boolean isSetDraining() {
+    return this.draining != null;
+  }
+
+  public void setDrainingIsSet(boolean value) {
+    if (!value) {
+      this.draining = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -429,6 +485,14 @@
       }
       break;
 
+    case DRAINING:
+      if (value == null) {
+        unsetDraining();
+      } else {
+        setDraining((java.util.List<java.lang.String>)value);
+      }
+      break;
+
     }
   }
 
@@ -454,6 +518,9 @@
     case HOSTS:
       return getHosts();
 
+    case DRAINING:
+      return getDraining();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -478,6 +545,8 @@
       return isSetRulesAtMillis();
     case HOSTS:
       return isSetHosts();
+    case DRAINING:
+      return isSetDraining();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -549,6 +618,15 @@
         return false;
     }
 
+    boolean this_present_draining = true && this.isSetDraining();
+    boolean that_present_draining = true && that.isSetDraining();
+    if (this_present_draining || that_present_draining) {
+      if (!(this_present_draining && that_present_draining))
+        return false;
+      if (!this.draining.equals(that.draining))
+        return false;
+    }
+
     return true;
   }
 
@@ -574,6 +652,10 @@
     if (isSetHosts())
       hashCode = hashCode * 8191 + hosts.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetDraining()) ? 131071 : 524287);
+    if (isSetDraining())
+      hashCode = hashCode * 8191 + draining.hashCode();
+
     return hashCode;
   }
 
@@ -645,6 +727,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetDraining(), other.isSetDraining());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetDraining()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.draining, other.draining);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -704,6 +796,14 @@
       sb.append(this.hosts);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("draining:");
+    if (this.draining == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.draining);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -722,6 +822,9 @@
     if (hosts == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'hosts' was not present! Struct: " + toString());
     }
+    if (draining == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'draining' was not present! Struct: " + toString());
+    }
     // check for sub-struct validity
   }
 
@@ -822,6 +925,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // DRAINING
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list11 = iprot.readListBegin();
+                struct.draining = new java.util.ArrayList<java.lang.String>(_list11.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem12;
+                for (int _i13 = 0; _i13 < _list11.size; ++_i13)
+                {
+                  _elem12 = iprot.readString();
+                  struct.draining.add(_elem12);
+                }
+                iprot.readListEnd();
+              }
+              struct.setDrainingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -870,9 +991,21 @@
         oprot.writeFieldBegin(HOSTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.hosts.size()));
-          for (HostInfoData _iter11 : struct.hosts)
+          for (HostInfoData _iter14 : struct.hosts)
+          {
+            _iter14.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.draining != null) {
+        oprot.writeFieldBegin(DRAINING_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.draining.size()));
+          for (java.lang.String _iter15 : struct.draining)
           {
-            _iter11.write(oprot);
+            oprot.writeString(_iter15);
           }
           oprot.writeListEnd();
         }
@@ -903,9 +1036,16 @@
       oprot.writeI64(struct.rulesAtMillis);
       {
         oprot.writeI32(struct.hosts.size());
-        for (HostInfoData _iter12 : struct.hosts)
+        for (HostInfoData _iter16 : struct.hosts)
+        {
+          _iter16.write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.draining.size());
+        for (java.lang.String _iter17 : struct.draining)
         {
-          _iter12.write(oprot);
+          oprot.writeString(_iter17);
         }
       }
     }
@@ -924,17 +1064,28 @@
       struct.rulesAtMillis = iprot.readI64();
       struct.setRulesAtMillisIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.hosts = new java.util.ArrayList<HostInfoData>(_list13.size);
-        @org.apache.thrift.annotation.Nullable HostInfoData _elem14;
-        for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+        org.apache.thrift.protocol.TList _list18 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.hosts = new java.util.ArrayList<HostInfoData>(_list18.size);
+        @org.apache.thrift.annotation.Nullable HostInfoData _elem19;
+        for (int _i20 = 0; _i20 < _list18.size; ++_i20)
         {
-          _elem14 = new HostInfoData();
-          _elem14.read(iprot);
-          struct.hosts.add(_elem14);
+          _elem19 = new HostInfoData();
+          _elem19.read(iprot);
+          struct.hosts.add(_elem19);
         }
       }
       struct.setHostsIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.draining = new java.util.ArrayList<java.lang.String>(_list21.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem22;
+        for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+        {
+          _elem22 = iprot.readString();
+          struct.draining.add(_elem22);
+        }
+      }
+      struct.setDrainingIsSet(true);
     }
   }
 
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/control/ConfigurationImageData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/control/ConfigurationImageData.java
@@ -698,14 +698,14 @@
           case 2: // PREVIOUS_HOSTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
-                struct.previousHosts = new java.util.ArrayList<HostInfoData>(_list40.size);
-                @org.apache.thrift.annotation.Nullable HostInfoData _elem41;
-                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
+                struct.previousHosts = new java.util.ArrayList<HostInfoData>(_list48.size);
+                @org.apache.thrift.annotation.Nullable HostInfoData _elem49;
+                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
                 {
-                  _elem41 = new HostInfoData();
-                  _elem41.read(iprot);
-                  struct.previousHosts.add(_elem41);
+                  _elem49 = new HostInfoData();
+                  _elem49.read(iprot);
+                  struct.previousHosts.add(_elem49);
                 }
                 iprot.readListEnd();
               }
@@ -733,14 +733,14 @@
           case 5: // HISTORY
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list43 = iprot.readListBegin();
-                struct.history = new java.util.ArrayList<RulesEditData>(_list43.size);
-                @org.apache.thrift.annotation.Nullable RulesEditData _elem44;
-                for (int _i45 = 0; _i45 < _list43.size; ++_i45)
+                org.apache.thrift.protocol.TList _list51 = iprot.readListBegin();
+                struct.history = new java.util.ArrayList<RulesEditData>(_list51.size);
+                @org.apache.thrift.annotation.Nullable RulesEditData _elem52;
+                for (int _i53 = 0; _i53 < _list51.size; ++_i53)
                 {
-                  _elem44 = new RulesEditData();
-                  _elem44.read(iprot);
-                  struct.history.add(_elem44);
+                  _elem52 = new RulesEditData();
+                  _elem52.read(iprot);
+                  struct.history.add(_elem52);
                 }
                 iprot.readListEnd();
               }
@@ -780,9 +780,9 @@
         oprot.writeFieldBegin(PREVIOUS_HOSTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.previousHosts.size()));
-          for (HostInfoData _iter46 : struct.previousHosts)
+          for (HostInfoData _iter54 : struct.previousHosts)
           {
-            _iter46.write(oprot);
+            _iter54.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -798,9 +798,9 @@
         oprot.writeFieldBegin(HISTORY_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.history.size()));
-          for (RulesEditData _iter47 : struct.history)
+          for (RulesEditData _iter55 : struct.history)
           {
-            _iter47.write(oprot);
+            _iter55.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -827,18 +827,18 @@
       struct.current.write(oprot);
       {
         oprot.writeI32(struct.previousHosts.size());
-        for (HostInfoData _iter48 : struct.previousHosts)
+        for (HostInfoData _iter56 : struct.previousHosts)
         {
-          _iter48.write(oprot);
+          _iter56.write(oprot);
         }
       }
       oprot.writeI64(struct.hostsVersion);
       oprot.writeI64(struct.inForceVersion);
       {
         oprot.writeI32(struct.history.size());
-        for (RulesEditData _iter49 : struct.history)
+        for (RulesEditData _iter57 : struct.history)
         {
-          _iter49.write(oprot);
+          _iter57.write(oprot);
         }
       }
     }
@@ -850,14 +850,14 @@
       struct.current.read(iprot);
       struct.setCurrentIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list50 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.previousHosts = new java.util.ArrayList<HostInfoData>(_list50.size);
-        @org.apache.thrift.annotation.Nullable HostInfoData _elem51;
-        for (int _i52 = 0; _i52 < _list50.size; ++_i52)
+        org.apache.thrift.protocol.TList _list58 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.previousHosts = new java.util.ArrayList<HostInfoData>(_list58.size);
+        @org.apache.thrift.annotation.Nullable HostInfoData _elem59;
+        for (int _i60 = 0; _i60 < _list58.size; ++_i60)
         {
-          _elem51 = new HostInfoData();
-          _elem51.read(iprot);
-          struct.previousHosts.add(_elem51);
+          _elem59 = new HostInfoData();
+          _elem59.read(iprot);
+          struct.previousHosts.add(_elem59);
         }
       }
       struct.setPreviousHostsIsSet(true);
@@ -866,14 +866,14 @@
       struct.inForceVersion = iprot.readI64();
       struct.setInForceVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.history = new java.util.ArrayList<RulesEditData>(_list53.size);
-        @org.apache.thrift.annotation.Nullable RulesEditData _elem54;
-        for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+        org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.history = new java.util.ArrayList<RulesEditData>(_list61.size);
+        @org.apache.thrift.annotation.Nullable RulesEditData _elem62;
+        for (int _i63 = 0; _i63 < _list61.size; ++_i63)
         {
-          _elem54 = new RulesEditData();
-          _elem54.read(iprot);
-          struct.history.add(_elem54);
+          _elem62 = new RulesEditData();
+          _elem62.read(iprot);
+          struct.history.add(_elem62);
         }
       }
       struct.setHistoryIsSet(true);
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/control/RulesEditData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/control/RulesEditData.java
@@ -957,13 +957,13 @@
           case 6: // ADDED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.added = new java.util.ArrayList<java.lang.String>(_list24.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
+                struct.added = new java.util.ArrayList<java.lang.String>(_list32.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem33;
+                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
                 {
-                  _elem25 = iprot.readString();
-                  struct.added.add(_elem25);
+                  _elem33 = iprot.readString();
+                  struct.added.add(_elem33);
                 }
                 iprot.readListEnd();
               }
@@ -975,13 +975,13 @@
           case 7: // REMOVED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list27 = iprot.readListBegin();
-                struct.removed = new java.util.ArrayList<java.lang.String>(_list27.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem28;
-                for (int _i29 = 0; _i29 < _list27.size; ++_i29)
+                org.apache.thrift.protocol.TList _list35 = iprot.readListBegin();
+                struct.removed = new java.util.ArrayList<java.lang.String>(_list35.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem36;
+                for (int _i37 = 0; _i37 < _list35.size; ++_i37)
                 {
-                  _elem28 = iprot.readString();
-                  struct.removed.add(_elem28);
+                  _elem36 = iprot.readString();
+                  struct.removed.add(_elem36);
                 }
                 iprot.readListEnd();
               }
@@ -1049,9 +1049,9 @@
         oprot.writeFieldBegin(ADDED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.added.size()));
-          for (java.lang.String _iter30 : struct.added)
+          for (java.lang.String _iter38 : struct.added)
           {
-            oprot.writeString(_iter30);
+            oprot.writeString(_iter38);
           }
           oprot.writeListEnd();
         }
@@ -1061,9 +1061,9 @@
         oprot.writeFieldBegin(REMOVED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.removed.size()));
-          for (java.lang.String _iter31 : struct.removed)
+          for (java.lang.String _iter39 : struct.removed)
           {
-            oprot.writeString(_iter31);
+            oprot.writeString(_iter39);
           }
           oprot.writeListEnd();
         }
@@ -1097,16 +1097,16 @@
       oprot.writeString(struct.digest);
       {
         oprot.writeI32(struct.added.size());
-        for (java.lang.String _iter32 : struct.added)
+        for (java.lang.String _iter40 : struct.added)
         {
-          oprot.writeString(_iter32);
+          oprot.writeString(_iter40);
         }
       }
       {
         oprot.writeI32(struct.removed.size());
-        for (java.lang.String _iter33 : struct.removed)
+        for (java.lang.String _iter41 : struct.removed)
         {
-          oprot.writeString(_iter33);
+          oprot.writeString(_iter41);
         }
       }
       oprot.writeBool(struct.truncated);
@@ -1126,24 +1126,24 @@
       struct.digest = iprot.readString();
       struct.setDigestIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list34 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.added = new java.util.ArrayList<java.lang.String>(_list34.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem35;
-        for (int _i36 = 0; _i36 < _list34.size; ++_i36)
+        org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.added = new java.util.ArrayList<java.lang.String>(_list42.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem43;
+        for (int _i44 = 0; _i44 < _list42.size; ++_i44)
         {
-          _elem35 = iprot.readString();
-          struct.added.add(_elem35);
+          _elem43 = iprot.readString();
+          struct.added.add(_elem43);
         }
       }
       struct.setAddedIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.removed = new java.util.ArrayList<java.lang.String>(_list37.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem38;
-        for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+        org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.removed = new java.util.ArrayList<java.lang.String>(_list45.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem46;
+        for (int _i47 = 0; _i47 < _list45.size; ++_i47)
         {
-          _elem38 = iprot.readString();
-          struct.removed.add(_elem38);
+          _elem46 = iprot.readString();
+          struct.removed.add(_elem46);
         }
       }
       struct.setRemovedIsSet(true);
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/control/SeedHostsData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/control/SeedHostsData.java
@@ -339,14 +339,14 @@
           case 1: // HOSTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.hosts = new java.util.ArrayList<HostInfoData>(_list16.size);
-                @org.apache.thrift.annotation.Nullable HostInfoData _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.hosts = new java.util.ArrayList<HostInfoData>(_list24.size);
+                @org.apache.thrift.annotation.Nullable HostInfoData _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem17 = new HostInfoData();
-                  _elem17.read(iprot);
-                  struct.hosts.add(_elem17);
+                  _elem25 = new HostInfoData();
+                  _elem25.read(iprot);
+                  struct.hosts.add(_elem25);
                 }
                 iprot.readListEnd();
               }
@@ -375,9 +375,9 @@
         oprot.writeFieldBegin(HOSTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.hosts.size()));
-          for (HostInfoData _iter19 : struct.hosts)
+          for (HostInfoData _iter27 : struct.hosts)
           {
-            _iter19.write(oprot);
+            _iter27.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -403,9 +403,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.hosts.size());
-        for (HostInfoData _iter20 : struct.hosts)
+        for (HostInfoData _iter28 : struct.hosts)
         {
-          _iter20.write(oprot);
+          _iter28.write(oprot);
         }
       }
     }
@@ -414,14 +414,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, SeedHostsData struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.hosts = new java.util.ArrayList<HostInfoData>(_list21.size);
-        @org.apache.thrift.annotation.Nullable HostInfoData _elem22;
-        for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+        org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.hosts = new java.util.ArrayList<HostInfoData>(_list29.size);
+        @org.apache.thrift.annotation.Nullable HostInfoData _elem30;
+        for (int _i31 = 0; _i31 < _list29.size; ++_i31)
         {
-          _elem22 = new HostInfoData();
-          _elem22.read(iprot);
-          struct.hosts.add(_elem22);
+          _elem30 = new HostInfoData();
+          _elem30.read(iprot);
+          struct.hosts.add(_elem30);
         }
       }
       struct.setHostsIsSet(true);
--- a/siskintrail/src/io/siskintrail/internal/control/Configuration.java
+++ b/siskintrail/src/io/siskintrail/internal/control/Configuration.java
@@ -13,6 +13,7 @@
  * @param operator who applied the rules; empty for none
  * @param rulesAtMillis wall-clock time of that edit in milliseconds
  * @param hosts the hosts of the deployment, by id
+ * @param draining the hosts that take no new work, by id
  */
 public record Configuration(
         long version,
@@ -20,14 +21,17 @@
         String rulesText,
         String operator,
         long rulesAtMillis,
-        List<HostInfo> hosts) {
+        List<HostInfo> hosts,
+        List<HostId> draining) {
 
     /** The configuration before the first change. */
-    public static final Configuration EMPTY = new Configuration(0, 0, "", "", 0, List.of());
+    public static final Configuration EMPTY =
+            new Configuration(0, 0, "", "", 0, List.of(), List.of());
 
-    /** Copies the list. */
+    /** Copies the lists. */
     public Configuration {
         hosts = List.copyOf(hosts);
+        draining = List.copyOf(draining);
     }
 
     /** Returns whether {@code id} belongs to the deployment. */
@@ -37,12 +41,24 @@
 
     /** Returns the next version with other rules. */
     Configuration withRules(String text, String byOperator, long atMillis) {
-        return new Configuration(version + 1, rulesNumber + 1, text, byOperator, atMillis, hosts);
+        return new Configuration(
+                version + 1, rulesNumber + 1, text, byOperator, atMillis, hosts, draining);
+    }
+
+    /** Returns whether {@code id} belongs to the deployment and may take new work. */
+    public boolean admits(HostId id) {
+        return has(id) && !draining.contains(id);
     }
 
     /** Returns the next version with other hosts. */
-    Configuration withHosts(List<HostInfo> next) {
+    Configuration withHosts(List<HostInfo> nextHosts, List<HostId> nextDraining) {
         return new Configuration(
-                version + 1, rulesNumber, rulesText, operator, rulesAtMillis, next);
+                version + 1,
+                rulesNumber,
+                rulesText,
+                operator,
+                rulesAtMillis,
+                nextHosts,
+                nextDraining);
     }
 }
--- a/siskintrail/src/io/siskintrail/internal/control/ConfigurationCommand.java
+++ b/siskintrail/src/io/siskintrail/internal/control/ConfigurationCommand.java
@@ -44,6 +44,14 @@
      */
     record PutHost(HostInfo host) implements ConfigurationCommand {}
 
+    /**
+     * Lets a host take no new work, or take it again. What runs there goes on.
+     *
+     * @param host the host
+     * @param draining whether it takes no new work
+     */
+    record SetDraining(HostId host, boolean draining) implements ConfigurationCommand {}
+
     /**
      * Removes a host for good.
      *
--- a/siskintrail/src/io/siskintrail/internal/control/ConfigurationFollower.java
+++ b/siskintrail/src/io/siskintrail/internal/control/ConfigurationFollower.java
@@ -165,9 +165,7 @@
         }
         applied = offered;
         effects.add(new FollowerEffect.Apply(applied));
-        if (!applied.has(settings.self())) {
-            effects.add(new FollowerEffect.Permit(NEVER));
-        }
+        effects.add(permit());
         askControl(now, effects);
     }
 
@@ -176,9 +174,12 @@
             return;
         }
         confirmedAt = at;
-        if (applied.has(settings.self())) {
-            effects.add(new FollowerEffect.Permit(confirmedAt + settings.validMillis()));
-        }
+        effects.add(permit());
+    }
+
+    private FollowerEffect.Permit permit() {
+        boolean admitted = counted && applied.admits(settings.self());
+        return new FollowerEffect.Permit(admitted ? confirmedAt + settings.validMillis() : NEVER);
     }
 
     /** Returns whether an offered configuration takes the place of the applied one. */
@@ -214,7 +215,7 @@
     /** Returns whether the host may take new work. */
     public boolean mayTakeWork(long nowMillis) {
         return counted
-                && applied.has(settings.self())
+                && applied.admits(settings.self())
                 && nowMillis - confirmedAt < settings.validMillis();
     }
 }
--- a/siskintrail/src/io/siskintrail/internal/control/ConfigurationState.java
+++ b/siskintrail/src/io/siskintrail/internal/control/ConfigurationState.java
@@ -48,6 +48,9 @@
         if (command instanceof ConfigurationCommand.PutHost c) {
             return putHost(c.host());
         }
+        if (command instanceof ConfigurationCommand.SetDraining c) {
+            return setDraining(c);
+        }
         return removeHost(((ConfigurationCommand.RemoveHost) command).host());
     }
 
@@ -100,6 +103,22 @@
         return changeHosts(next);
     }
 
+    private ConfigurationAnswer setDraining(ConfigurationCommand.SetDraining c) {
+        if (!current.has(c.host())) {
+            return new ConfigurationAnswer.HostsRefused();
+        }
+        if (current.draining().contains(c.host()) != c.draining()) {
+            List<HostId> next = new ArrayList<>(current.draining());
+            next.remove(c.host());
+            if (c.draining()) {
+                next.add(c.host());
+            }
+            next.sort(null);
+            current = current.withHosts(current.hosts(), next);
+        }
+        return new ConfigurationAnswer.HostsChanged(current.version());
+    }
+
     private ConfigurationAnswer removeHost(HostId host) {
         if (!current.has(host)) {
             return new ConfigurationAnswer.HostsChanged(hostsVersion);
@@ -118,9 +137,12 @@
             return new ConfigurationAnswer.HostsPending(hostsVersion);
         }
         previousHosts = current.hosts();
-        current =
-                current.withHosts(
-                        next.stream().sorted(Comparator.comparing(HostInfo::id)).toList());
+        List<HostInfo> sorted = next.stream().sorted(Comparator.comparing(HostInfo::id)).toList();
+        List<HostId> draining =
+                current.draining().stream()
+                        .filter(id -> next.stream().anyMatch(h -> h.id().equals(id)))
+                        .toList();
+        current = current.withHosts(sorted, draining);
         hostsVersion = current.version();
         return new ConfigurationAnswer.HostsChanged(hostsVersion);
     }
