Decide generations in a pure machine and fuzz it

Cause: engines and routers die inside long answers; a caller must get every token once, and never a mixture of two answers. The fuzzer drives four routers and five engines over a lossy network; engines draw other tokens in each attempt, so any mixture shows. Conclusion: each of four broken variants is caught by the oracle.

--- /dev/null
+++ b/siskintrail.test/tst/io/siskintrail/internal/generation/PathFuzzTest.java
@@ -0,0 +1,165 @@
+package io.siskintrail.internal.generation;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Fuzzes the request path: several routers, engines and callers; messages are lost, late, repeated
+ * and crossed, processes are paused and killed at any step.
+ *
+ * <p>A longer run: {@code mvn -o -pl siskintrail,siskintrail.test test -Dtest=PathFuzzTest
+ * -Dfuzz.seed=7 -Dfuzz.steps=10000000}.
+ */
+class PathFuzzTest {
+    private static final long DEFAULT_STEPS = 150_000;
+    private static final int ACTIONS = 60;
+
+    @Property(seed = "20260301", tries = 60, shrinking = ShrinkingMode.BOUNDED)
+    void callersGetWholeAnswersOrTrueErrors(
+            @ForAll("actions") List<PathAction> actions,
+            @ForAll long seed,
+            @ForAll boolean salted) {
+        run(new PathWorld(seed, salted, new Guards()), actions);
+    }
+
+    @Test
+    void longRunKeepsThePromises() {
+        long seed = Long.getLong("fuzz.seed", 11);
+        long wanted = Long.getLong("fuzz.steps", DEFAULT_STEPS);
+        SplittableRandom seeds = new SplittableRandom(seed);
+        long steps = 0;
+        long whole = 0;
+        long ends = 0;
+        while (steps < wanted) {
+            PathWorld world = randomRun(seeds.nextLong(), new Guards(), PathAction.values());
+            steps += world.steps;
+            whole += world.outcomes.getOrDefault(io.siskintrail.lib.ResultCode.OK, 0);
+            ends += world.outcomes.values().stream().mapToInt(n -> n).sum();
+        }
+        System.out.printf(
+                "fuzz=path seed=%d steps=%d ends=%d whole=%d%n", seed, steps, ends, whole);
+        assertThat(steps).isAtLeast(wanted);
+        assertThat(whole).isAtLeast(ends / 2);
+    }
+
+    @Test
+    void noAnswerIsLostWhenRoutersDieOneAtATime() {
+        SplittableRandom seeds = new SplittableRandom(5);
+        for (int i = 0; i < 60; i++) {
+            assertThat(lostAnswers(seeds.nextLong(), new Guards())).isEqualTo(0);
+        }
+    }
+
+    static Stream<Guards> brokenGuards() {
+        return Stream.of(new NoOffsetCheck(), new NoAttemptCheck(), new NoFence());
+    }
+
+    @ParameterizedTest
+    @MethodSource("brokenGuards")
+    void oracleNoticesMissingCheck(Guards broken) {
+        assertThrows(
+                CallerOracle.Violation.class,
+                () -> {
+                    SplittableRandom seeds = new SplittableRandom(3);
+                    for (int i = 0; i < 400; i++) {
+                        randomRun(seeds.nextLong(), broken, PathAction.values());
+                    }
+                });
+    }
+
+    @Test
+    void oracleNoticesDeliveryAheadOfTheBuddy() {
+        SplittableRandom seeds = new SplittableRandom(5);
+        long lost = 0;
+        for (int i = 0; i < 60; i++) {
+            lost += lostAnswers(seeds.nextLong(), new NoBuddyAck());
+        }
+        assertThat(lost).isAtLeast(1);
+    }
+
+    @Provide
+    Arbitrary<List<PathAction>> actions() {
+        return Arbitraries.of(PathAction.values()).list().ofMinSize(10).ofMaxSize(ACTIONS);
+    }
+
+    private static PathWorld randomRun(long seed, Guards guards, PathAction[] choice) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<PathAction> actions =
+                random.ints(ACTIONS, 0, choice.length).mapToObj(i -> choice[i]).toList();
+        PathWorld world = new PathWorld(seed, true, guards);
+        run(world, actions);
+        return world;
+    }
+
+    private static void run(PathWorld world, List<PathAction> actions) {
+        for (PathAction action : actions) {
+            action.apply(world);
+            world.advance(world.random().nextInt(120));
+        }
+        world.settle();
+    }
+
+    private static long lostAnswers(long seed, Guards guards) {
+        PathWorld world = new PathWorld(seed, true, guards);
+        world.lossPercent = 20;
+        for (int i = 0; i < 12; i++) {
+            PathAction.NEW_CALLER.apply(world);
+            world.advance(world.random().nextInt(300));
+            if (i % 4 == 3) {
+                PathWorld.Router victim = world.anyRouter();
+                victim.kill();
+                world.advance(4_000);
+                victim.heal();
+                world.advance(1_000);
+            }
+        }
+        world.settle();
+        return world.callers.stream().distinct().filter(PathCaller::lostItsAnswer).count();
+    }
+
+    private static final class NoOffsetCheck extends Guards {
+        @Override
+        Fit fit(Journal journal, int offset, TokenRun run) {
+            return Fit.TAKE;
+        }
+
+        @Override
+        TokenRun fresh(Journal journal, int offset, TokenRun run) {
+            return run;
+        }
+    }
+
+    private static final class NoAttemptCheck extends Guards {
+        @Override
+        boolean attemptIsCurrent(int attempt, int current) {
+            return true;
+        }
+    }
+
+    private static final class NoFence extends Guards {
+        @Override
+        boolean isFenced(OwnerEpoch known, OwnerEpoch incoming) {
+            return false;
+        }
+    }
+
+    private static final class NoBuddyAck extends Guards {
+        @Override
+        int deliverable(int acknowledged, int journalLength) {
+            return journalLength;
+        }
+    }
+}
--- /dev/null
+++ b/siskintrail.test/tst/io/siskintrail/internal/generation/PathWorld.java
@@ -0,0 +1,420 @@
+package io.siskintrail.internal.generation;
+
+import io.siskintrail.lib.AccountId;
+import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.Failure;
+import io.siskintrail.lib.FailureDomain;
+import io.siskintrail.lib.GenerationId;
+import io.siskintrail.lib.HostId;
+import io.siskintrail.lib.HostInfo;
+import io.siskintrail.lib.ModelId;
+import io.siskintrail.lib.Rank;
+import io.siskintrail.lib.RequestKey;
+import io.siskintrail.lib.ResultCode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/** Drives several machines in virtual time over a lossy network with engines and callers. */
+final class PathWorld {
+    static final ModelId V1 = new ModelId("quote", "", "v1");
+    static final ModelId V2 = new ModelId("quote", "", "v2");
+
+    private static final int ROUTERS = 4;
+    private static final int DOMAINS = 3;
+    private static final int TICK = 25;
+    private static final int TOKEN_GAP = 20;
+    private static final int MEMBERSHIP_DELAY = 400;
+    private static final int END_OF_TIME = 120_000;
+    private static final GenerationSettings SETTINGS = GenerationSettings.defaults();
+
+    final CallerOracle oracle = new CallerOracle();
+    final List<PathCaller> callers = new ArrayList<>();
+    final Map<ResultCode, Integer> outcomes = new HashMap<>();
+    final List<Router> routers = new ArrayList<>();
+    final List<Engine> engines = new ArrayList<>();
+    final Set<GenerationId> started = new HashSet<>();
+    long now = 1_000;
+    long steps;
+    int lossPercent;
+    int repeatPercent;
+    int maxDelay = 3;
+    boolean chunkFaults;
+
+    private final SplittableRandom random;
+    private final boolean salted;
+    private final Guards guards;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final List<HostInfo> hosts = new ArrayList<>();
+    private long sequence;
+    private int ids;
+
+    PathWorld(long seed, boolean salted, Guards guards) {
+        this.random = new SplittableRandom(seed);
+        this.salted = salted;
+        this.guards = guards;
+        for (int i = 0; i < ROUTERS; i++) {
+            HostId id = new HostId("r" + i);
+            hosts.add(new HostInfo(id, new FailureDomain("d" + i % DOMAINS), id + ":1"));
+        }
+        hosts.forEach(host -> routers.add(new Router(host)));
+        routers.forEach(Router::start);
+        for (int i = 0; i < 5; i++) {
+            engines.add(new Engine(new EndpointId("e" + i), i < 4 ? V1 : V2));
+        }
+    }
+
+    SplittableRandom random() {
+        return random;
+    }
+
+    /** Runs everything that happens within {@code millis}. */
+    void advance(long millis) {
+        long until = now + millis;
+        while (!events.isEmpty() && events.peek().at <= until) {
+            Event event = events.poll();
+            now = Math.max(now, event.at);
+            event.action.run();
+        }
+        now = until;
+    }
+
+    /** Ends all faults and runs until every caller has its end. */
+    void settle() {
+        lossPercent = 0;
+        repeatPercent = 0;
+        maxDelay = 3;
+        chunkFaults = false;
+        routers.forEach(Router::heal);
+        engines.forEach(Engine::heal);
+        long limit = now + END_OF_TIME;
+        while (now < limit && callers.stream().anyMatch(c -> !c.isDone())) {
+            advance(TICK);
+        }
+        callers.forEach(PathCaller::requireEnd);
+    }
+
+    int nextId() {
+        return ids++;
+    }
+
+    void at(long delay, Runnable action) {
+        events.add(new Event(now + delay, sequence++, action));
+    }
+
+    Router anyRouter() {
+        List<Router> up = routers.stream().filter(r -> r.up && !r.draining).toList();
+        return up.isEmpty() ? null : up.get(random.nextInt(up.size()));
+    }
+
+    GenerationSpec newSpec(String key, String body) {
+        AccountId account = new AccountId("clinic");
+        return new GenerationSpec(
+                new GenerationId("g" + nextId()),
+                new RequestRef(account, new RequestKey(key)),
+                V1,
+                Rank.URGENT,
+                7,
+                Fingerprint.of(account, body),
+                10,
+                body);
+    }
+
+    private boolean chance(int percent) {
+        return random.nextInt(100) < percent;
+    }
+
+    private record Event(long at, long sequence, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+        }
+    }
+
+    /** A router process with one stripe. */
+    final class Router {
+        final HostInfo host;
+        boolean up;
+        boolean paused;
+        boolean draining;
+        int incarnation;
+        GenerationMachine machine;
+        private List<GenerationInput> missed = new ArrayList<>();
+
+        Router(HostInfo host) {
+            this.host = host;
+        }
+
+        void start() {
+            incarnation++;
+            up = true;
+            paused = false;
+            draining = false;
+            missed.clear();
+            machine = new GenerationMachine(SETTINGS, host, incarnation, 0, guards);
+            input(incarnation, new GenerationInput.Routers(hosts));
+            tick(incarnation);
+        }
+
+        void kill() {
+            if (!up) {
+                return;
+            }
+            up = false;
+            int dead = incarnation;
+            engines.forEach(e -> e.attempts.removeIf(a -> a.router == this));
+            callers.forEach(c -> c.onRouterGone(this));
+            if (chance(50)) {
+                at(MEMBERSHIP_DELAY, () -> announceDown(dead));
+            }
+        }
+
+        void heal() {
+            if (draining) {
+                kill();
+            }
+            if (!up) {
+                start();
+            }
+            resume();
+        }
+
+        void resume() {
+            if (paused) {
+                paused = false;
+                List<GenerationInput> late = missed;
+                missed = new ArrayList<>();
+                int same = incarnation;
+                late.forEach(in -> input(same, in));
+            }
+        }
+
+        void drain() {
+            if (up && !paused) {
+                draining = true;
+                input(incarnation, new GenerationInput.Drain(now + 500));
+            }
+        }
+
+        void input(int forIncarnation, GenerationInput in) {
+            if (!up || incarnation != forIncarnation) {
+                return;
+            }
+            if (paused) {
+                missed.add(in);
+                return;
+            }
+            steps++;
+            machine.step(now, in).forEach(this::carryOut);
+        }
+
+        private void announceDown(int dead) {
+            if (up && incarnation == dead) {
+                return;
+            }
+            for (Router other : routers) {
+                other.input(other.incarnation, new GenerationInput.RouterDown(host.id()));
+            }
+        }
+
+        private void tick(int forIncarnation) {
+            if (incarnation == forIncarnation && up) {
+                if (!paused) {
+                    input(forIncarnation, new GenerationInput.Tick());
+                }
+                at(TICK, () -> tick(forIncarnation));
+            }
+        }
+
+        private void carryOut(GenerationEffect effect) {
+            if (effect instanceof GenerationEffect.Send e) {
+                transmit(e);
+            } else if (effect instanceof GenerationEffect.Deliver e) {
+                callers.get((int) e.caller()).onDeliver(this, e);
+            } else if (effect instanceof GenerationEffect.Finish e) {
+                callers.get((int) e.caller()).onFinish(this, e);
+            } else if (effect instanceof GenerationEffect.RequestSlot e) {
+                int same = incarnation;
+                at(random.nextInt(5), () -> input(same, slotFor(e)));
+            } else if (effect instanceof GenerationEffect.StartAttempt e) {
+                started.add(e.spec().id());
+                engine(e.endpoint()).begin(this, e);
+            } else if (effect instanceof GenerationEffect.EndAttempt e) {
+                cancel(e.endpoint(), e.generation(), e.attempt());
+            } else if (effect instanceof GenerationEffect.CancelForeign e) {
+                cancel(e.endpoint(), e.generation(), e.attempt());
+            }
+        }
+
+        private void transmit(GenerationEffect.Send e) {
+            Router to = routers.get(hosts.indexOf(hostOf(e.to())));
+            int copies = chance(lossPercent) ? 0 : chance(repeatPercent) ? 2 : 1;
+            for (int i = 0; i < copies; i++) {
+                GenerationInput in = new GenerationInput.Message(host.id(), incarnation, e.message());
+                at(1 + random.nextInt(maxDelay), () -> to.input(to.incarnation, in));
+            }
+        }
+
+        private void cancel(EndpointId endpoint, GenerationId generation, int attempt) {
+            if (chance(70)) {
+                engine(endpoint)
+                        .attempts
+                        .removeIf(
+                                a ->
+                                        a.start.spec().id().equals(generation)
+                                                && a.start.attempt() == attempt);
+            }
+        }
+
+        private GenerationInput slotFor(GenerationEffect.RequestSlot e) {
+            List<Engine> fit = engines.stream().filter(x -> x.serves(e.spec().model())).toList();
+            List<Engine> best = fit.stream().filter(x -> !e.avoid().contains(x.id)).toList();
+            List<Engine> pick = best.isEmpty() ? fit : best;
+            if (pick.isEmpty()) {
+                boolean other = engines.stream().anyMatch(x -> x.serves(V2));
+                return new GenerationInput.SlotRefused(
+                        e.spec().id(),
+                        e.attempt(),
+                        new Failure(ResultCode.NO_ENDPOINT, "none"),
+                        other ? V2 : null);
+            }
+            return new GenerationInput.SlotGranted(
+                    e.spec().id(), e.attempt(), pick.get(random.nextInt(pick.size())).id);
+        }
+    }
+
+    private HostInfo hostOf(HostId id) {
+        return hosts.stream().filter(h -> h.id().equals(id)).findFirst().orElseThrow();
+    }
+
+    private Engine engine(EndpointId id) {
+        return engines.stream().filter(e -> e.id.equals(id)).findFirst().orElseThrow();
+    }
+
+    /** An engine; draws other tokens in each attempt when the world is salted. */
+    final class Engine {
+        final EndpointId id;
+        final ModelId model;
+        final List<Attempt> attempts = new ArrayList<>();
+        boolean up = true;
+        boolean known = true;
+        boolean paused;
+        int gap = TOKEN_GAP;
+
+        Engine(EndpointId id, ModelId model) {
+            this.id = id;
+            this.model = model;
+        }
+
+        boolean serves(ModelId wanted) {
+            return known && model.equals(wanted);
+        }
+
+        void kill() {
+            up = false;
+            List.copyOf(attempts).forEach(this::reset);
+            at(MEMBERSHIP_DELAY, () -> known = up);
+        }
+
+        void heal() {
+            up = true;
+            known = true;
+            gap = TOKEN_GAP;
+            resume();
+        }
+
+        void resume() {
+            if (paused) {
+                paused = false;
+                List.copyOf(attempts).forEach(a -> at(1, () -> produce(a)));
+            }
+        }
+
+        void resetOne() {
+            if (!attempts.isEmpty()) {
+                reset(attempts.get(random.nextInt(attempts.size())));
+            }
+        }
+
+        void begin(Router router, GenerationEffect.StartAttempt start) {
+            Attempt a = new Attempt(router, start);
+            attempts.add(a);
+            if (!up) {
+                reset(a);
+                return;
+            }
+            at(10 + start.prefix().size() / 4, () -> produce(a));
+        }
+
+        private void reset(Attempt a) {
+            attempts.remove(a);
+            GenerationInput in =
+                    new GenerationInput.AttemptFailed(
+                            a.start.spec().id(), a.start.attempt(), AttemptEnd.RESET, "reset");
+            at(1, () -> a.router.input(a.incarnation, in));
+        }
+
+        private void produce(Attempt a) {
+            if (!attempts.contains(a) || !up || paused) {
+                return;
+            }
+            int length = 3 + (int) Math.floorMod(a.start.spec().fingerprint().high(), 50);
+            int offset = a.position;
+            if (offset >= length) {
+                oracle.ended(a.prefix);
+                attempts.remove(a);
+                emit(a, offset, TokenRun.EMPTY, new Outcome(ResultCode.OK, "stop"));
+                return;
+            }
+            long salt = salted ? a.salt : 0;
+            int token = (int) (CallerOracle.mix(a.prefix, salt) >>> 33);
+            oracle.computed(a.prefix, token);
+            a.prefix = CallerOracle.next(a.prefix, token);
+            a.position++;
+            TokenRun run = TokenRun.single(token, "t" + token % 10);
+            emit(a, offset, run, null);
+            at(gap, () -> produce(a));
+        }
+
+        private void emit(Attempt a, int offset, TokenRun run, Outcome end) {
+            GenerationInput in =
+                    new GenerationInput.Chunk(
+                            a.start.spec().id(), a.start.attempt(), offset, run, end);
+            if (chunkFaults && chance(10)) {
+                return;
+            }
+            int copies = chunkFaults && chance(10) ? 2 : 1;
+            for (int i = 0; i < copies; i++) {
+                int delay = chunkFaults && chance(15) ? random.nextInt(3 * TOKEN_GAP) : 1;
+                at(delay, () -> a.router.input(a.incarnation, in));
+            }
+        }
+    }
+
+    /** A stream at an engine. */
+    private final class Attempt {
+        private final Router router;
+        private final int incarnation;
+        private final GenerationEffect.StartAttempt start;
+        private final long salt = nextId();
+        private long prefix;
+        private int position;
+
+        private Attempt(Router router, GenerationEffect.StartAttempt start) {
+            this.router = router;
+            this.incarnation = router.incarnation;
+            this.start = start;
+            prefix = CallerOracle.root(start.spec().fingerprint(), start.spec().model());
+            for (int i = 0; i < start.prefix().size(); i++) {
+                prefix = CallerOracle.next(prefix, start.prefix().id(i));
+            }
+            position = start.prefix().size();
+        }
+    }
+}
--- /dev/null
+++ b/siskintrail/src/io/siskintrail/internal/generation/Fingerprint.java
@@ -0,0 +1,26 @@
+package io.siskintrail.internal.generation;
+
+import com.dynatrace.hash4j.hashing.HashValue128;
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.siskintrail.lib.AccountId;
+
+/**
+ * Digest of a client account and the content of its request; the same content under another key has
+ * the same fingerprint.
+ *
+ * @param high the upper half
+ * @param low the lower half
+ */
+public record Fingerprint(long high, long low) {
+
+    /** Returns the fingerprint of {@code content} sent by {@code account}. */
+    public static Fingerprint of(AccountId account, String content) {
+        HashValue128 hash =
+                Hashing.murmur3_128()
+                        .hashStream()
+                        .putString(account.value())
+                        .putString(content)
+                        .get();
+        return new Fingerprint(hash.getMostSignificantBits(), hash.getLeastSignificantBits());
+    }
+}
--- /dev/null
+++ b/siskintrail/src/io/siskintrail/internal/generation/OwnerEpoch.java
@@ -0,0 +1,34 @@
+package io.siskintrail.internal.generation;
+
+import io.siskintrail.lib.HostId;
+
+/**
+ * Numbers one period in which one process owns a generation. A higher epoch fences all lower ones.
+ *
+ * @param number grows with each change of the owner or of its buddy
+ * @param owner the router that owns the generation
+ * @param incarnation differs between two processes on the same host
+ */
+public record OwnerEpoch(long number, HostId owner, long incarnation)
+        implements Comparable<OwnerEpoch> {
+
+    /** Returns the first epoch that {@code by} may claim after this one. */
+    OwnerEpoch next(HostId by, long byIncarnation) {
+        return new OwnerEpoch(number + 1, by, byIncarnation);
+    }
+
+    /** Returns whether this epoch fences {@code other}. */
+    boolean fences(OwnerEpoch other) {
+        return compareTo(other) > 0;
+    }
+
+    @Override
+    public int compareTo(OwnerEpoch other) {
+        int byNumber = Long.compare(number, other.number);
+        if (byNumber != 0) {
+            return byNumber;
+        }
+        int byOwner = owner.compareTo(other.owner);
+        return byOwner != 0 ? byOwner : Long.compare(incarnation, other.incarnation);
+    }
+}
--- a/siskintrail/src/io/siskintrail/lib/ResultCode.java
+++ b/siskintrail/src/io/siskintrail/lib/ResultCode.java
@@ -90,6 +90,11 @@
 
     // 7xxx: generations.
     ATTEMPTS_EXHAUSTED(7001, 502, "Every allowed attempt of the generation failed."),
+    VERSION_LOST(7002, 502, "No endpoint runs the version that the answer was begun with."),
+    GENERATION_LOST(7003, 410, "No router knows the answer that the caller has a part of."),
+    POSITION_LOST(7004, 409, "The rest of the very answer that the caller has a part of is lost."),
+    REQUEST_QUARANTINED(7005, 422, "Requests with this content are refused for a while."),
+    GENERATION_MOVED(7006, 503, "The answer goes on at another host; reconnect to get the rest."),
 
     // 8xxx: admission.
     NOT_RUN_SHUTTING_DOWN(8001, 503, "The host is stopping; the request was not run."),
