Mend what longer fuzzing found in the request path

Cause: longer runs found a restarted buddy that answered from a late Open, a caller registered twice after a takeover, a generation id used twice after a loss, and endless searches for a dead owner. Change: messages carry the incarnation of their process; a buddy of another incarnation is opened anew under a higher epoch; a restart gets a new generation id; searches end at a deadline.

--- a/siskintrail.test/tst/io/siskintrail/internal/generation/PathFuzzTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/generation/PathFuzzTest.java
@@ -100,7 +100,12 @@
         List<PathAction> actions =
                 random.ints(ACTIONS, 0, choice.length).mapToObj(i -> choice[i]).toList();
         PathWorld world = new PathWorld(seed, true, guards);
-        run(world, actions);
+        try {
+            run(world, actions);
+        } catch (CallerOracle.Violation e) {
+            throw new CallerOracle.Violation(
+                    "seed " + seed + ", " + actions + ": " + e.getMessage());
+        }
         return world;
     }
 
--- a/siskintrail.test/tst/io/siskintrail/internal/generation/PathWorld.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/generation/PathWorld.java
@@ -256,7 +256,8 @@
             Router to = routers.get(hosts.indexOf(hostOf(e.to())));
             int copies = chance(lossPercent) ? 0 : chance(repeatPercent) ? 2 : 1;
             for (int i = 0; i < copies; i++) {
-                GenerationInput in = new GenerationInput.Message(host.id(), incarnation, e.message());
+                GenerationInput in =
+                        new GenerationInput.Message(host.id(), incarnation, e.message());
                 at(1 + random.nextInt(maxDelay), () -> to.input(to.incarnation, in));
             }
         }
--- a/siskintrail/src/io/siskintrail/internal/generation/Copier.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/Copier.java
@@ -54,7 +54,13 @@
             releaseLeftover(from, m);
             return;
         }
+        long incarnation = stripe.peers.incarnation(from);
+        if (g.opened && incarnation != g.buddyIncarnation) {
+            replaceBuddy(g);
+            return;
+        }
         g.opened = true;
+        g.buddyIncarnation = incarnation;
         g.acked = Math.max(g.acked, m.length());
         g.ackedEnd |= m.ended();
         g.unackedSince = g.isFullyAcked() ? OwnedGeneration.NEVER : stripe.now;
@@ -67,7 +73,9 @@
 
     void onNotHeld(HostId from, BuddyMessage.NotHeld m) {
         OwnedGeneration g = current(from, m.generation(), m.epoch());
-        if (g != null) {
+        if (g != null && g.opened) {
+            replaceBuddy(g);
+        } else if (g != null) {
             sendOpen(g);
         }
     }
--- a/siskintrail/src/io/siskintrail/internal/generation/GenerationMachine.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/GenerationMachine.java
@@ -11,6 +11,9 @@
 
 /** Decides about all generations of one stripe of a router. */
 public final class GenerationMachine implements StateMachine<GenerationInput, GenerationEffect> {
+    private static final char RESTART_MARK = '~';
+    private static final int RADIX = 36;
+
     private final Stripe stripe;
     private final Delivery delivery;
     private final AttemptRunner attempts;
@@ -203,13 +206,23 @@
         OwnerEpoch epoch = new OwnerEpoch(1, stripe.self.id(), stripe.incarnation);
         Journal journal = new Journal();
         journal.startEpoch(epoch);
-        OwnedGeneration g = new OwnedGeneration(r.spec, journal, epoch);
+        GenerationSpec spec = r.generation == null ? r.spec : r.spec.withId(freshId(r));
+        OwnedGeneration g = new OwnedGeneration(spec, journal, epoch);
         stripe.owned.put(g.id(), g);
         stripe.byRef.put(g.ref(), g.id());
         delivery.attach(g, r.caller, 0);
         copier.start(g);
     }
 
+    /** Returns an id for another start of a request, of which nothing was delivered. */
+    private GenerationId freshId(RelayedCaller r) {
+        String first = r.spec.id().value();
+        int mark = first.indexOf(RESTART_MARK);
+        String base = mark < 0 ? first : first.substring(0, mark);
+        String process = stripe.self.id() + "." + Long.toString(stripe.incarnation, RADIX);
+        return new GenerationId(base + RESTART_MARK + process + "." + stripe.now);
+    }
+
     private void takenOver(OwnedGeneration g) {
         for (RelayedCaller r : relays.take(g.ref())) {
             join(r, g.id());
@@ -286,7 +299,12 @@
             return;
         }
         OwnerEpoch owner = copy != null ? copy.epoch : stripe.fence(m.generation());
-        if (owner != null && !owner.owner().equals(from)) {
+        boolean useful =
+                owner != null
+                        && !owner.owner().equals(from)
+                        && !owner.owner().equals(stripe.self.id())
+                        && !stripe.peers.isReplaced(owner);
+        if (useful) {
             stripe.send(from, new BuddyMessage.Owned(m.ref(), m.generation(), owner));
         } else {
             stripe.send(from, new BuddyMessage.Located(m.ref(), null, null, null));
--- a/siskintrail/src/io/siskintrail/internal/generation/GenerationSpec.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/GenerationSpec.java
@@ -27,6 +27,11 @@
         int promptTokens,
         String body) {
 
+    /** Returns the same work under another id. */
+    GenerationSpec withId(GenerationId other) {
+        return new GenerationSpec(other, ref, model, rank, seed, fingerprint, promptTokens, body);
+    }
+
     /** Returns the same generation pinned to {@code other}. */
     GenerationSpec withModel(ModelId other) {
         return new GenerationSpec(id, ref, other, rank, seed, fingerprint, promptTokens, body);
--- a/siskintrail/src/io/siskintrail/internal/generation/OwnedGeneration.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/OwnedGeneration.java
@@ -53,6 +53,7 @@
 
     HostId buddy;
     boolean opened;
+    long buddyIncarnation;
     int sent;
     boolean sentEnd;
     int acked;
--- a/siskintrail/src/io/siskintrail/internal/generation/PeerView.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/PeerView.java
@@ -54,6 +54,11 @@
         return true;
     }
 
+    /** Returns the incarnation of the process that was heard last; 0 before any. */
+    long incarnation(HostId host) {
+        return incarnations.getOrDefault(host, 0L);
+    }
+
     void suspect(HostId host, long until) {
         suspectUntil.put(host, until);
     }
--- a/siskintrail/src/io/siskintrail/internal/generation/Relays.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/Relays.java
@@ -12,6 +12,7 @@
 /** Follows generations of other routers for callers of this one, and looks for unknown requests. */
 final class Relays {
     private static final int SILENT_RENEWALS = 3;
+    private static final int FOUND_DEADLINES = 3;
     private static final long GAP_RENEWAL_MILLIS = 20;
 
     private final Stripe stripe;
@@ -69,6 +70,9 @@
 
     void onLocated(HostId from, BuddyMessage.Located m) {
         for (RelayedCaller r : of(m.ref())) {
+            if (!isHere(r)) {
+                continue;
+            }
             if (!r.searching) {
                 if (m.generation() == null && from.equals(r.owner)) {
                     searchSoon(r);
@@ -104,6 +108,7 @@
             return;
         }
         r.heardAt = stripe.now;
+        r.searchingSince = stripe.now;
         boolean sameJournal =
                 m.epoch().equals(r.epoch)
                         || (Objects.equals(m.basisEpoch(), r.epoch) && m.basisOffset() == r.offset);
@@ -126,12 +131,14 @@
     void tick() {
         for (RelayedCaller r : List.copyOf(callers.values())) {
             long renewal = stripe.settings.relayRenewal();
+            if (!isHere(r)) {
+                continue;
+            }
             if (r.searching) {
                 if (stripe.now - r.searchedAt > stripe.settings.lookupTimeout()) {
                     decide(r);
                 }
             } else if (stripe.now - r.heardAt > SILENT_RENEWALS * renewal) {
-                r.searchingSince = r.heardAt;
                 search(r);
             } else if (stripe.now - r.renewedAt > renewal) {
                 subscribe(r);
@@ -146,8 +153,11 @@
 
     private void decide(RelayedCaller r) {
         BuddyMessage.Located found = r.found;
+        long searched = stripe.now - r.searchingSince;
         if (found == null) {
             decideUnknown(r);
+        } else if (searched > FOUND_DEADLINES * stripe.settings.reconnectDeadline()) {
+            finish(r, ResultCode.GENERATION_LOST, "the owner of this answer cannot be reached");
         } else if (!found.fingerprint().equals(r.spec.fingerprint())) {
             finish(r, ResultCode.KEY_REUSED, "the key names a request with another body");
         } else if (r.generation != null && !r.generation.equals(found.generation())) {
@@ -212,6 +222,11 @@
                         r.spec.ref(), r.generation, r.caller, r.epoch, r.offset));
     }
 
+    /** Returns false for a caller that moved on while others of its request were handled. */
+    private boolean isHere(RelayedCaller r) {
+        return callers.get(r.caller) == r;
+    }
+
     private List<RelayedCaller> of(RequestRef ref) {
         return callers.values().stream().filter(r -> r.spec.ref().equals(ref)).toList();
     }
