Route plain services and run membership in the router

Cause: callers reach plain services through the router, orders must go through the ledger, and the thin directory knew only endpoints that announced to the same router. Change: /services/{name}/... forwards calls that may be repeated (three attempts) and drives the others through OrderFlow; a failed connect is the only proof that nothing was sent. MembershipService gossips over the peer transport and publishes usable endpoints; announcements echo a stamp; fakes renew every 500 ms, answer /endpoint/status and show more faults. Without a client for a control log, orders are told that the ledger is unavailable.

--- a/siskintrail.fake/src/io/siskintrail/fake/Announcer.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/Announcer.java
@@ -1,5 +1,6 @@
 package io.siskintrail.fake;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -17,7 +18,7 @@
 
 /** Renews the lease of one fake endpoint at one router at a time, at the next when one fails. */
 final class Announcer {
-    private static final long RENEW_MILLIS = 1_000;
+    private static final long RENEW_MILLIS = 500;
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final HttpClient CLIENT =
@@ -38,6 +39,7 @@
     private volatile boolean paused;
     private volatile boolean stopped;
     private volatile int current;
+    private volatile String stamp = "";
 
     Announcer(FakeAnnouncement target, EndpointInfo info, FakeEndpoint endpoint) {
         this.target = target;
@@ -93,16 +95,28 @@
                         .header("Authorization", "Bearer " + target.token())
                         .POST(HttpRequest.BodyPublishers.ofString(body()))
                         .build();
-        CLIENT.sendAsync(request, HttpResponse.BodyHandlers.discarding())
+        CLIENT.sendAsync(request, HttpResponse.BodyHandlers.ofString())
                 .whenComplete((response, error) -> onAnswer(response, error));
     }
 
-    private void onAnswer(HttpResponse<Void> response, Throwable error) {
+    private void onAnswer(HttpResponse<String> response, Throwable error) {
         if (error != null || response.statusCode() != 200) {
+            stamp = "";
             current++;
+            return;
+        }
+        try {
+            stamp = MAPPER.readTree(response.body()).path("stamp").asText();
+        } catch (JsonProcessingException e) {
+            stamp = "";
         }
     }
 
+    /** Returns the answer to a router that asks whether the endpoint takes work. */
+    String status() {
+        return "{\"incarnation\":%d,\"leaving\":%b}".formatted(info.incarnation(), leaving);
+    }
+
     private String body() {
         ObjectNode json = MAPPER.createObjectNode();
         json.put("id", info.id().value());
@@ -122,6 +136,7 @@
         json.put("checksFencing", info.checksFencing());
         json.put("incarnation", info.incarnation());
         json.put("leaving", leaving);
+        json.put("stamp", stamp);
         json.put("running", endpoint.running());
         json.put("waiting", endpoint.waiting());
         return json.toString();
--- a/siskintrail.fake/src/io/siskintrail/fake/FakeEndpoint.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/FakeEndpoint.java
@@ -36,8 +36,9 @@
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicLong incarnation = new AtomicLong(System.currentTimeMillis());
     private Channel listener;
-    private Announcer announcer;
+    private volatile Announcer announcer;
     private InetSocketAddress address;
+    private volatile boolean paused;
 
     /**
      * Prepares an endpoint.
@@ -72,6 +73,7 @@
 
     /** Starts again at the same address after {@link #kill()}, as a new incarnation. */
     public final void restart() {
+        paused = false;
         setPaused(false);
         incarnation.incrementAndGet();
         listen(address);
@@ -80,16 +82,28 @@
 
     /** Stops to send and to answer, with all connections open, until {@link #resume()}. */
     public final void pause() {
+        paused = true;
         setPaused(true);
         announcer.setPaused(true);
     }
 
     /** Goes on after {@link #pause()}. */
     public final void resume() {
+        paused = false;
         setPaused(false);
         announcer.setPaused(false);
     }
 
+    /** Refuses connections and closes the open ones; announcements go on. */
+    public final void refuse() {
+        closeAll();
+    }
+
+    /** Takes connections again after {@link #refuse()}. */
+    public final void accept() {
+        listen(address);
+    }
+
     /** Announces that the endpoint takes no new work; what is in flight goes on. */
     public final void leave() {
         announcer.leave();
@@ -159,6 +173,7 @@
             channel.pipeline()
                     .addLast(new HttpServerCodec())
                     .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                    .addLast(new StatusHandler(() -> announcer.status(), () -> paused))
                     .addLast(newHandler());
         }
     }
--- a/siskintrail.fake/src/io/siskintrail/fake/FakeService.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/FakeService.java
@@ -36,6 +36,11 @@
         return state.executions();
     }
 
+    /** Returns how often the call with an {@code X-Request-Id} was executed. */
+    public int executionsOfRequest(String requestId) {
+        return state.executionsOfRequest(requestId);
+    }
+
     @Override
     public String id() {
         return settings.id();
--- a/siskintrail.fake/src/io/siskintrail/fake/HttpAnswers.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/HttpAnswers.java
@@ -1,6 +1,7 @@
 package io.siskintrail.fake;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
@@ -14,18 +15,30 @@
 
 /** Sends whole JSON answers and resets connections. */
 final class HttpAnswers {
+    private static final int MISSING_BYTES = 100;
 
     private HttpAnswers() {}
 
     static void json(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
+        send(ctx, status, body, 0).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    /** Sends {@code body} as the beginning of a longer one and closes the connection. */
+    static void cut(ChannelHandlerContext ctx, String body) {
+        send(ctx, HttpResponseStatus.OK, body, MISSING_BYTES)
+                .addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private static ChannelFuture send(
+            ChannelHandlerContext ctx, HttpResponseStatus status, String body, int missing) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
                         status,
                         Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-        HttpUtil.setContentLength(response, response.content().readableBytes());
-        ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        HttpUtil.setContentLength(response, response.content().readableBytes() + missing);
+        return ctx.writeAndFlush(response);
     }
 
     static void reset(ChannelHandlerContext ctx) {
--- a/siskintrail.fake/src/io/siskintrail/fake/ServiceHandler.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/ServiceHandler.java
@@ -12,6 +12,7 @@
 /** Executes the calls of one connection to a fake service. */
 final class ServiceHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final String KEY_HEADER = "Idempotency-Key";
+    private static final String REQUEST_ID_HEADER = "X-Request-Id";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final ServiceState state;
@@ -30,13 +31,20 @@
             HttpAnswers.reset(ctx);
             return;
         }
+        if (fault == ServiceFault.HANG) {
+            return;
+        }
         String key = keyOf(request);
-        int execution = state.execute(key);
+        int execution = state.execute(key, request.headers().get(REQUEST_ID_HEADER, ""));
         if (fault == ServiceFault.RESET_AFTER) {
             state.answered();
             HttpAnswers.reset(ctx);
             return;
         }
+        if (fault == ServiceFault.CUT_ANSWER) {
+            state.answered();
+            HttpAnswers.cut(ctx, "{\"execution\":");
+        }
         if (fault == ServiceFault.NONE) {
             String body = answer(request, key, execution);
             ctx.executor()
--- a/siskintrail.fake/src/io/siskintrail/fake/ServiceState.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/ServiceState.java
@@ -9,6 +9,7 @@
 /** What the connections of one fake service share. Safe for use by several threads. */
 final class ServiceState {
     private final Map<String, Integer> executions = new ConcurrentHashMap<>();
+    private final Map<String, Integer> requests = new ConcurrentHashMap<>();
     private final AtomicReference<ServiceFault> fault = new AtomicReference<>(ServiceFault.NONE);
     private final AtomicInteger running = new AtomicInteger();
     private final int answerMillis;
@@ -38,9 +39,10 @@
         return fault.getAndSet(ServiceFault.NONE);
     }
 
-    /** Executes the call with {@code key}; returns how often that happened so far. */
-    int execute(String key) {
+    /** Executes a call; returns how often that happened so far with its key. */
+    int execute(String key, String requestId) {
         running.incrementAndGet();
+        requests.merge(requestId, 1, Integer::sum);
         return executions.merge(key, 1, Integer::sum);
     }
 
@@ -52,6 +54,10 @@
         return running.get();
     }
 
+    int executionsOfRequest(String requestId) {
+        return requests.getOrDefault(requestId, 0);
+    }
+
     Map<String, Integer> executions() {
         return new TreeMap<>(executions);
     }
--- a/siskintrail.router/src/io/siskintrail/router/RouterService.java
+++ b/siskintrail.router/src/io/siskintrail/router/RouterService.java
@@ -13,9 +13,12 @@
 import io.siskintrail.router.internal.filter.CurrencyFilter;
 import io.siskintrail.router.internal.filter.IdentifyFilter;
 import io.siskintrail.router.internal.filter.RequestChain;
+import io.siskintrail.router.internal.membership.MembershipService;
+import io.siskintrail.router.internal.order.EndpointTurns;
+import io.siskintrail.router.internal.order.OrderService;
+import io.siskintrail.router.internal.order.ServiceCalls;
 import io.siskintrail.router.internal.rules.RulesFollower;
 import io.siskintrail.router.internal.rules.RulesView;
-import io.siskintrail.router.internal.rules.StandaloneRules;
 import io.siskintrail.router.internal.stream.Generations;
 import io.siskintrail.router.internal.stream.StreamFilter;
 import io.siskintrail.service.ControlLoop;
@@ -24,8 +27,10 @@
 import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ThriftPeerTransport;
 import java.security.SecureRandom;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** A router in this process: the HTTP server and everything behind it. */
 public final class RouterService implements Service {
@@ -34,33 +39,52 @@
     private final RouterSettings settings;
     private final EndpointDirectory directory = new EndpointDirectory();
     private final ControlLoop loop = new ControlLoop("router-control");
+    private final SecureRandom random = new SecureRandom();
+    private ControlAccess control;
     private ThriftPeerTransport transport;
     private RulesFollower follower;
+    private MembershipService membership;
+    private OrderService orders;
+    private ServiceCalls services;
     private ApplicationContext context;
     private EmbeddedServer server;
     private EngineClient engines;
 
-    /** Prepares a router. */
+    /** Prepares a router that reaches the control hosts of its settings. */
     public RouterService(RouterSettings settings) {
+        this(settings, null);
+    }
+
+    /**
+     * Prepares a router.
+     *
+     * @param settings its settings
+     * @param control how it reaches the control state; null to go by the settings
+     */
+    public RouterService(RouterSettings settings, ControlAccess control) {
         this.settings = settings;
+        this.control = control;
     }
 
     @Override
     public void start() {
-        RulesView rules = startRules();
+        startTransport();
+        RulesView rules = control.rules();
+        ApiKeys keys = new ApiKeys(settings.accounts());
+        startOrders();
         engines = new EngineClient();
         Generations generations = new Generations(directory, engines);
         RequestChain chain =
                 new RequestChain(
                         List.of(
                                 new CurrencyFilter(rules),
-                                new AuthenticateFilter(new ApiKeys(settings.accounts())),
+                                new AuthenticateFilter(keys),
                                 new IdentifyFilter(settings.limits(), directory),
                                 new StreamFilter(generations)));
         context =
                 ApplicationContext.builder()
                         .properties(httpProperties())
-                        .singletons(settings, chain, directory, rules)
+                        .singletons(settings, chain, directory, rules, keys, services, membership)
                         .start();
         server = context.getBean(EmbeddedServer.class).start();
         LogEvent.info(LOG, "router.started")
@@ -70,11 +94,7 @@
                 .write();
     }
 
-    private RulesView startRules() {
-        if (settings.controlHosts().isEmpty()) {
-            LogEvent.warning(LOG, "router.without.control").with("host", settings.host()).write();
-            return new StandaloneRules();
-        }
+    private void startTransport() {
         transport =
                 new ThriftPeerTransport(
                         settings.hostId(),
@@ -82,18 +102,63 @@
                         settings.sharedKey());
         settings.controlHosts().forEach(this::addPeer);
         settings.peers().forEach(this::addPeer);
+        membership =
+                new MembershipService(
+                        settings.hostId(),
+                        System.currentTimeMillis(),
+                        random.nextLong(),
+                        routerHosts(),
+                        transport,
+                        loop,
+                        directory);
+        prepareControl();
+        transport.start();
+        if (follower != null) {
+            follower.start();
+        }
+    }
+
+    private Set<HostId> routerHosts() {
+        Set<HostId> hosts = new HashSet<>();
+        hosts.add(settings.hostId());
+        settings.peers().forEach(p -> hosts.add(new HostId(p.host())));
+        return hosts;
+    }
+
+    private void prepareControl() {
+        if (control != null) {
+            return;
+        }
+        if (settings.controlHosts().isEmpty()) {
+            LogEvent.warning(LOG, "router.without.control").with("host", settings.host()).write();
+            control = ControlAccess.alone();
+            return;
+        }
         List<HostId> controls =
                 settings.controlHosts().stream().map(p -> new HostId(p.host())).toList();
         follower =
                 new RulesFollower(
-                        FollowerSettings.of(
-                                settings.hostId(), controls, new SecureRandom().nextLong()),
+                        FollowerSettings.of(settings.hostId(), controls, random.nextLong()),
                         transport,
                         loop);
         follower.onChange(this::addPeers);
-        transport.start();
-        follower.start();
-        return follower;
+        control = new ControlAccess(ControlAccess.unavailable(), follower);
+    }
+
+    private void startOrders() {
+        EndpointTurns turns = new EndpointTurns(directory);
+        orders =
+                new OrderService(
+                        settings.hostId(),
+                        random.nextLong(),
+                        control.client(),
+                        loop,
+                        turns,
+                        turns::address);
+        services = new ServiceCalls(control.rules(), orders, directory);
+        membership.onDeath(orders::settle);
+        orders.start();
+        membership.start();
     }
 
     private void addPeer(RouterSettings.Peer peer) {
@@ -104,19 +169,35 @@
         for (HostInfo host : configuration.hosts()) {
             transport.addPeer(host.id(), Addresses.parse(host.peerAddress()));
         }
+        Set<HostId> hosts = routerHosts();
+        configuration.hosts().forEach(h -> hosts.add(h.id()));
+        membership.setHosts(hosts);
     }
 
     @Override
     public void stop() {
+        orders.stop();
+        closeAll();
+        LogEvent.info(LOG, "router.stopped").with("host", settings.host()).write();
+    }
+
+    /** Stops at once, as the death of the process would: open orders stay as they are. */
+    public void abort() {
+        orders.abort();
+        closeAll();
+    }
+
+    private void closeAll() {
         server.stop();
         engines.close();
+        services.close();
         context.close();
         if (follower != null) {
             follower.stop();
-            transport.close();
         }
+        membership.stop();
+        transport.close();
         loop.stop();
-        LogEvent.info(LOG, "router.stopped").with("host", settings.host()).write();
     }
 
     /** Returns {@code ip:port} where the router listens for callers. */
--- a/siskintrail.router/src/io/siskintrail/router/internal/endpoint/Announcement.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/endpoint/Announcement.java
@@ -24,7 +24,8 @@
         int slots,
         boolean checksFencing,
         long incarnation,
-        boolean leaving) {
+        boolean leaving,
+        String stamp) {
 
     /** The JSON form of a {@link ModelId}; the adapter may be absent. */
     @JsonIgnoreProperties(ignoreUnknown = true)
--- a/siskintrail.router/src/io/siskintrail/router/internal/endpoint/EndpointDirectory.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/endpoint/EndpointDirectory.java
@@ -1,25 +1,24 @@
 package io.siskintrail.router.internal.endpoint;
 
-import io.siskintrail.lib.EndpointId;
+import io.siskintrail.internal.membership.UsableEndpoint;
 import io.siskintrail.lib.EndpointInfo;
 import io.siskintrail.lib.ModelId;
+import io.siskintrail.lib.ServiceName;
 import io.siskintrail.service.ControlLoop;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 
-/** Holds the endpoints that announced themselves here, each until its lease ends. */
+/**
+ * The endpoints that may take new work, as the membership last published them, each until its
+ * evidence ends. May be read from any thread.
+ */
 public final class EndpointDirectory {
-    private static final long LEASE_MILLIS = 3_000;
+    private volatile List<UsableEndpoint> endpoints = List.of();
 
-    private final Map<EndpointId, Lease> leases = new ConcurrentHashMap<>();
-
-    /** Takes an announcement; an older incarnation or one that undoes a leave is ignored. */
-    public void announce(EndpointInfo info) {
-        long until = ControlLoop.nowMillis() + LEASE_MILLIS;
-        leases.merge(info.id(), new Lease(info, until), EndpointDirectory::newer);
+    /** Replaces all endpoints. */
+    public void publish(List<UsableEndpoint> usable) {
+        endpoints = List.copyOf(usable);
     }
 
     /** Returns the endpoints that may take new work for {@code model}. */
@@ -27,6 +26,11 @@
         return live().stream().filter(e -> e.models().contains(model)).toList();
     }
 
+    /** Returns the endpoints that may take new work for {@code service}. */
+    public List<EndpointInfo> live(ServiceName service) {
+        return live().stream().filter(e -> e.services().contains(service)).toList();
+    }
+
     /** Returns the models that some live endpoint serves. */
     public Set<ModelId> models() {
         return live().stream().flatMap(e -> e.models().stream()).collect(Collectors.toSet());
@@ -35,18 +39,9 @@
     /** Returns all endpoints that may take new work. */
     public List<EndpointInfo> live() {
         long now = ControlLoop.nowMillis();
-        return leases.values().stream()
-                .filter(l -> l.untilMillis > now && !l.info.leaving())
-                .map(Lease::info)
+        return endpoints.stream()
+                .filter(e -> e.untilMillis() > now)
+                .map(UsableEndpoint::info)
                 .toList();
     }
-
-    private static Lease newer(Lease old, Lease fresh) {
-        if (fresh.info.incarnation() != old.info.incarnation()) {
-            return fresh.info.incarnation() > old.info.incarnation() ? fresh : old;
-        }
-        return old.info.leaving() ? old : fresh;
-    }
-
-    private record Lease(EndpointInfo info, long untilMillis) {}
 }
--- a/siskintrail.router/src/io/siskintrail/router/internal/http/EndpointsController.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/http/EndpointsController.java
@@ -11,40 +11,53 @@
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.router.RouterSettings;
 import io.siskintrail.router.internal.endpoint.Announcement;
-import io.siskintrail.router.internal.endpoint.EndpointDirectory;
+import io.siskintrail.router.internal.membership.MembershipService;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 
 /** Takes the announcements of endpoints. */
 @Controller("/endpoints")
 final class EndpointsController {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int RENEW_MILLIS = 500;
 
-    private final EndpointDirectory directory;
+    private final MembershipService membership;
     private final byte[] expected;
 
-    EndpointsController(EndpointDirectory directory, RouterSettings settings) {
-        this.directory = directory;
+    EndpointsController(MembershipService membership, RouterSettings settings) {
+        this.membership = membership;
         this.expected = ("Bearer " + settings.announceToken()).getBytes(StandardCharsets.UTF_8);
     }
 
     @Post("/announce")
-    HttpResponse<?> announce(@Header("Authorization") String authorization, @Body String body) {
+    CompletionStage<HttpResponse<?>> announce(
+            @Header("Authorization") String authorization, @Body String body) {
         if (!MessageDigest.isEqual(expected, authorization.getBytes(StandardCharsets.UTF_8))) {
-            return ErrorBody.response(
-                    new Failure(ResultCode.UNKNOWN_API_KEY, "the announce token is not valid"));
+            return refuse(ResultCode.UNKNOWN_API_KEY, "the announce token is not valid");
         }
         try {
-            directory.announce(MAPPER.readValue(body, Announcement.class).toInfo());
+            Announcement announcement = MAPPER.readValue(body, Announcement.class);
+            return membership
+                    .announce(announcement.toInfo(), announcement.stamp())
+                    .thenApply(EndpointsController::accepted);
         } catch (JsonProcessingException e) {
-            return refuse(e.getOriginalMessage());
+            return refuse(ResultCode.BAD_JSON, "announcement: " + e.getOriginalMessage());
         } catch (IllegalArgumentException e) {
-            return refuse(e.getMessage());
+            return refuse(ResultCode.BAD_JSON, "announcement: " + e.getMessage());
         }
-        return HttpResponse.ok("{}");
     }
 
-    private static HttpResponse<?> refuse(String detail) {
-        return ErrorBody.response(new Failure(ResultCode.BAD_JSON, "announcement: " + detail));
+    private static HttpResponse<?> accepted(String stamp) {
+        return HttpResponse.ok(
+                MAPPER.createObjectNode()
+                        .put("stamp", stamp)
+                        .put("renew_millis", RENEW_MILLIS)
+                        .toString());
+    }
+
+    private static CompletionStage<HttpResponse<?>> refuse(ResultCode code, String detail) {
+        return CompletableFuture.completedFuture(ErrorBody.response(new Failure(code, detail)));
     }
 }
--- /dev/null
+++ b/siskintrail.router/src/io/siskintrail/router/internal/order/LedgerClient.java
@@ -0,0 +1,44 @@
+package io.siskintrail.router.internal.order;
+
+import io.siskintrail.internal.control.ControlAnswer;
+import io.siskintrail.internal.control.ControlCommand;
+import io.siskintrail.internal.ledger.LedgerAnswer;
+import io.siskintrail.internal.ledger.LedgerCommand;
+import io.siskintrail.service.LogEvent;
+import io.siskintrail.wire.ControlStateCodec;
+import io.siskintrail.wire.control.ControlClient;
+import java.util.function.Consumer;
+
+/** Proposes commands of the ledger to the control log. */
+final class LedgerClient {
+    private static final System.Logger LOG = System.getLogger(LedgerClient.class.getName());
+
+    private final ControlClient control;
+    private final ControlStateCodec codec = new ControlStateCodec();
+
+    LedgerClient(ControlClient control) {
+        this.control = control;
+    }
+
+    /**
+     * Proposes {@code command}.
+     *
+     * @param onAnswer called with the committed answer, on any thread; not called when there is
+     *     none
+     */
+    void propose(LedgerCommand command, Consumer<LedgerAnswer> onAnswer) {
+        byte[] bytes = codec.encodeCommand(new ControlCommand.ToLedger(command));
+        control.propose(bytes)
+                .whenComplete(
+                        (answer, error) -> {
+                            if (error != null) {
+                                LogEvent.debug(LOG, "ledger.proposal.failed")
+                                        .with("cause", error.getMessage())
+                                        .write();
+                                return;
+                            }
+                            ControlAnswer decoded = codec.decodeAnswer(answer);
+                            onAnswer.accept(((ControlAnswer.FromLedger) decoded).answer());
+                        });
+    }
+}
--- a/siskintrail/src/io/siskintrail/internal/membership/Membership.java
+++ b/siskintrail/src/io/siskintrail/internal/membership/Membership.java
@@ -114,6 +114,18 @@
         return e != null && e.isAlive() && evidenceAge(e, nowMillis) < EVIDENCE_MILLIS;
     }
 
+    /** Returns the endpoints that new work may go to at {@code nowMillis}. */
+    public final List<UsableEndpoint> usable(long nowMillis) {
+        List<UsableEndpoint> usable = new ArrayList<>();
+        for (EndpointEntry e : table.endpoints().values()) {
+            long age = e.isAlive() ? evidenceAge(e, nowMillis) : Long.MAX_VALUE;
+            if (age < EVIDENCE_MILLIS) {
+                usable.add(new UsableEndpoint(e.info(), nowMillis + EVIDENCE_MILLIS - age));
+            }
+        }
+        return usable;
+    }
+
     /** Returns every endpoint that is known and neither leaves nor is gone. */
     public final List<EndpointInfo> aliveEndpoints() {
         return table.endpoints().values().stream()
--- a/siskintrail/src/io/siskintrail/lib/ResultCode.java
+++ b/siskintrail/src/io/siskintrail/lib/ResultCode.java
@@ -84,6 +84,8 @@
             "Nothing was sent, and the ledger did not say in time whether the key ran before."),
     ORDER_ANSWER_NOT_KEPT(5007, 410, "The order ran; its answer was too large to keep."),
     ORDER_KEY_REQUIRED(5008, 400, "The rules want an idempotency key on this call."),
+    SERVICE_UNAVAILABLE(
+            5009, 503, "No endpoint of the service answered a call that may be repeated."),
 
     // 6xxx: membership and endpoints.
     NO_ENDPOINT(6001, 503, "No endpoint that can run the request is known."),
