Show the missing fence by the answers it loses

Change: the variant is judged by a run in which routers pause one at a time and come back; the right machine must lose no answer there. The bound is as strict for the right machine and stricter than before. Conclusion: all four broken variants are caught; ./check drives a million steps.

--- a/siskintrail.test/tst/io/siskintrail/internal/generation/PathCaller.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/generation/PathCaller.java
@@ -77,6 +77,12 @@
         world.at(RECONNECT_MILLIS, this::connect);
     }
 
+    void reconnectFrom(PathWorld.Router other) {
+        if (router == other) {
+            reconnect();
+        }
+    }
+
     void onRouterGone(PathWorld.Router gone) {
         if (router == gone && connection >= 0 && !isDone()) {
             connection = -1;
--- a/siskintrail.test/tst/io/siskintrail/internal/generation/PathFuzzTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/generation/PathFuzzTest.java
@@ -3,8 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.siskintrail.lib.ResultCode;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -24,8 +26,9 @@
  * -Dfuzz.seed=7 -Dfuzz.steps=10000000}.
  */
 class PathFuzzTest {
-    private static final long DEFAULT_STEPS = 150_000;
+    private static final long DEFAULT_STEPS = 1_000_000;
     private static final int ACTIONS = 60;
+    private static final int ONE_FAULT_RUNS = 60;
 
     @Property(seed = "20260301", tries = 60, shrinking = ShrinkingMode.BOUNDED)
     void callersGetWholeAnswersOrTrueErrors(
@@ -46,7 +49,7 @@
         while (steps < wanted) {
             PathWorld world = randomRun(seeds.nextLong(), new Guards(), PathAction.values());
             steps += world.steps;
-            whole += world.outcomes.getOrDefault(io.siskintrail.lib.ResultCode.OK, 0);
+            whole += world.outcomes.getOrDefault(ResultCode.OK, 0);
             ends += world.outcomes.values().stream().mapToInt(n -> n).sum();
         }
         System.out.printf(
@@ -57,14 +60,16 @@
 
     @Test
     void noAnswerIsLostWhenRoutersDieOneAtATime() {
-        SplittableRandom seeds = new SplittableRandom(5);
-        for (int i = 0; i < 60; i++) {
-            assertThat(lostAnswers(seeds.nextLong(), new Guards())).isEqualTo(0);
-        }
+        assertThat(lostToKills(new Guards())).isEqualTo(0);
+    }
+
+    @Test
+    void noAnswerIsLostWhenRoutersPauseOneAtATime() {
+        assertThat(lostToPauses(new Guards())).isEqualTo(0);
     }
 
     static Stream<Guards> brokenGuards() {
-        return Stream.of(new NoOffsetCheck(), new NoAttemptCheck(), new NoFence());
+        return Stream.of(new NoOffsetCheck(), new NoAttemptCheck());
     }
 
     @ParameterizedTest
@@ -82,12 +87,12 @@
 
     @Test
     void oracleNoticesDeliveryAheadOfTheBuddy() {
-        SplittableRandom seeds = new SplittableRandom(5);
-        long lost = 0;
-        for (int i = 0; i < 60; i++) {
-            lost += lostAnswers(seeds.nextLong(), new NoBuddyAck());
-        }
-        assertThat(lost).isAtLeast(1);
+        assertThat(lostToKills(new NoBuddyAck())).isAtLeast(1);
+    }
+
+    @Test
+    void oracleNoticesIgnoredFence() {
+        assertThat(lostToPauses(new NoFence())).isAtLeast(1);
     }
 
     @Provide
@@ -117,22 +122,48 @@
         world.settle();
     }
 
-    private static long lostAnswers(long seed, Guards guards) {
-        PathWorld world = new PathWorld(seed, true, guards);
-        world.lossPercent = 20;
-        for (int i = 0; i < 12; i++) {
-            PathAction.NEW_CALLER.apply(world);
-            world.advance(world.random().nextInt(300));
-            if (i % 4 == 3) {
-                PathWorld.Router victim = world.anyRouter();
-                victim.kill();
-                world.advance(4_000);
-                victim.heal();
-                world.advance(1_000);
+    /** Kills one router after another on a lossy network; returns how many callers lost answers. */
+    private static long lostToKills(Guards guards) {
+        return lostAnswers(guards, 20, PathWorld.Router::kill);
+    }
+
+    /** Pauses one router after another while its callers reconnect elsewhere. */
+    private static long lostToPauses(Guards guards) {
+        return lostAnswers(
+                guards,
+                0,
+                victim -> {
+                    victim.paused = true;
+                    victim.reconnectCallers();
+                });
+    }
+
+    private static long lostAnswers(
+            Guards guards, int lossPercent, Consumer<PathWorld.Router> fault) {
+        SplittableRandom seeds = new SplittableRandom(5);
+        long lost = 0;
+        for (int i = 0; i < ONE_FAULT_RUNS; i++) {
+            PathWorld world = new PathWorld(seeds.nextLong(), true, guards);
+            world.lossPercent = lossPercent;
+            for (int k = 0; k < 12; k++) {
+                PathAction.NEW_CALLER.apply(world);
+                world.advance(world.random().nextInt(300));
+                if (k % 4 == 3) {
+                    oneFault(world, fault);
+                }
             }
+            world.settle();
+            lost += world.callers.stream().distinct().filter(PathCaller::lostItsAnswer).count();
         }
-        world.settle();
-        return world.callers.stream().distinct().filter(PathCaller::lostItsAnswer).count();
+        return lost;
+    }
+
+    private static void oneFault(PathWorld world, Consumer<PathWorld.Router> fault) {
+        PathWorld.Router victim = world.anyRouter();
+        fault.accept(victim);
+        world.advance(1_000 + world.random().nextInt(500));
+        victim.heal();
+        world.advance(4_000);
     }
 
     private static final class NoOffsetCheck extends Guards {
--- a/siskintrail.test/tst/io/siskintrail/internal/generation/PathWorld.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/generation/PathWorld.java
@@ -195,6 +195,10 @@
             }
         }
 
+        void reconnectCallers() {
+            callers.forEach(c -> c.reconnectFrom(this));
+        }
+
         void drain() {
             if (up && !paused) {
                 draining = true;
