Run generations by the machine, on stripes of their own threads

Change: GenerationService spreads requests over stripes; each carries out the effects of a GenerationMachine: engine streams, buddy messages, answers. Event ids name generation, epoch and offset; a reconnect with Idempotency-Key and Last-Event-ID goes to any router. A seed that the caller leaves out no longer changes the request's digest. A graceful stop drains first. Slots come from DirectorySlots until queueing lands.

--- a/siskintrail.router/src/io/siskintrail/router/RouterService.java
+++ b/siskintrail.router/src/io/siskintrail/router/RouterService.java
@@ -4,6 +4,8 @@
 import io.micronaut.runtime.server.EmbeddedServer;
 import io.siskintrail.internal.control.Configuration;
 import io.siskintrail.internal.control.FollowerSettings;
+import io.siskintrail.internal.generation.GenerationSettings;
+import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.HostInfo;
 import io.siskintrail.router.internal.account.ApiKeys;
@@ -13,13 +15,15 @@
 import io.siskintrail.router.internal.filter.CurrencyFilter;
 import io.siskintrail.router.internal.filter.IdentifyFilter;
 import io.siskintrail.router.internal.filter.RequestChain;
+import io.siskintrail.router.internal.generation.DirectorySlots;
+import io.siskintrail.router.internal.generation.GenerationService;
+import io.siskintrail.router.internal.generation.GenerationStats;
 import io.siskintrail.router.internal.membership.MembershipService;
 import io.siskintrail.router.internal.order.EndpointTurns;
 import io.siskintrail.router.internal.order.OrderService;
 import io.siskintrail.router.internal.order.ServiceCalls;
 import io.siskintrail.router.internal.rules.RulesFollower;
 import io.siskintrail.router.internal.rules.RulesView;
-import io.siskintrail.router.internal.stream.Generations;
 import io.siskintrail.router.internal.stream.StreamFilter;
 import io.siskintrail.service.ControlLoop;
 import io.siskintrail.service.LogEvent;
@@ -27,6 +31,7 @@
 import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ThriftPeerTransport;
 import java.security.SecureRandom;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -35,6 +40,8 @@
 /** A router in this process: the HTTP server and everything behind it. */
 public final class RouterService implements Service {
     private static final System.Logger LOG = System.getLogger(RouterService.class.getName());
+    private static final int MAX_STRIPES = 4;
+    private static final long DRAIN_MILLIS = 30_000;
 
     private final RouterSettings settings;
     private final EndpointDirectory directory = new EndpointDirectory();
@@ -49,6 +56,7 @@
     private ApplicationContext context;
     private EmbeddedServer server;
     private EngineClient engines;
+    private GenerationService generations;
 
     /** Prepares a router that reaches the control hosts of its settings. */
     public RouterService(RouterSettings settings) {
@@ -72,8 +80,8 @@
         RulesView rules = control.rules();
         ApiKeys keys = new ApiKeys(settings.accounts());
         startOrders();
-        engines = new EngineClient();
-        Generations generations = new Generations(directory, engines);
+        generations.setRouters(routers());
+        generations.start();
         RequestChain chain =
                 new RequestChain(
                         List.of(
@@ -111,6 +119,16 @@
                         transport,
                         loop,
                         directory);
+        engines = new EngineClient();
+        generations =
+                new GenerationService(
+                        GenerationSettings.defaults(),
+                        Math.min(MAX_STRIPES, Runtime.getRuntime().availableProcessors()),
+                        self(),
+                        System.currentTimeMillis(),
+                        transport,
+                        new DirectorySlots(directory),
+                        engines);
         prepareControl();
         transport.start();
         if (follower != null) {
@@ -157,6 +175,7 @@
                         turns::address);
         services = new ServiceCalls(control.rules(), orders, directory);
         membership.onDeath(orders::settle);
+        membership.onDeath(generations::routerDown);
         orders.start();
         membership.start();
     }
@@ -172,10 +191,37 @@
         Set<HostId> hosts = routerHosts();
         configuration.hosts().forEach(h -> hosts.add(h.id()));
         membership.setHosts(hosts);
+        List<HostInfo> routers = new ArrayList<>(configuration.hosts());
+        routers().stream()
+                .filter(h -> !hosts(configuration).contains(h.id()))
+                .forEach(routers::add);
+        generations.setRouters(routers);
+    }
+
+    private static Set<HostId> hosts(Configuration configuration) {
+        Set<HostId> ids = new HashSet<>();
+        configuration.hosts().forEach(h -> ids.add(h.id()));
+        return ids;
+    }
+
+    private HostInfo self() {
+        return new HostInfo(
+                settings.hostId(), new FailureDomain(settings.domain()), settings.peerAddress());
+    }
+
+    private List<HostInfo> routers() {
+        List<HostInfo> hosts = new ArrayList<>();
+        hosts.add(self());
+        for (RouterSettings.Peer p : settings.peers()) {
+            HostId id = new HostId(p.host());
+            hosts.add(new HostInfo(id, new FailureDomain(p.domain()), p.peerAddress()));
+        }
+        return hosts;
     }
 
     @Override
     public void stop() {
+        generations.drain(DRAIN_MILLIS);
         orders.stop();
         closeAll();
         LogEvent.info(LOG, "router.stopped").with("host", settings.host()).write();
@@ -189,6 +235,7 @@
 
     private void closeAll() {
         server.stop();
+        generations.stop();
         engines.close();
         services.close();
         context.close();
@@ -200,6 +247,11 @@
         loop.stop();
     }
 
+    /** Returns what the generations of this router cost so far. */
+    public GenerationStats generationStats() {
+        return generations.stats();
+    }
+
     /** Returns {@code ip:port} where the router listens for callers. */
     public String httpAddress() {
         return hostPart(settings.httpAddress()) + ":" + server.getPort();
--- a/siskintrail.router/src/io/siskintrail/router/internal/filter/RequestContext.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/filter/RequestContext.java
@@ -1,5 +1,6 @@
 package io.siskintrail.router.internal.filter;
 
+import io.siskintrail.internal.generation.Position;
 import io.siskintrail.lib.AccountId;
 import io.siskintrail.lib.ModelId;
 import io.siskintrail.lib.RequestKey;
@@ -11,7 +12,7 @@
  * @param authorization the Authorization header, or null
  * @param call what the caller asks for
  * @param key the caller's idempotency key, or null
- * @param lastEventId the offset behind the last token that the caller has, -1 for none
+ * @param after what the caller has already, null when nothing
  * @param account the client account, found by the key
  * @param model the pinned model, adapter and version
  */
@@ -19,17 +20,17 @@
         String authorization,
         CompletionCall call,
         RequestKey key,
-        long lastEventId,
+        Position after,
         AccountId account,
         ModelId model) {
 
     /** Returns this request with the account set. */
     public RequestContext withAccount(AccountId id) {
-        return new RequestContext(authorization, call, key, lastEventId, id, model);
+        return new RequestContext(authorization, call, key, after, id, model);
     }
 
     /** Returns this request with the model set. */
     public RequestContext withModel(ModelId id) {
-        return new RequestContext(authorization, call, key, lastEventId, account, id);
+        return new RequestContext(authorization, call, key, after, account, id);
     }
 }
--- a/siskintrail.router/src/io/siskintrail/router/internal/http/AnswerRenderer.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/http/AnswerRenderer.java
@@ -6,10 +6,11 @@
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.MediaType;
 import io.micronaut.http.sse.Event;
+import io.siskintrail.internal.generation.TokenRun;
 import io.siskintrail.lib.Failure;
 import io.siskintrail.lib.ResultCode;
-import io.siskintrail.router.internal.endpoint.EngineChunk;
 import io.siskintrail.router.internal.filter.CompletionCall;
+import io.siskintrail.router.internal.generation.AnswerChunk;
 import io.siskintrail.router.internal.stream.AnswerFailedException;
 import io.siskintrail.router.internal.stream.AnswerStream;
 import java.util.ArrayList;
@@ -32,7 +33,9 @@
         this.answer = answer;
     }
 
-    /** Returns the answer as server-sent events; the id of each is the offset behind it. */
+    /**
+     * Returns the answer as server-sent events; the id of each says what the caller has behind it.
+     */
     Flux<Event<String>> events() {
         return answer.chunks()
                 .map(this::event)
@@ -53,7 +56,7 @@
                 .toFuture();
     }
 
-    private Event<String> event(EngineChunk chunk) {
+    private Event<String> event(AnswerChunk chunk) {
         ObjectNode root = root(call.chat() ? "chat.completion.chunk" : "text_completion");
         ObjectNode choice = choice(root, chunk.finishReason());
         if (call.chat()) {
@@ -61,22 +64,22 @@
             if (chunk.offset() == 0) {
                 delta.put("role", "assistant");
             }
-            delta.put("content", chunk.text());
+            delta.put("content", chunk.run().text());
         } else {
-            choice.put("text", chunk.text());
+            choice.put("text", chunk.run().text());
         }
-        putTokens(choice, chunk.tokens());
-        long next = chunk.offset() + chunk.tokens().size();
-        return Event.of(root.toString()).id(Long.toString(next));
+        putTokens(choice, List.of(chunk.run()));
+        Event<String> event = Event.of(root.toString());
+        return chunk.eventId() == null ? event : event.id(chunk.eventId());
     }
 
-    private String document(List<EngineChunk> chunks) {
+    private String document(List<AnswerChunk> chunks) {
         StringBuilder text = new StringBuilder();
-        List<Integer> tokens = new ArrayList<>();
+        List<TokenRun> runs = new ArrayList<>();
         String finish = "stop";
-        for (EngineChunk chunk : chunks) {
-            text.append(chunk.text());
-            tokens.addAll(chunk.tokens());
+        for (AnswerChunk chunk : chunks) {
+            text.append(chunk.run().text());
+            runs.add(chunk.run());
             finish = chunk.finishReason() == null ? finish : chunk.finishReason();
         }
         ObjectNode root = root(call.chat() ? "chat.completion" : "text_completion");
@@ -88,12 +91,13 @@
         } else {
             choice.put("text", text.toString());
         }
-        putTokens(choice, tokens);
+        putTokens(choice, runs);
         ObjectNode usage = root.putObject("usage");
-        int promptTokens = call.prompt().split("\\s+").length;
+        int promptTokens = call.promptTokens();
+        int tokens = runs.stream().mapToInt(TokenRun::size).sum();
         usage.put("prompt_tokens", promptTokens);
-        usage.put("completion_tokens", tokens.size());
-        usage.put("total_tokens", promptTokens + tokens.size());
+        usage.put("completion_tokens", tokens);
+        usage.put("total_tokens", promptTokens + tokens);
         return root.toString();
     }
 
@@ -113,9 +117,13 @@
         return choice;
     }
 
-    private static void putTokens(ObjectNode choice, List<Integer> tokens) {
+    private static void putTokens(ObjectNode choice, List<TokenRun> runs) {
         ArrayNode ids = choice.putArray("token_ids");
-        tokens.forEach(ids::add);
+        for (TokenRun run : runs) {
+            for (int i = 0; i < run.size(); i++) {
+                ids.add(run.id(i));
+            }
+        }
     }
 
     private static Failure failure(Throwable e) {
--- a/siskintrail.router/src/io/siskintrail/router/internal/http/CompletionParser.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/http/CompletionParser.java
@@ -6,7 +6,6 @@
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.router.internal.filter.CompletionCall;
 import java.io.IOException;
-import java.util.concurrent.ThreadLocalRandom;
 
 /** Reads the body of a completion request. Fields that the router does not use are ignored. */
 final class CompletionParser {
@@ -53,7 +52,7 @@
                         json.path("model").asText(),
                         prompt,
                         absent(max) ? DEFAULT_MAX_TOKENS : max.asInt(),
-                        absent(seed) ? ThreadLocalRandom.current().nextLong() : seed.asLong(),
+                        absent(seed) ? null : Long.valueOf(seed.asLong()),
                         stream.asBoolean(false),
                         chat));
     }
--- a/siskintrail.router/src/io/siskintrail/router/internal/http/CompletionsController.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/http/CompletionsController.java
@@ -7,6 +7,7 @@
 import io.micronaut.http.annotation.Consumes;
 import io.micronaut.http.annotation.Controller;
 import io.micronaut.http.annotation.Post;
+import io.siskintrail.internal.generation.Position;
 import io.siskintrail.lib.RequestKey;
 import io.siskintrail.lib.Result;
 import io.siskintrail.router.internal.filter.CompletionCall;
@@ -68,6 +69,14 @@
         return renderer.whole();
     }
 
+    private static Position position(String eventId) {
+        Position position = Position.parse(eventId);
+        if (position == null) {
+            throw new IllegalArgumentException("expected the id of an event of this system");
+        }
+        return position;
+    }
+
     private static Result<RequestContext> context(HttpRequest<?> http, CompletionCall call) {
         String key = http.getHeaders().get(KEY_HEADER);
         String last = http.getHeaders().get(LAST_EVENT_HEADER);
@@ -77,7 +86,7 @@
                             http.getHeaders().get("Authorization"),
                             call,
                             key == null ? null : new RequestKey(key),
-                            last == null ? -1 : Long.parseLong(last.trim()),
+                            last == null ? null : position(last.trim()),
                             null,
                             null));
         } catch (IllegalArgumentException e) {
--- a/siskintrail.router/src/io/siskintrail/router/internal/stream/AnswerStream.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/stream/AnswerStream.java
@@ -1,6 +1,6 @@
 package io.siskintrail.router.internal.stream;
 
-import io.siskintrail.router.internal.endpoint.EngineChunk;
+import io.siskintrail.router.internal.generation.AnswerChunk;
 import reactor.core.publisher.Flux;
 
 /**
@@ -10,4 +10,4 @@
  * @param chunks the output in order; errors with {@link AnswerFailedException} when it cannot be
  *     completed
  */
-public record AnswerStream(String id, Flux<EngineChunk> chunks) {}
+public record AnswerStream(String id, Flux<AnswerChunk> chunks) {}
