Measure the membership beside own-address gossip

Cause: the cost and the speed of the membership were not known, and a host that just came up was not in the turn of the failure detector.

--- a/siskintrail.bench/src/io/siskintrail/bench/Main.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/Main.java
@@ -1,5 +1,6 @@
 package io.siskintrail.bench;
 
+import io.siskintrail.bench.membership.MembershipExperiment;
 import io.siskintrail.service.LogSetup;
 import java.util.Arrays;
 import java.util.Map;
@@ -14,6 +15,7 @@
     static {
         EXPERIMENTS.put("in-force", InForceBench::new);
         EXPERIMENTS.put("policy", PolicyBench::new);
+        EXPERIMENTS.put("membership", MembershipExperiment::new);
         EXPERIMENTS.put("quickstart", QuickstartExperiment::new);
     }
 
--- a/siskintrail/src/io/siskintrail/internal/membership/FailureDetector.java
+++ b/siskintrail/src/io/siskintrail/internal/membership/FailureDetector.java
@@ -71,6 +71,9 @@
         } else {
             suspectSince.remove(host);
         }
+        if (state == HostState.ALIVE && others.contains(host) && !turn.contains(host)) {
+            turn.add(random.nextInt(turn.size() + 1), host);
+        }
     }
 
     void tick(long nowMillis) {
@@ -154,6 +157,7 @@
     }
 
     private HostId nextInTurn() {
+        turn.removeIf(h -> context.stateOf(h) == HostState.DEAD);
         if (turn.isEmpty()) {
             turn.addAll(others);
             turn.removeIf(h -> context.stateOf(h) == HostState.DEAD);
