Hold slots of lost routers back and bench losses and retries

Change: the slots that recent claims cannot explain stay taken, by the most and least that known routers ran in the last second; a coordinator that takes over after a loss waits a lease; leases over the slots are taken back. Scenarios retry-storm, engine-loss, router-loss and usage-exchange-partition.

--- a/siskintrail.bench/src/io/siskintrail/bench/policy/Call.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/Call.java
@@ -6,6 +6,7 @@
     final Request request;
     final Node node;
     boolean ended;
+    long recoveredAt = -1;
     Engine engine;
     Engine.Job job;
 
--- a/siskintrail.bench/src/io/siskintrail/bench/policy/Figures.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/Figures.java
@@ -118,6 +118,10 @@
         return world.suspensions;
     }
 
+    long joins() {
+        return world.joins;
+    }
+
     long refusals() {
         return world.refusals;
     }
--- a/siskintrail.bench/src/io/siskintrail/bench/policy/Request.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/Request.java
@@ -8,6 +8,7 @@
 /** What a caller wants, over all of its sends and all attempts. */
 final class Request {
     final long id;
+    final long group;
     final AccountId account;
     final Rank rank;
     final int promptTokens;
@@ -25,6 +26,7 @@
 
     Request(
             long id,
+            long group,
             AccountId account,
             Rank rank,
             int promptTokens,
@@ -32,6 +34,7 @@
             long[] prefix,
             long arrivedAt) {
         this.id = id;
+        this.group = group;
         this.account = account;
         this.rank = rank;
         this.promptTokens = promptTokens;
--- a/siskintrail.bench/src/io/siskintrail/bench/policy/Scenario.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/Scenario.java
@@ -10,7 +10,15 @@
     /** Urgent work at 4 and 10 times capacity. */
     FLOOD_URGENT(Floods::urgent),
     /** One account asks far more than all others. */
-    BIG_CALLER(BigCaller::run);
+    BIG_CALLER(BigCaller::run),
+    /** Callers who send again and again. */
+    RETRY_STORM(RetryStorm::run),
+    /** One engine, and the engines of a failure domain, are lost at once. */
+    ENGINE_LOSS(Losses::engines),
+    /** A router is lost. */
+    ROUTER_LOSS(Losses::router),
+    /** Routers do not hear of each other. */
+    USAGE_EXCHANGE_PARTITION(Losses::partition);
 
     private final LongFunction<Table> run;
 
--- a/siskintrail.bench/src/io/siskintrail/bench/policy/World.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/World.java
@@ -4,6 +4,7 @@
 import io.siskintrail.internal.policy.Outcome;
 import io.siskintrail.internal.policy.PolicyEffect;
 import io.siskintrail.internal.policy.PolicyInput;
+import io.siskintrail.internal.policy.PolicyMessage;
 import io.siskintrail.internal.policy.PolicyRules;
 import io.siskintrail.internal.policy.Target;
 import io.siskintrail.internal.policy.WorkRequest;
@@ -23,6 +24,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 
 /** Runs routers, engines and callers of one experiment in virtual time. */
 final class World {
@@ -41,10 +43,12 @@
     BiPredicate<HostId, HostId> cut = (a, b) -> false;
     Callers callers = new Callers(this);
     final PolicyRules rules;
+    Predicate<PolicyMessage> lost = m -> false;
     long refusals;
     long joins;
     long suspensions;
     long enginesKilled;
+    private final List<Long> resumes = new ArrayList<>();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
@@ -100,7 +104,7 @@
                 }
             }
             index++;
-            every(REPORT_MILLIS, () -> publishLoad(e));
+            every(REPORT_MILLIS, () -> publishLoad(e, !strategy.isAlone()));
         }
         nodes.forEach(n -> every(Dispatcher.TICK_MILLIS, () -> feed(n, new PolicyInput.Tick())));
     }
@@ -153,6 +157,7 @@
     private void arrive(Source source) {
         Request r =
                 new Request(
+                        requests.size(),
                         requests.size(),
                         source.accountId(),
                         source.rank(),
@@ -191,7 +196,7 @@
                         r.rank,
                         Target.of(MODEL),
                         key,
-                        r.id + 1,
+                        r.group + 1,
                         r.promptTokens + r.delivered,
                         Math.max(1, r.outputTokens * 2),
                         maxWaitMillis,
@@ -201,6 +206,45 @@
         return call;
     }
 
+    /** Makes a further send of the same wish, with the same content. */
+    Request again(Request before) {
+        Request r =
+                new Request(
+                        requests.size(),
+                        before.group,
+                        before.account,
+                        before.rank,
+                        before.promptTokens,
+                        before.outputTokens,
+                        before.prefix,
+                        before.arrivedAt);
+        requests.add(r);
+        return r;
+    }
+
+    /** Ends a call whose router has died: its connection to the engine is reset. */
+    void disconnect(Call call) {
+        call.ended = true;
+        call.request.abandoned = true;
+        if (call.job != null) {
+            at(now + HOP_MILLIS, () -> call.engine.cancel(call.job));
+        }
+    }
+
+    /** Returns a percentile of the time from the loss of an engine to the next token. */
+    long resumeMillis(double share) {
+        if (resumes.isEmpty()) {
+            return 0;
+        }
+        List<Long> sorted = resumes.stream().sorted().toList();
+        return sorted.get((int) Math.ceil(share * sorted.size()) - 1);
+    }
+
+    /** Returns how many generations went on after the loss of an engine. */
+    int resumed() {
+        return resumes.size();
+    }
+
     /** Ends a call whose caller has left. */
     void abandon(Call call) {
         if (call.ended) {
@@ -214,6 +258,10 @@
     }
 
     void firstToken(Call call) {
+        if (call.recoveredAt >= 0) {
+            resumes.add(now - call.recoveredAt);
+            call.recoveredAt = -1;
+        }
         if (call.request.firstTokenAt < 0) {
             call.request.firstTokenAt = now + HOP_MILLIS;
         }
@@ -291,8 +339,8 @@
         }
     }
 
-    private void publishLoad(Engine e) {
-        if (!e.up) {
+    private void publishLoad(Engine e, boolean heard) {
+        if (!e.up || !heard) {
             return;
         }
         PolicyInput.LoadReport report = e.report();
@@ -325,7 +373,7 @@
     }
 
     private void deliver(Node from, PolicyEffect.Send m) {
-        if (cut.test(from.id, m.to())) {
+        if (cut.test(from.id, m.to()) || lost.test(m.message())) {
             return;
         }
         Node to = nodes.stream().filter(n -> n.id.equals(m.to())).findFirst().orElseThrow();
@@ -361,6 +409,7 @@
     /** Submits the rest of a request whose endpoint failed. */
     void recover(Call call) {
         Call next = submit(call.request, call.node, null, 60_000, true);
+        next.recoveredAt = now;
         callers.continued(call, next);
     }
 
--- a/siskintrail/src/io/siskintrail/internal/policy/AllocationRound.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/AllocationRound.java
@@ -67,6 +67,7 @@
 
     /** Grants, reclaims and asks for suspensions. */
     void run() {
+        shrinkOverfull();
         int urgentFloor = fairness.floorSlots(Rank.URGENT, slots);
         int urgent = urgentRunning;
         int bulkServed = 0;
@@ -103,6 +104,23 @@
         }
     }
 
+    /** Takes leases back on endpoints that run more than they have slots for. */
+    private void shrinkOverfull() {
+        for (EndpointState e : members) {
+            EndpointId id = e.info.id();
+            int over = -free.getOrDefault(id, 0);
+            for (RouterSlots r : routers) {
+                over -= r.committed(id) - r.granted(id);
+            }
+            for (RouterSlots r : routers) {
+                while (over > 0 && r.granted(id) > 0) {
+                    r.grant(id, -1);
+                    over--;
+                }
+            }
+        }
+    }
+
     /** Returns the state of the pool as {@code router} is to see it. */
     PoolState stateFor(HostId router) {
         return new PoolState(
--- a/siskintrail/src/io/siskintrail/internal/policy/Dispatcher.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/Dispatcher.java
@@ -132,7 +132,7 @@
             rulesChanged(r.rules());
         } else if (input instanceof PolicyInput.Peers p) {
             usage.peers(p.routers());
-            leases.peers(p.routers(), p.quorate());
+            leases.peers(now, p.routers(), p.quorate());
             leases.refresh(now);
         } else {
             applyEndpoint(now, input);
--- a/siskintrail/src/io/siskintrail/internal/policy/LeaseManager.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/LeaseManager.java
@@ -32,6 +32,7 @@
     private final Map<String, Coordinated> coordinated = new TreeMap<>();
     private Set<HostId> routers = new TreeSet<>();
     private boolean quorate;
+    private long lostAt = Long.MIN_VALUE / 2;
     private Suspensions suspendAsked = Suspensions.NONE;
 
     LeaseManager(
@@ -47,7 +48,10 @@
         this.fairness = fairness;
     }
 
-    void peers(Set<HostId> live, boolean nowQuorate) {
+    void peers(long now, Set<HostId> live, boolean nowQuorate) {
+        if (!live.containsAll(routers)) {
+            lostAt = now;
+        }
         routers = new TreeSet<>(live);
         quorate = nowQuorate;
     }
@@ -163,8 +167,7 @@
         coordinated.keySet().removeIf(p -> !coordinatorOf(p).equals(self));
         for (String pool : endpoints.pools()) {
             if (coordinatorOf(pool).equals(self)) {
-                coordinated.computeIfAbsent(
-                        pool, p -> new Coordinated(new SlotCoordinator(p, now, firstSequence)));
+                coordinated.computeIfAbsent(pool, p -> new Coordinated(coordinator(now, p)));
             }
         }
         coordinated.keySet().retainAll(endpoints.pools());
@@ -191,6 +194,11 @@
         return applied;
     }
 
+    private SlotCoordinator coordinator(long now, String pool) {
+        boolean afterLoss = now - lostAt <= SlotCoordinator.LEASE_MILLIS;
+        return new SlotCoordinator(pool, now, firstSequence, afterLoss);
+    }
+
     private boolean round(long now, String pool, Coordinated c, List<PolicyEffect> out) {
         long age = now - c.roundAt;
         boolean due = c.dirty && age >= ROUND_GAP_MILLIS || age >= ROUND_MILLIS;
--- a/siskintrail/src/io/siskintrail/internal/policy/RouterSlots.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/RouterSlots.java
@@ -103,6 +103,11 @@
         return c == null ? 0 : Math.max(0, c.sent - c.running());
     }
 
+    int granted(EndpointId id) {
+        Cell c = cells.get(id);
+        return c == null ? 0 : c.sent;
+    }
+
     int running(EndpointId id) {
         Cell c = cells.get(id);
         return c == null ? 0 : c.running();
--- a/siskintrail/src/io/siskintrail/internal/policy/SlotCoordinator.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/SlotCoordinator.java
@@ -20,16 +20,29 @@
     static final int LEASE_MILLIS = 1_000;
     private static final long RENEW_MILLIS = 150;
     private static final long RESEND_MILLIS = 15;
-    private static final long REPORT_LAG_MILLIS = 1_000;
-    private static final long LOST_TTL_MILLIS = 10_000;
+    static final long REPORT_LAG_MILLIS = 1_000;
+    private static final long SUSPECT_MILLIS = 3_000;
+    private static final long CALM_MILLIS = 2_000;
 
     private final String pool;
     private final long startedAt;
     private final Map<HostId, RouterSlots> routers = new TreeMap<>();
     private final Map<EndpointId, Lost> lost = new HashMap<>();
+    private final Map<EndpointId, RunningWindow> windows = new HashMap<>();
+    private final Map<EndpointId, Long> suspects = new HashMap<>();
+    private final boolean afterLoss;
+    private long suspectUntil;
     private long sequence;
 
-    SlotCoordinator(String pool, long now, long firstSequence) {
+    /**
+     * Takes a pool over.
+     *
+     * @param afterLoss whether a router was lost lately, so that leases of an unknown size may
+     *     still run
+     */
+    SlotCoordinator(String pool, long now, long firstSequence, boolean afterLoss) {
+        this.afterLoss = afterLoss;
+        this.suspectUntil = afterLoss ? now + SUSPECT_MILLIS : now;
         this.pool = pool;
         this.startedAt = now;
         this.sequence = firstSequence;
@@ -69,13 +82,15 @@
     }
 
     private boolean mayGrant(long now, Set<HostId> live) {
-        return now - startedAt > LEASE_MILLIS || routers.keySet().containsAll(live);
+        boolean leasesOver = now - startedAt > LEASE_MILLIS;
+        return leasesOver || !afterLoss && routers.keySet().containsAll(live);
     }
 
     private boolean expire(long now, RouterSlots r) {
         if (!r.isSilent(now, LEASE_MILLIS)) {
             return false;
         }
+        suspectUntil = Math.max(suspectUntil, now + SUSPECT_MILLIS);
         for (EndpointId id : r.endpoints()) {
             if (r.running(id) > 0) {
                 lost.merge(id, new Lost(now, r.running(id)), Lost::plus);
@@ -99,24 +114,29 @@
         return free;
     }
 
-    /** Returns the slots that requests of lost routers still hold, as far as can be known. */
+    /**
+     * Returns the slots that requests of lost or unknown routers still hold. The last load report
+     * shows the running requests of some moment in the last second; what the known routers ran at
+     * most in that time cannot explain it when there are such requests, and what they ran at least
+     * bounds their number.
+     */
     private int orphans(long now, EndpointState e, int running) {
-        Lost l = lost.get(e.info.id());
-        if (l == null) {
-            return 0;
+        EndpointId id = e.info.id();
+        RunningWindow window = windows.computeIfAbsent(id, i -> new RunningWindow());
+        window.add(now, running);
+        int reported = e.reported(now);
+        if (reported > window.most()) {
+            suspects.put(id, now + CALM_MILLIS);
         }
-        if (now - l.at > LOST_TTL_MILLIS && e.reported(now) < 0) {
-            lost.remove(e.info.id());
+        if (now >= Math.max(suspectUntil, suspects.getOrDefault(id, 0L))) {
+            lost.remove(id);
             return 0;
         }
-        if (e.reportedAt() <= l.at + REPORT_LAG_MILLIS) {
+        Lost l = lost.get(id);
+        if (l != null && e.reportedAt() <= l.at + REPORT_LAG_MILLIS) {
             return l.count;
         }
-        int left = Math.min(l.count, Math.max(0, e.reported(now) - running));
-        if (left == 0) {
-            lost.remove(e.info.id());
-        }
-        return left;
+        return Math.max(0, reported - window.least());
     }
 
     private record Lost(long at, int count) {
