--- a/siskintrail.test/tst/io/siskintrail/internal/consensus/Simulation.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/consensus/Simulation.java
@@ -144,7 +144,7 @@
         waiting.forEach(Runnable::run);
     }
 
-    /** Loses the disk for ever if the others can go on; a blank one takes the host's place. */
+    /** Replaces the disk if the others can go on without it. */
     void loseDisk(SimulatedNode node) {
         if (node.lost) {
             return;
@@ -155,12 +155,26 @@
             node.lost = false;
             return;
         }
+        replaceDisk(node);
+    }
+
+    /** Loses the disk for ever; a blank one takes the host's place. */
+    void replaceDisk(SimulatedNode node) {
+        node.lost = true;
         crash(node);
         int host = Integer.parseInt(node.id.host().value().substring(1));
         add(id(host, nodes.size()), Snapshot.EMPTY);
         start(nodes.get(nodes.size() - 1));
     }
 
+    long now() {
+        return now;
+    }
+
+    long leaderSilentMillis(SimulatedNode node) {
+        return node.replica.leaderSilentMillis(node.clock(now));
+    }
+
     boolean holdsLease(SimulatedNode node) {
         return node.holdsLease(now);
     }
--- a/siskintrail.wire/idl/consensus.thrift
+++ b/siskintrail.wire/idl/consensus.thrift
@@ -147,9 +147,10 @@
 
 enum ProposalOutcome {
   ANSWERED = 1,
-  NOT_LEADER = 2,
+  /** The answer is the number of the session, 8 bytes, high byte first. */
+  OPENED = 2,
   TOO_LARGE = 3,
-  /** The client was silent for so long that its repeats are no longer known. */
+  /** The client was silent for so long that its session is no longer known. */
   FORGOTTEN = 4
 }
 
@@ -157,31 +158,24 @@
   1: required i64 client,
   2: required i64 number,
   3: required ProposalOutcome outcome,
-  4: optional binary answer,
-  /** Host of the leader, where known. */
-  5: optional string leader
+  4: optional binary answer
 }
 
-/** Asks for what is committed behind an index. */
+/** The sender does not lead; it names the host that does, where known. */
+struct NotLeaderData {
+  1: optional string leader
+}
+
+/** Asks for what is committed behind an index; an image is fetched piece by piece. */
 struct FollowData {
   1: required i64 after,
-  /** Offset in the image that is being fetched; 0 when none. */
   2: required i64 imageIndex,
   3: required i32 imageOffset
 }
 
-struct FollowedEntryData {
-  1: required i64 term,
-  2: required i64 index,
-  3: required i64 atMillis,
-  /** Absent for entries that hold no command. */
-  4: optional binary command
-}
-
 struct FollowReplyData {
   1: required i64 after,
-  2: required list<FollowedEntryData> entries,
-  3: required i64 commit
+  2: required list<EntryData> entries
 }
 
 struct ImageChunkData {
@@ -194,9 +188,10 @@
 union ClientBody {
   1: ProposeData propose,
   2: ProposalReplyData proposalReply,
-  3: FollowData follow,
-  4: FollowReplyData followReply,
-  5: ImageChunkData imageChunk
+  3: NotLeaderData notLeader,
+  4: FollowData follow,
+  5: FollowReplyData followReply,
+  6: ImageChunkData imageChunk
 }
 
 struct ClientData {
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/consensus/ClientBody.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/consensus/ClientBody.java
@@ -11,17 +11,19 @@
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ClientBody");
   private static final org.apache.thrift.protocol.TField PROPOSE_FIELD_DESC = new org.apache.thrift.protocol.TField("propose", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField PROPOSAL_REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("proposalReply", org.apache.thrift.protocol.TType.STRUCT, (short)2);
-  private static final org.apache.thrift.protocol.TField FOLLOW_FIELD_DESC = new org.apache.thrift.protocol.TField("follow", org.apache.thrift.protocol.TType.STRUCT, (short)3);
-  private static final org.apache.thrift.protocol.TField FOLLOW_REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("followReply", org.apache.thrift.protocol.TType.STRUCT, (short)4);
-  private static final org.apache.thrift.protocol.TField IMAGE_CHUNK_FIELD_DESC = new org.apache.thrift.protocol.TField("imageChunk", org.apache.thrift.protocol.TType.STRUCT, (short)5);
+  private static final org.apache.thrift.protocol.TField NOT_LEADER_FIELD_DESC = new org.apache.thrift.protocol.TField("notLeader", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField FOLLOW_FIELD_DESC = new org.apache.thrift.protocol.TField("follow", org.apache.thrift.protocol.TType.STRUCT, (short)4);
+  private static final org.apache.thrift.protocol.TField FOLLOW_REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("followReply", org.apache.thrift.protocol.TType.STRUCT, (short)5);
+  private static final org.apache.thrift.protocol.TField IMAGE_CHUNK_FIELD_DESC = new org.apache.thrift.protocol.TField("imageChunk", org.apache.thrift.protocol.TType.STRUCT, (short)6);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     PROPOSE((short)1, "propose"),
     PROPOSAL_REPLY((short)2, "proposalReply"),
-    FOLLOW((short)3, "follow"),
-    FOLLOW_REPLY((short)4, "followReply"),
-    IMAGE_CHUNK((short)5, "imageChunk");
+    NOT_LEADER((short)3, "notLeader"),
+    FOLLOW((short)4, "follow"),
+    FOLLOW_REPLY((short)5, "followReply"),
+    IMAGE_CHUNK((short)6, "imageChunk");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -41,11 +43,13 @@
           return PROPOSE;
         case 2: // PROPOSAL_REPLY
           return PROPOSAL_REPLY;
-        case 3: // FOLLOW
+        case 3: // NOT_LEADER
+          return NOT_LEADER;
+        case 4: // FOLLOW
           return FOLLOW;
-        case 4: // FOLLOW_REPLY
+        case 5: // FOLLOW_REPLY
           return FOLLOW_REPLY;
-        case 5: // IMAGE_CHUNK
+        case 6: // IMAGE_CHUNK
           return IMAGE_CHUNK;
         default:
           return null;
@@ -96,6 +100,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ProposeData.class)));
     tmpMap.put(_Fields.PROPOSAL_REPLY, new org.apache.thrift.meta_data.FieldMetaData("proposalReply", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ProposalReplyData.class)));
+    tmpMap.put(_Fields.NOT_LEADER, new org.apache.thrift.meta_data.FieldMetaData("notLeader", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, NotLeaderData.class)));
     tmpMap.put(_Fields.FOLLOW, new org.apache.thrift.meta_data.FieldMetaData("follow", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, FollowData.class)));
     tmpMap.put(_Fields.FOLLOW_REPLY, new org.apache.thrift.meta_data.FieldMetaData("followReply", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
@@ -134,6 +140,12 @@
     return x;
   }
 
+  public static ClientBody notLeader(NotLeaderData value) {
+    ClientBody x = new ClientBody();
+    x.setNotLeader(value);
+    return x;
+  }
+
   public static ClientBody follow(FollowData value) {
     ClientBody x = new ClientBody();
     x.setFollow(value);
@@ -166,6 +178,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type ProposalReplyData for field 'proposalReply', but got " + value.getClass().getSimpleName());
+      case NOT_LEADER:
+        if (value instanceof NotLeaderData) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type NotLeaderData for field 'notLeader', but got " + value.getClass().getSimpleName());
       case FOLLOW:
         if (value instanceof FollowData) {
           break;
@@ -211,6 +228,16 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case NOT_LEADER:
+          if (field.type == NOT_LEADER_FIELD_DESC.type) {
+            NotLeaderData notLeader;
+            notLeader = new NotLeaderData();
+            notLeader.read(iprot);
+            return notLeader;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         case FOLLOW:
           if (field.type == FOLLOW_FIELD_DESC.type) {
             FollowData follow;
@@ -261,6 +288,10 @@
         ProposalReplyData proposalReply = (ProposalReplyData)value_;
         proposalReply.write(oprot);
         return;
+      case NOT_LEADER:
+        NotLeaderData notLeader = (NotLeaderData)value_;
+        notLeader.write(oprot);
+        return;
       case FOLLOW:
         FollowData follow = (FollowData)value_;
         follow.write(oprot);
@@ -293,6 +324,11 @@
           proposalReply = new ProposalReplyData();
           proposalReply.read(iprot);
           return proposalReply;
+        case NOT_LEADER:
+          NotLeaderData notLeader;
+          notLeader = new NotLeaderData();
+          notLeader.read(iprot);
+          return notLeader;
         case FOLLOW:
           FollowData follow;
           follow = new FollowData();
@@ -327,6 +363,10 @@
         ProposalReplyData proposalReply = (ProposalReplyData)value_;
         proposalReply.write(oprot);
         return;
+      case NOT_LEADER:
+        NotLeaderData notLeader = (NotLeaderData)value_;
+        notLeader.write(oprot);
+        return;
       case FOLLOW:
         FollowData follow = (FollowData)value_;
         follow.write(oprot);
@@ -351,6 +391,8 @@
         return PROPOSE_FIELD_DESC;
       case PROPOSAL_REPLY:
         return PROPOSAL_REPLY_FIELD_DESC;
+      case NOT_LEADER:
+        return NOT_LEADER_FIELD_DESC;
       case FOLLOW:
         return FOLLOW_FIELD_DESC;
       case FOLLOW_REPLY:
@@ -405,6 +447,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.PROPOSAL_REPLY");
   }
 
+  public NotLeaderData getNotLeader() {
+    if (getSetField() == _Fields.NOT_LEADER) {
+      return (NotLeaderData)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'notLeader' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setNotLeader(NotLeaderData value) {
+    setField_ = _Fields.NOT_LEADER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.NOT_LEADER");
+  }
+
   public FollowData getFollow() {
     if (getSetField() == _Fields.FOLLOW) {
       return (FollowData)getFieldValue();
@@ -454,6 +509,11 @@
   }
 
 
+  public boolean isSetNotLeader() {
+    return setField_ == _Fields.NOT_LEADER;
+  }
+
+
   public boolean isSetFollow() {
     return setField_ == _Fields.FOLLOW;
   }
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/consensus/FollowData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/consensus/FollowData.java
@@ -7,7 +7,7 @@
 package io.siskintrail.wire.gen.consensus;
 
 /**
- * Asks for what is committed behind an index.
+ * Asks for what is committed behind an index; an image is fetched piece by piece.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class FollowData implements org.apache.thrift.TBase<FollowData, FollowData._Fields>, java.io.Serializable, Cloneable, Comparable<FollowData> {
@@ -21,18 +21,12 @@
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FollowDataTupleSchemeFactory();
 
   public long after; // required
-  /**
-   * Offset in the image that is being fetched; 0 when none.
-   */
   public long imageIndex; // required
   public int imageOffset; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     AFTER((short)1, "after"),
-    /**
-     * Offset in the image that is being fetched; 0 when none.
-     */
     IMAGE_INDEX((short)2, "imageIndex"),
     IMAGE_OFFSET((short)3, "imageOffset");
 
@@ -181,16 +175,10 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AFTER_ISSET_ID, value);
   }
 
-  /**
-   * Offset in the image that is being fetched; 0 when none.
-   */
   public long getImageIndex() {
     return this.imageIndex;
   }
 
-  /**
-   * Offset in the image that is being fetched; 0 when none.
-   */
   public FollowData setImageIndex(long imageIndex) {
     this.imageIndex = imageIndex;
     setImageIndexIsSet(true);
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/consensus/FollowReplyData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/consensus/FollowReplyData.java
@@ -12,20 +12,17 @@
 
   private static final org.apache.thrift.protocol.TField AFTER_FIELD_DESC = new org.apache.thrift.protocol.TField("after", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField ENTRIES_FIELD_DESC = new org.apache.thrift.protocol.TField("entries", org.apache.thrift.protocol.TType.LIST, (short)2);
-  private static final org.apache.thrift.protocol.TField COMMIT_FIELD_DESC = new org.apache.thrift.protocol.TField("commit", org.apache.thrift.protocol.TType.I64, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FollowReplyDataStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FollowReplyDataTupleSchemeFactory();
 
   public long after; // required
-  public @org.apache.thrift.annotation.Nullable java.util.List<FollowedEntryData> entries; // required
-  public long commit; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<EntryData> entries; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     AFTER((short)1, "after"),
-    ENTRIES((short)2, "entries"),
-    COMMIT((short)3, "commit");
+    ENTRIES((short)2, "entries");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,8 +42,6 @@
           return AFTER;
         case 2: // ENTRIES
           return ENTRIES;
-        case 3: // COMMIT
-          return COMMIT;
         default:
           return null;
       }
@@ -91,7 +86,6 @@
 
   // isset id assignments
   private static final int __AFTER_ISSET_ID = 0;
-  private static final int __COMMIT_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -100,9 +94,7 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.ENTRIES, new org.apache.thrift.meta_data.FieldMetaData("entries", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, FollowedEntryData.class))));
-    tmpMap.put(_Fields.COMMIT, new org.apache.thrift.meta_data.FieldMetaData("commit", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, EntryData.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FollowReplyData.class, metaDataMap);
   }
@@ -112,15 +104,12 @@
 
   public FollowReplyData(
     long after,
-    java.util.List<FollowedEntryData> entries,
-    long commit)
+    java.util.List<EntryData> entries)
   {
     this();
     this.after = after;
     setAfterIsSet(true);
     this.entries = entries;
-    this.commit = commit;
-    setCommitIsSet(true);
   }
 
   /**
@@ -130,13 +119,12 @@
     __isset_bitfield = other.__isset_bitfield;
     this.after = other.after;
     if (other.isSetEntries()) {
-      java.util.List<FollowedEntryData> __this__entries = new java.util.ArrayList<FollowedEntryData>(other.entries.size());
-      for (FollowedEntryData other_element : other.entries) {
-        __this__entries.add(new FollowedEntryData(other_element));
+      java.util.List<EntryData> __this__entries = new java.util.ArrayList<EntryData>(other.entries.size());
+      for (EntryData other_element : other.entries) {
+        __this__entries.add(new EntryData(other_element));
       }
       this.entries = __this__entries;
     }
-    this.commit = other.commit;
   }
 
   @Override
@@ -149,8 +137,6 @@
     setAfterIsSet(false);
     this.after = 0;
     this.entries = null;
-    setCommitIsSet(false);
-    this.commit = 0;
   }
 
   public long getAfter() {
@@ -181,23 +167,23 @@
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<FollowedEntryData> getEntriesIterator() {
+  public java.util.Iterator<EntryData> getEntriesIterator() {
     return (this.entries == null) ? null : this.entries.iterator();
   }
 
-  public void addToEntries(FollowedEntryData elem) {
+  public void addToEntries(EntryData elem) {
     if (this.entries == null) {
-      this.entries = new java.util.ArrayList<FollowedEntryData>();
+      this.entries = new java.util.ArrayList<EntryData>();
     }
     this.entries.add(elem);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<FollowedEntryData> getEntries() {
+  public java.util.List<EntryData> getEntries() {
     return this.entries;
   }
 
-  public FollowReplyData setEntries(@org.apache.thrift.annotation.Nullable java.util.List<FollowedEntryData> entries) {
+  public FollowReplyData setEntries(@org.apache.thrift.annotation.Nullable java.util.List<EntryData> entries) {
     this.entries = entries;
     return this;
   }
@@ -217,29 +203,6 @@
     }
   }
 
-  public long getCommit() {
-    return this.commit;
-  }
-
-  public FollowReplyData setCommit(long commit) {
-    this.commit = commit;
-    setCommitIsSet(true);
-    return this;
-  }
-
-  public void unsetCommit() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __COMMIT_ISSET_ID);
-  }
-
-  /** Returns true if field commit is set (has been assigned a value) and false otherwise */
-  public boolean isSetCommit() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __COMMIT_ISSET_ID);
-  }
-
-  public void setCommitIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __COMMIT_ISSET_ID, value);
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -255,15 +218,7 @@
       if (value == null) {
         unsetEntries();
       } else {
-        setEntries((java.util.List<FollowedEntryData>)value);
-      }
-      break;
-
-    case COMMIT:
-      if (value == null) {
-        unsetCommit();
-      } else {
-        setCommit((java.lang.Long)value);
+        setEntries((java.util.List<EntryData>)value);
       }
       break;
 
@@ -280,9 +235,6 @@
     case ENTRIES:
       return getEntries();
 
-    case COMMIT:
-      return getCommit();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -299,8 +251,6 @@
       return isSetAfter();
     case ENTRIES:
       return isSetEntries();
-    case COMMIT:
-      return isSetCommit();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -336,15 +286,6 @@
         return false;
     }
 
-    boolean this_present_commit = true;
-    boolean that_present_commit = true;
-    if (this_present_commit || that_present_commit) {
-      if (!(this_present_commit && that_present_commit))
-        return false;
-      if (this.commit != that.commit)
-        return false;
-    }
-
     return true;
   }
 
@@ -358,8 +299,6 @@
     if (isSetEntries())
       hashCode = hashCode * 8191 + entries.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(commit);
-
     return hashCode;
   }
 
@@ -391,16 +330,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetCommit(), other.isSetCommit());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetCommit()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.commit, other.commit);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -436,10 +365,6 @@
       sb.append(this.entries);
     }
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("commit:");
-    sb.append(this.commit);
-    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -450,7 +375,6 @@
     if (entries == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'entries' was not present! Struct: " + toString());
     }
-    // alas, we cannot check 'commit' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -504,11 +428,11 @@
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
                 org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
-                struct.entries = new java.util.ArrayList<FollowedEntryData>(_list48.size);
-                @org.apache.thrift.annotation.Nullable FollowedEntryData _elem49;
+                struct.entries = new java.util.ArrayList<EntryData>(_list48.size);
+                @org.apache.thrift.annotation.Nullable EntryData _elem49;
                 for (int _i50 = 0; _i50 < _list48.size; ++_i50)
                 {
-                  _elem49 = new FollowedEntryData();
+                  _elem49 = new EntryData();
                   _elem49.read(iprot);
                   struct.entries.add(_elem49);
                 }
@@ -519,14 +443,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // COMMIT
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.commit = iprot.readI64();
-              struct.setCommitIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -538,9 +454,6 @@
       if (!struct.isSetAfter()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'after' was not found in serialized data! Struct: " + toString());
       }
-      if (!struct.isSetCommit()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'commit' was not found in serialized data! Struct: " + toString());
-      }
       struct.validate();
     }
 
@@ -556,7 +469,7 @@
         oprot.writeFieldBegin(ENTRIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.entries.size()));
-          for (FollowedEntryData _iter51 : struct.entries)
+          for (EntryData _iter51 : struct.entries)
           {
             _iter51.write(oprot);
           }
@@ -564,9 +477,6 @@
         }
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(COMMIT_FIELD_DESC);
-      oprot.writeI64(struct.commit);
-      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -588,12 +498,11 @@
       oprot.writeI64(struct.after);
       {
         oprot.writeI32(struct.entries.size());
-        for (FollowedEntryData _iter52 : struct.entries)
+        for (EntryData _iter52 : struct.entries)
         {
           _iter52.write(oprot);
         }
       }
-      oprot.writeI64(struct.commit);
     }
 
     @Override
@@ -603,18 +512,16 @@
       struct.setAfterIsSet(true);
       {
         org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.entries = new java.util.ArrayList<FollowedEntryData>(_list53.size);
-        @org.apache.thrift.annotation.Nullable FollowedEntryData _elem54;
+        struct.entries = new java.util.ArrayList<EntryData>(_list53.size);
+        @org.apache.thrift.annotation.Nullable EntryData _elem54;
         for (int _i55 = 0; _i55 < _list53.size; ++_i55)
         {
-          _elem54 = new FollowedEntryData();
+          _elem54 = new EntryData();
           _elem54.read(iprot);
           struct.entries.add(_elem54);
         }
       }
       struct.setEntriesIsSet(true);
-      struct.commit = iprot.readI64();
-      struct.setCommitIsSet(true);
     }
   }
 
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/consensus/ProposalOutcome.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/consensus/ProposalOutcome.java
@@ -9,10 +9,13 @@
 
 public enum ProposalOutcome implements org.apache.thrift.TEnum {
   ANSWERED(1),
-  NOT_LEADER(2),
+  /**
+   * The answer is the number of the session, 8 bytes, high byte first.
+   */
+  OPENED(2),
   TOO_LARGE(3),
   /**
-   * The client was silent for so long that its repeats are no longer known.
+   * The client was silent for so long that its session is no longer known.
    */
   FORGOTTEN(4);
 
@@ -40,7 +43,7 @@
       case 1:
         return ANSWERED;
       case 2:
-        return NOT_LEADER;
+        return OPENED;
       case 3:
         return TOO_LARGE;
       case 4:
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/consensus/ProposalReplyData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/consensus/ProposalReplyData.java
@@ -14,7 +14,6 @@
   private static final org.apache.thrift.protocol.TField NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("number", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField OUTCOME_FIELD_DESC = new org.apache.thrift.protocol.TField("outcome", org.apache.thrift.protocol.TType.I32, (short)3);
   private static final org.apache.thrift.protocol.TField ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("answer", org.apache.thrift.protocol.TType.STRING, (short)4);
-  private static final org.apache.thrift.protocol.TField LEADER_FIELD_DESC = new org.apache.thrift.protocol.TField("leader", org.apache.thrift.protocol.TType.STRING, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ProposalReplyDataStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ProposalReplyDataTupleSchemeFactory();
@@ -27,10 +26,6 @@
    */
   public @org.apache.thrift.annotation.Nullable ProposalOutcome outcome; // required
   public @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer answer; // optional
-  /**
-   * Host of the leader, where known.
-   */
-  public @org.apache.thrift.annotation.Nullable java.lang.String leader; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -41,11 +36,7 @@
      * @see ProposalOutcome
      */
     OUTCOME((short)3, "outcome"),
-    ANSWER((short)4, "answer"),
-    /**
-     * Host of the leader, where known.
-     */
-    LEADER((short)5, "leader");
+    ANSWER((short)4, "answer");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -69,8 +60,6 @@
           return OUTCOME;
         case 4: // ANSWER
           return ANSWER;
-        case 5: // LEADER
-          return LEADER;
         default:
           return null;
       }
@@ -117,7 +106,7 @@
   private static final int __CLIENT_ISSET_ID = 0;
   private static final int __NUMBER_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.ANSWER,_Fields.LEADER};
+  private static final _Fields optionals[] = {_Fields.ANSWER};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -129,8 +118,6 @@
         new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, ProposalOutcome.class)));
     tmpMap.put(_Fields.ANSWER, new org.apache.thrift.meta_data.FieldMetaData("answer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
-    tmpMap.put(_Fields.LEADER, new org.apache.thrift.meta_data.FieldMetaData("leader", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ProposalReplyData.class, metaDataMap);
   }
@@ -164,9 +151,6 @@
     if (other.isSetAnswer()) {
       this.answer = org.apache.thrift.TBaseHelper.copyBinary(other.answer);
     }
-    if (other.isSetLeader()) {
-      this.leader = other.leader;
-    }
   }
 
   @Override
@@ -182,7 +166,6 @@
     this.number = 0;
     this.outcome = null;
     this.answer = null;
-    this.leader = null;
   }
 
   public long getClient() {
@@ -298,37 +281,6 @@
     }
   }
 
-  /**
-   * Host of the leader, where known.
-   */
-  @org.apache.thrift.annotation.Nullable
-  public java.lang.String getLeader() {
-    return this.leader;
-  }
-
-  /**
-   * Host of the leader, where known.
-   */
-  public ProposalReplyData setLeader(@org.apache.thrift.annotation.Nullable java.lang.String leader) {
-    this.leader = leader;
-    return this;
-  }
-
-  public void unsetLeader() {
-    this.leader = null;
-  }
-
-  /** Returns true if field leader is set (has been assigned a value) and false otherwise */
-  public boolean isSetLeader() {
-    return this.leader != null;
-  }
-
-  public void setLeaderIsSet(boolean value) {
-    if (!value) {
-      this.leader = null;
-    }
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -368,14 +320,6 @@
       }
       break;
 
-    case LEADER:
-      if (value == null) {
-        unsetLeader();
-      } else {
-        setLeader((java.lang.String)value);
-      }
-      break;
-
     }
   }
 
@@ -395,9 +339,6 @@
     case ANSWER:
       return getAnswer();
 
-    case LEADER:
-      return getLeader();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -418,8 +359,6 @@
       return isSetOutcome();
     case ANSWER:
       return isSetAnswer();
-    case LEADER:
-      return isSetLeader();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -473,15 +412,6 @@
         return false;
     }
 
-    boolean this_present_leader = true && this.isSetLeader();
-    boolean that_present_leader = true && that.isSetLeader();
-    if (this_present_leader || that_present_leader) {
-      if (!(this_present_leader && that_present_leader))
-        return false;
-      if (!this.leader.equals(that.leader))
-        return false;
-    }
-
     return true;
   }
 
@@ -501,10 +431,6 @@
     if (isSetAnswer())
       hashCode = hashCode * 8191 + answer.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetLeader()) ? 131071 : 524287);
-    if (isSetLeader())
-      hashCode = hashCode * 8191 + leader.hashCode();
-
     return hashCode;
   }
 
@@ -556,16 +482,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetLeader(), other.isSetLeader());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetLeader()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leader, other.leader);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -615,16 +531,6 @@
       }
       first = false;
     }
-    if (isSetLeader()) {
-      if (!first) sb.append(", ");
-      sb.append("leader:");
-      if (this.leader == null) {
-        sb.append("null");
-      } else {
-        sb.append(this.leader);
-      }
-      first = false;
-    }
     sb.append(")");
     return sb.toString();
   }
@@ -709,14 +615,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 5: // LEADER
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.leader = iprot.readString();
-              struct.setLeaderIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -757,13 +655,6 @@
           oprot.writeFieldEnd();
         }
       }
-      if (struct.leader != null) {
-        if (struct.isSetLeader()) {
-          oprot.writeFieldBegin(LEADER_FIELD_DESC);
-          oprot.writeString(struct.leader);
-          oprot.writeFieldEnd();
-        }
-      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -789,16 +680,10 @@
       if (struct.isSetAnswer()) {
         optionals.set(0);
       }
-      if (struct.isSetLeader()) {
-        optionals.set(1);
-      }
-      oprot.writeBitSet(optionals, 2);
+      oprot.writeBitSet(optionals, 1);
       if (struct.isSetAnswer()) {
         oprot.writeBinary(struct.answer);
       }
-      if (struct.isSetLeader()) {
-        oprot.writeString(struct.leader);
-      }
     }
 
     @Override
@@ -810,15 +695,11 @@
       struct.setNumberIsSet(true);
       struct.outcome = io.siskintrail.wire.gen.consensus.ProposalOutcome.findByValue(iprot.readI32());
       struct.setOutcomeIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         struct.answer = iprot.readBinary();
         struct.setAnswerIsSet(true);
       }
-      if (incoming.get(1)) {
-        struct.leader = iprot.readString();
-        struct.setLeaderIsSet(true);
-      }
     }
   }
 
--- a/siskintrail/src/io/siskintrail/internal/consensus/Leadership.java
+++ b/siskintrail/src/io/siskintrail/internal/consensus/Leadership.java
@@ -29,10 +29,21 @@
         this.replication = new Replication(core);
         this.reads = new ReadQueue(core);
         this.startIndex = core.log.lastIndex() + 1;
-        append(List.of(core.newEntry(0, new EntryBody.TermStart())));
+        append(List.of(core.newEntry(0, firstBody())));
         nextHeartbeat = core.now + core.settings.heartbeatMillis();
     }
 
+    /** Puts a replica set that only the snapshot of its founder names into the log. */
+    private EntryBody firstBody() {
+        return core.log.replicasIndex() == 0
+                ? new EntryBody.Reconfiguration(core.log.replicas())
+                : new EntryBody.TermStart();
+    }
+
+    long startIndex() {
+        return startIndex;
+    }
+
     /** Returns false when this replica must stop leading because it lost its quorum. */
     boolean tick() {
         if (!replication.heardFromQuorum()) {
--- a/siskintrail/src/io/siskintrail/internal/consensus/Replica.java
+++ b/siskintrail/src/io/siskintrail/internal/consensus/Replica.java
@@ -119,6 +119,24 @@
         return leadership != null && leadership.holdsLease() && nowMillis < leadership.leaseUntil();
     }
 
+    /** Returns whether this replica has no log, no vote and belongs to no replica set. */
+    public boolean isPristine() {
+        return core.term() == 0
+                && core.log.lastIndex() == 0
+                && core.log.replicas().equals(ReplicaSet.NONE);
+    }
+
+    /** Returns until when no other replica can lead, by this clock; always past on other roles. */
+    public long leaseUntil() {
+        boolean holds = leadership != null && leadership.holdsLease();
+        return holds ? leadership.leaseUntil() : Long.MIN_VALUE;
+    }
+
+    /** Returns the index of the first entry of the term of this leader; 0 on other roles. */
+    public long termStartIndex() {
+        return leadership == null ? 0 : leadership.startIndex();
+    }
+
     /** Returns what a leader knows of the other replicas; empty on other roles. */
     public List<ReplicaHealth> health() {
         return leadership == null ? List.of() : leadership.health();
@@ -159,6 +177,8 @@
             if (leadership != null) {
                 leadership.transfer();
             }
+        } else if (input instanceof ReplicaInput.Form f) {
+            form(f.replicas());
         } else if (input instanceof ReplicaInput.SnapshotTaken s) {
             snapshotTaken(s);
         }
@@ -245,6 +265,15 @@
         }
     }
 
+    private void form(ReplicaSet replicas) {
+        if (!isPristine()) {
+            return;
+        }
+        Snapshot initial = Snapshot.initial(replicas);
+        core.log.reset(initial);
+        core.out.persist(new ReplicaEffect.SaveSnapshot(initial, true));
+    }
+
     private void propose(Propose input) {
         if (leadership != null && !leadership.isTransferring()) {
             leadership.propose(input.proposals(), input.wallMillis());
--- a/siskintrail/src/io/siskintrail/internal/consensus/ReplicaInput.java
+++ b/siskintrail/src/io/siskintrail/internal/consensus/ReplicaInput.java
@@ -33,6 +33,9 @@
     /** Asks from which index on a local read is linearizable. */
     record Read(long token) implements ReplicaInput {}
 
+    /** Begins a new log with {@code replicas}; ignored unless this replica is pristine. */
+    record Form(ReplicaSet replicas) implements ReplicaInput {}
+
     /** Asks for one change of the replica set. */
     record ChangeReplicas(ReplicaChange change) implements ReplicaInput {}
 
