Run a replica on a disk, a control thread and the peer transport

ControlReplica carries the effects out: one disk thread syncs all that waits at once, proposals gather into batches, replies go out when applied, hosts without a replica follow by asking for what is behind their last entry. The first replicas begin a log only when all of them are there and none knows of one, so a wiped disk can't begin a second log.

--- /dev/null
+++ b/siskintrail.control/src/io/siskintrail/control/internal/replica/DiskThread.java
@@ -0,0 +1,79 @@
+package io.siskintrail.control.internal.replica;
+
+import io.siskintrail.internal.consensus.ReplicaEffect;
+import io.siskintrail.storage.LogStore;
+import io.siskintrail.storage.StorageException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+
+/**
+ * Owns the thread that writes to a store. Everything that waits when the thread gets to it is made
+ * durable with one sync.
+ */
+final class DiskThread {
+    private static final long JOIN_MILLIS = 5_000;
+
+    private final LogStore store;
+    private final LongConsumer synced;
+    private final Consumer<StorageException> failed;
+    private final BlockingQueue<Job> queue = new LinkedBlockingQueue<>();
+    private final Thread thread = new Thread(this::run, "control-disk");
+
+    private record Job(List<ReplicaEffect.Persist> changes, long number) {}
+
+    /**
+     * Prepares the thread.
+     *
+     * @param store an open store, used by this thread alone until {@link #stop}
+     * @param synced called on the thread with the number up to which all is durable
+     * @param failed called on the thread, once, when the store fails
+     */
+    DiskThread(LogStore store, LongConsumer synced, Consumer<StorageException> failed) {
+        this.store = store;
+        this.synced = synced;
+        this.failed = failed;
+        thread.setDaemon(true);
+    }
+
+    void start() {
+        thread.start();
+    }
+
+    void submit(List<ReplicaEffect.Persist> changes, long number) {
+        queue.add(new Job(changes, number));
+    }
+
+    /** Stops without waiting for what is queued. */
+    void stop() {
+        thread.interrupt();
+        try {
+            thread.join(JOIN_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void run() {
+        List<Job> jobs = new ArrayList<>();
+        try {
+            while (true) {
+                jobs.clear();
+                jobs.add(queue.take());
+                queue.drainTo(jobs);
+                for (Job job : jobs) {
+                    job.changes().forEach(store::write);
+                }
+                store.sync();
+                synced.accept(jobs.get(jobs.size() - 1).number());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (StorageException e) {
+            failed.accept(e);
+        }
+    }
+}
--- a/siskintrail/src/io/siskintrail/internal/consensus/Replica.java
+++ b/siskintrail/src/io/siskintrail/internal/consensus/Replica.java
@@ -99,6 +99,11 @@
         return core.log.replicas();
     }
 
+    /** Returns whether the replica set in use is known to be committed. */
+    public boolean replicasSettled() {
+        return core.log.replicasIndex() <= core.commitIndex();
+    }
+
     /** Returns the latest snapshot. */
     public Snapshot snapshot() {
         return core.log.snapshot();
