Keep the control state on disk when a data folder is set

ControlService runs ControlReplica behind ControlLog; an empty dataFolder still means one replica in memory. firstReplicas names the replicas that begin the log; other hosts with a disk are spares.

--- a/siskintrail.bench/src/io/siskintrail/bench/QuickstartExperiment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/QuickstartExperiment.java
@@ -144,6 +144,7 @@
                 SHARED_KEY,
                 "",
                 List.of(),
+                List.of(),
                 List.of(new ControlSettings.Peer(ROUTER, "local", routerPeerAddress)),
                 List.of(
                         new ControlSettings.Operator(
--- a/siskintrail.control/src/io/siskintrail/control/ControlService.java
+++ b/siskintrail.control/src/io/siskintrail/control/ControlService.java
@@ -6,6 +6,7 @@
 import io.siskintrail.control.internal.configuration.ControlLog;
 import io.siskintrail.control.internal.configuration.MemoryControlLog;
 import io.siskintrail.control.internal.http.OperatorTokens;
+import io.siskintrail.control.internal.replica.ReplicatedControlLog;
 import io.siskintrail.internal.control.Configuration;
 import io.siskintrail.internal.rules.RulesParser;
 import io.siskintrail.lib.HostId;
@@ -44,7 +45,10 @@
                         settings.sharedKey());
         settings.replicas().forEach(p -> addPeer(p.info()));
         settings.routers().forEach(p -> addPeer(p.info()));
-        log = new MemoryControlLog();
+        log =
+                settings.dataFolder().isEmpty()
+                        ? new MemoryControlLog()
+                        : ReplicatedControlLog.open(settings, transport, loop);
         configuration =
                 new ConfigurationService(
                         log.client(), transport, loop, log::lease, settings.routerHosts());
--- a/siskintrail.control/src/io/siskintrail/control/ControlSettings.java
+++ b/siskintrail.control/src/io/siskintrail/control/ControlSettings.java
@@ -5,7 +5,10 @@
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.HostInfo;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Settings of a control replica.
@@ -17,7 +20,9 @@
  * @param sharedKey the key that all processes of the deployment authenticate each other with
  * @param dataFolder the folder on disk that holds the state; empty keeps it in memory, which is
  *     allowed only to a single replica for trying out
- * @param replicas the other control replicas
+ * @param replicas the other hosts with a disk, spares included
+ * @param firstReplicas the host ids of the replicas that begin the log of a new deployment, 3 or 5
+ *     of the hosts with a disk; their number stays that of the voters. Empty takes all of them
  * @param routers the routers of a new deployment; later ones are added through the API
  * @param operators who may use the administration API
  */
@@ -29,6 +34,7 @@
         String sharedKey,
         String dataFolder,
         List<Peer> replicas,
+        List<String> firstReplicas,
         List<Peer> routers,
         List<Operator> operators) {
     private static final int MIN_SECRET_LENGTH = 8;
@@ -45,12 +51,36 @@
                 "at least %d characters".formatted(MIN_SECRET_LENGTH));
         dataFolder = dataFolder == null ? "" : dataFolder;
         replicas = replicas == null ? List.of() : List.copyOf(replicas);
+        firstReplicas = firstReplicas == null ? List.of() : List.copyOf(firstReplicas);
         routers = routers == null ? List.of() : List.copyOf(routers);
         operators = operators == null ? List.of() : List.copyOf(operators);
         require(
                 !dataFolder.isEmpty() || replicas.isEmpty(),
                 "dataFolder",
                 "a folder, because there are other replicas");
+        Set<String> disks = new TreeSet<>(Set.of(host));
+        replicas.forEach(p -> disks.add(p.host()));
+        require(disks.containsAll(firstReplicas), "firstReplicas", "host ids out of " + disks);
+    }
+
+    /** Returns this host as the others know it. */
+    public HostInfo info() {
+        return new HostInfo(hostId(), new FailureDomain(domain), peerAddress);
+    }
+
+    /** Returns the other hosts with a disk. */
+    public List<HostInfo> replicaHosts() {
+        return replicas.stream().map(Peer::info).toList();
+    }
+
+    /** Returns the hosts whose replicas begin the log of a new deployment. */
+    public List<HostId> firstHosts() {
+        if (!firstReplicas.isEmpty()) {
+            return firstReplicas.stream().map(HostId::new).toList();
+        }
+        List<HostId> all = new ArrayList<>(List.of(hostId()));
+        replicaHosts().forEach(h -> all.add(h.id()));
+        return all;
     }
 
     /** Returns the id of this process. */
--- a/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
+++ b/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
@@ -43,6 +43,7 @@
                                 "",
                                 List.of(),
                                 List.of(),
+                                List.of(),
                                 List.of(
                                         new ControlSettings.Operator(
                                                 "huda", OperatorTokens.hashOf(TOKEN)))));
