--- a/siskintrail/src/io/siskintrail/internal/policy/Admission.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/Admission.java
@@ -87,7 +87,8 @@
     }
 
     void succeeded(WorkRequest request) {
-        retries.succeeded(request.account(), request.fingerprint(), rules.retryRatio());
+        retries.succeeded(
+                request.account(), request.fingerprint(), rules.of(request.account()).retryShare());
     }
 
     /** Corrects the tokens of an admitted request when their number is known. */
@@ -146,7 +147,10 @@
     }
 
     private Refusal checkWait(long now, WorkRequest request) {
-        long most = Math.min(request.maxWaitMillis(), rules.of(request.rank()).maxQueueMillis());
+        long most =
+                Math.min(
+                        request.maxWaitMillis(),
+                        rules.of(request.account()).queueMillis(request.rank()));
         long wait = expectedWait(now, request);
         if (wait > most) {
             return refusal(
--- a/siskintrail/src/io/siskintrail/internal/policy/Dispatcher.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/Dispatcher.java
@@ -215,7 +215,7 @@
         if (key != null) {
             keys.put(key, request.ticket());
         }
-        long longest = rules.of(request.rank()).maxQueueMillis();
+        long longest = rules.of(request.account()).queueMillis(request.rank());
         long order = orders++ - (request.recovery() ? RECOVERY_ORDER_BONUS : 0);
         long wait = request.recovery() ? longest : Math.min(request.maxWaitMillis(), longest);
         Work work = new Work(request, order, now, now + wait);
@@ -288,7 +288,7 @@
             leases.suspended(work.endpoint);
         }
         work.state = Work.State.WAITING;
-        work.deadline = now + rules.of(work.request.rank()).maxQueueMillis();
+        work.deadline = now + rules.of(work.request.account()).queueMillis(work.request.rank());
         enqueue(work);
     }
 
--- a/siskintrail/src/io/siskintrail/internal/policy/Fairness.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/Fairness.java
@@ -58,6 +58,6 @@
 
     /** Returns how many of {@code slots} the rank keeps while it has work. */
     int floorSlots(Rank rank, int slots) {
-        return (int) Math.ceil(rules.of(rank).floor() * slots);
+        return (int) Math.ceil(rules.floor(rank) * slots);
     }
 }
