Add the fault matrix of orders and reach the control log

Cause: the promise on orders was shown only by the fuzzer over the pure logic; routers had no client for a replicated log. Change: siskintrail-bench ledger-faults puts each fault at each step from the claim to the recorded answer, over two routers, two endpoints and three control replicas with sockets and files; routers propose through RemoteControlClient; a proposal that is under way is not proposed again.

--- a/siskintrail.bench/src/io/siskintrail/bench/Main.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/Main.java
@@ -1,6 +1,7 @@
 package io.siskintrail.bench;
 
 import io.siskintrail.bench.membership.MembershipExperiment;
+import io.siskintrail.bench.orders.LedgerFaultsExperiment;
 import io.siskintrail.service.LogSetup;
 import java.util.Arrays;
 import java.util.Map;
@@ -15,6 +16,7 @@
     static {
         EXPERIMENTS.put("in-force", InForceBench::new);
         EXPERIMENTS.put("policy", PolicyBench::new);
+        EXPERIMENTS.put("ledger-faults", LedgerFaultsExperiment::new);
         EXPERIMENTS.put("membership", MembershipExperiment::new);
         EXPERIMENTS.put("quickstart", QuickstartExperiment::new);
     }
--- a/siskintrail.fake/src/io/siskintrail/fake/FakeService.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/FakeService.java
@@ -8,6 +8,7 @@
 import io.siskintrail.lib.ServiceName;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * A stand-in for a plain service. It counts how often it executes each call, by the call's
@@ -26,6 +27,11 @@
         this.state = new ServiceState(settings.answerMillis());
     }
 
+    /** Calls {@code listener} as calls proceed, on the thread that serves them. */
+    public void onPhase(Consumer<CallPhase> listener) {
+        state.setListener(listener);
+    }
+
     /** Makes the next call show {@code fault}. */
     public void inject(ServiceFault fault) {
         state.inject(fault);
--- a/siskintrail.fake/src/io/siskintrail/fake/ServiceHandler.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/ServiceHandler.java
@@ -26,6 +26,7 @@
         if (state.paused()) {
             return;
         }
+        state.reached(CallPhase.ARRIVED);
         ServiceFault fault = state.takeFault();
         if (fault == ServiceFault.RESET_BEFORE) {
             HttpAnswers.reset(ctx);
@@ -36,6 +37,7 @@
         }
         String key = keyOf(request);
         int execution = state.execute(key, request.headers().get(REQUEST_ID_HEADER, ""));
+        state.reached(CallPhase.EXECUTED);
         if (fault == ServiceFault.RESET_AFTER) {
             state.answered();
             HttpAnswers.reset(ctx);
--- a/siskintrail.fake/src/io/siskintrail/fake/ServiceState.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/ServiceState.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 
 /** What the connections of one fake service share. Safe for use by several threads. */
 final class ServiceState {
@@ -14,6 +15,7 @@
     private final AtomicInteger running = new AtomicInteger();
     private final int answerMillis;
     private volatile boolean paused;
+    private volatile Consumer<CallPhase> listener = phase -> {};
 
     ServiceState(int answerMillis) {
         this.answerMillis = answerMillis;
@@ -31,6 +33,14 @@
         this.paused = paused;
     }
 
+    void setListener(Consumer<CallPhase> next) {
+        listener = next;
+    }
+
+    void reached(CallPhase phase) {
+        listener.accept(phase);
+    }
+
     void inject(ServiceFault next) {
         fault.set(next);
     }
--- a/siskintrail.router/src/io/siskintrail/router/RouterService.java
+++ b/siskintrail.router/src/io/siskintrail/router/RouterService.java
@@ -30,6 +30,7 @@
 import io.siskintrail.service.Service;
 import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ThriftPeerTransport;
+import io.siskintrail.wire.control.RemoteControlClient;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -160,7 +161,20 @@
                         transport,
                         loop);
         follower.onChange(this::addPeers);
-        control = new ControlAccess(ControlAccess.unavailable(), follower);
+        control = new ControlAccess(connectControl(controls), follower);
+    }
+
+    private RemoteControlClient connectControl(List<HostId> controls) {
+        RemoteControlClient client =
+                new RemoteControlClient(
+                        controls,
+                        transport,
+                        loop::execute,
+                        ControlLoop::nowMillis,
+                        random.nextLong());
+        client.register();
+        loop.every(RemoteControlClient.TICK_MILLIS, client::tick);
+        return client;
     }
 
     private void startOrders() {
@@ -227,6 +241,11 @@
         LogEvent.info(LOG, "router.stopped").with("host", settings.host()).write();
     }
 
+    /** Runs {@code task} on the control thread; a task that sleeps pauses this router. */
+    public void onControlThread(Runnable task) {
+        loop.execute(task);
+    }
+
     /** Stops at once, as the death of the process would: open orders stay as they are. */
     public void abort() {
         orders.abort();
--- a/siskintrail.router/src/io/siskintrail/router/internal/order/LedgerClient.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/order/LedgerClient.java
@@ -23,8 +23,8 @@
     /**
      * Proposes {@code command}.
      *
-     * @param onAnswer called with the committed answer, on any thread; not called when there is
-     *     none
+     * @param onAnswer called once, on any thread, with the committed answer, or with null when the
+     *     proposal failed or its outcome is not known
      */
     void propose(LedgerCommand command, Consumer<LedgerAnswer> onAnswer) {
         byte[] bytes = codec.encodeCommand(new ControlCommand.ToLedger(command));
@@ -35,6 +35,7 @@
                                 LogEvent.debug(LOG, "ledger.proposal.failed")
                                         .with("cause", error.getMessage())
                                         .write();
+                                onAnswer.accept(null);
                                 return;
                             }
                             ControlAnswer decoded = codec.decodeAnswer(answer);
--- a/siskintrail.router/src/io/siskintrail/router/internal/order/OrderService.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/order/OrderService.java
@@ -1,6 +1,7 @@
 package io.siskintrail.router.internal.order;
 
 import io.siskintrail.internal.ledger.EndpointPicker;
+import io.siskintrail.internal.ledger.LedgerAnswer;
 import io.siskintrail.internal.ledger.LedgerCommand;
 import io.siskintrail.internal.ledger.OrderEffect;
 import io.siskintrail.internal.ledger.OrderFlow;
@@ -16,7 +17,9 @@
 import io.siskintrail.wire.control.ControlClient;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
@@ -40,6 +43,7 @@
     private final ServiceClient client = new ServiceClient(ANSWER_TIMEOUT);
     private final Map<Long, ServiceCall> contents = new HashMap<>();
     private final Map<Long, CompletableFuture<OrderOutcome>> callers = new HashMap<>();
+    private final Set<Long> proposing = new HashSet<>();
     private long requests;
     private boolean settled;
     private volatile boolean stopped;
@@ -143,14 +147,7 @@
 
     private void carryOut(OrderEffect effect) {
         if (effect instanceof OrderEffect.Propose p) {
-            ledger.propose(
-                    p.command(),
-                    answer ->
-                            loop.execute(
-                                    () ->
-                                            step(
-                                                    new OrderInput.LedgerReplied(
-                                                            p.proposal(), answer))));
+            propose(p);
         } else if (effect instanceof OrderEffect.Call c) {
             call(c);
         } else if (effect instanceof OrderEffect.Tell t) {
@@ -160,6 +157,20 @@
         }
     }
 
+    /** Proposes a command, unless an earlier copy of the proposal is still on its way. */
+    private void propose(OrderEffect.Propose p) {
+        if (proposing.add(p.proposal())) {
+            ledger.propose(p.command(), answer -> loop.execute(() -> proposed(p, answer)));
+        }
+    }
+
+    private void proposed(OrderEffect.Propose p, LedgerAnswer answer) {
+        proposing.remove(p.proposal());
+        if (answer != null) {
+            step(new OrderInput.LedgerReplied(p.proposal(), answer));
+        }
+    }
+
     private void call(OrderEffect.Call c) {
         String address = addresses.apply(c.endpoint());
         if (address == null) {
