Let the dispatcher hand out the slots of the router

Cause: the router chose the endpoint with the fewest streams, without ranks, fairness, limits or leases. Change: PolicyService runs the dispatcher on the control thread as the slot source of the generations: suspension, usage exchange and slot leases over the peer transport, rules in force, histograms by account and rank (queue wait, first token, gap), refusals and suspensions, and GET /admin/accounts.

--- a/siskintrail.router/src/io/siskintrail/router/RouterService.java
+++ b/siskintrail.router/src/io/siskintrail/router/RouterService.java
@@ -1,5 +1,6 @@
 package io.siskintrail.router;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.micronaut.context.ApplicationContext;
 import io.micronaut.runtime.server.EmbeddedServer;
 import io.siskintrail.internal.control.Configuration;
@@ -15,13 +16,14 @@
 import io.siskintrail.router.internal.filter.CurrencyFilter;
 import io.siskintrail.router.internal.filter.IdentifyFilter;
 import io.siskintrail.router.internal.filter.RequestChain;
-import io.siskintrail.router.internal.generation.DirectorySlots;
 import io.siskintrail.router.internal.generation.GenerationService;
 import io.siskintrail.router.internal.generation.GenerationStats;
 import io.siskintrail.router.internal.membership.MembershipService;
 import io.siskintrail.router.internal.order.EndpointTurns;
 import io.siskintrail.router.internal.order.OrderService;
 import io.siskintrail.router.internal.order.ServiceCalls;
+import io.siskintrail.router.internal.policy.PolicyMeters;
+import io.siskintrail.router.internal.policy.PolicyService;
 import io.siskintrail.router.internal.rules.RulesFollower;
 import io.siskintrail.router.internal.rules.RulesView;
 import io.siskintrail.router.internal.stream.StreamFilter;
@@ -58,6 +60,8 @@
     private EmbeddedServer server;
     private EngineClient engines;
     private GenerationService generations;
+    private final PolicyMeters meters = new PolicyMeters();
+    private PolicyService policy;
 
     /** Prepares a router that reaches the control hosts of its settings. */
     public RouterService(RouterSettings settings) {
@@ -83,6 +87,7 @@
         startOrders();
         generations.setRouters(routers());
         generations.start();
+        policy.start();
         RequestChain chain =
                 new RequestChain(
                         List.of(
@@ -93,8 +98,17 @@
         context =
                 ApplicationContext.builder()
                         .properties(httpProperties())
-                        .singletons(settings, chain, directory, rules, keys, services, membership)
+                        .singletons(
+                                settings,
+                                chain,
+                                directory,
+                                rules,
+                                keys,
+                                services,
+                                membership,
+                                policy)
                         .start();
+        context.findBean(MeterRegistry.class).ifPresent(meters::publishIn);
         server = context.getBean(EmbeddedServer.class).start();
         LogEvent.info(LOG, "router.started")
                 .with("host", settings.host())
@@ -120,7 +134,18 @@
                         transport,
                         loop,
                         directory);
+        prepareControl();
         engines = new EngineClient();
+        policy =
+                new PolicyService(
+                        settings.hostId(),
+                        System.currentTimeMillis(),
+                        transport,
+                        loop,
+                        directory,
+                        membership::liveHosts,
+                        control.rules(),
+                        meters);
         generations =
                 new GenerationService(
                         GenerationSettings.defaults(),
@@ -128,9 +153,8 @@
                         self(),
                         System.currentTimeMillis(),
                         transport,
-                        new DirectorySlots(directory),
+                        policy,
                         engines);
-        prepareControl();
         transport.start();
         if (follower != null) {
             follower.start();
@@ -255,6 +279,7 @@
     private void closeAll() {
         server.stop();
         generations.stop();
+        policy.stop();
         engines.close();
         services.close();
         context.close();
--- a/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationStripe.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationStripe.java
@@ -88,6 +88,9 @@
         if (stopped) {
             return;
         }
+        if (input instanceof GenerationInput.Chunk chunk) {
+            slots.progress(chunk.generation(), chunk.run().size());
+        }
         for (GenerationEffect effect : machine.step(ControlLoop.nowMillis(), input)) {
             carryOut(effect);
         }
--- a/siskintrail.router/src/io/siskintrail/router/internal/generation/SlotSource.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/generation/SlotSource.java
@@ -26,4 +26,7 @@
 
     /** Returns {@code ip:port} of an endpoint that a slot was granted at, null when forgotten. */
     String address(EndpointId endpoint);
+
+    /** Notes tokens that a generation has got from its engine; called by its stripe's thread. */
+    default void progress(GenerationId generation, int tokens) {}
 }
--- a/siskintrail.router/src/io/siskintrail/router/internal/generation/SpecBody.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/generation/SpecBody.java
@@ -11,7 +11,7 @@
  * @param prompt the prompt
  * @param maxTokens how many tokens the whole output may have
  */
-record SpecBody(String prompt, int maxTokens) {
+public record SpecBody(String prompt, int maxTokens) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     static SpecBody of(CompletionCall call) {
@@ -25,7 +25,8 @@
                 .toString();
     }
 
-    static SpecBody parse(String json) {
+    /** Reads the form that {@link #toJson()} wrote. */
+    public static SpecBody parse(String json) {
         try {
             JsonNode node = MAPPER.readTree(json);
             return new SpecBody(node.path("prompt").asText(), node.path("max_tokens").asInt());
--- a/siskintrail.router/src/io/siskintrail/router/internal/membership/MembershipService.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/membership/MembershipService.java
@@ -1,5 +1,6 @@
 package io.siskintrail.router.internal.membership;
 
+import io.siskintrail.internal.membership.HostEntry;
 import io.siskintrail.internal.membership.HostState;
 import io.siskintrail.internal.membership.Membership;
 import io.siskintrail.internal.membership.MembershipEffect;
@@ -20,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
@@ -123,6 +125,17 @@
         return answer;
     }
 
+    /** Returns the hosts that are not known to be dead, on the control thread only. */
+    public Set<HostId> liveHosts() {
+        Set<HostId> live = new TreeSet<>();
+        for (HostEntry h : membership.hosts()) {
+            if (h.state() != HostState.DEAD && hosts.contains(h.id())) {
+                live.add(h.id());
+            }
+        }
+        return live;
+    }
+
     private void receive(HostId sender, byte[] body) {
         MembershipMessage message;
         try {
