--- a/siskintrail.bench/src/io/siskintrail/bench/orders/LedgerFaultsExperiment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/orders/LedgerFaultsExperiment.java
@@ -1,6 +1,7 @@
 package io.siskintrail.bench.orders;
 
 import io.siskintrail.bench.Experiment;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -12,7 +13,7 @@
 /**
  * Runs every fault at every step of an order, each in a deployment of its own with two routers, two
  * endpoints and three control replicas over sockets and files, and prints the table. Arguments:
- * {@code [--short true] [--parallel N]}.
+ * {@code [--short true] [--parallel N] [--table FILE]}; the file gets the table in Markdown.
  */
 public final class LedgerFaultsExperiment implements Experiment {
     private static final Map<Fault, List<Step>> SHORT =
@@ -28,6 +29,7 @@
 
     private int parallel = 4;
     private boolean isShort;
+    private Path table;
 
     /** Prepares the whole matrix. */
     public LedgerFaultsExperiment() {}
@@ -38,11 +40,15 @@
             switch (args[i]) {
                 case "--short" -> isShort = Boolean.parseBoolean(args[i + 1]);
                 case "--parallel" -> parallel = Integer.parseInt(args[i + 1]);
+                case "--table" -> table = Path.of(args[i + 1]);
                 default -> throw new IllegalArgumentException("unknown argument " + args[i]);
             }
         }
         List<Cell.Outcome> outcomes = outcomes();
         outcomes.forEach(LedgerFaultsExperiment::print);
+        if (table != null) {
+            FaultTable.write(table, outcomes);
+        }
         long doubles = outcomes.stream().filter(o -> o.runs() > 1).count();
         long falseNotRun = outcomes.stream().mapToLong(Cell.Outcome::falseNotRun).sum();
         long differing = outcomes.stream().mapToLong(Cell.Outcome::differing).sum();
