--- a/siskintrail.bench/src/io/siskintrail/bench/Main.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/Main.java
@@ -1,5 +1,6 @@
 package io.siskintrail.bench;
 
+import io.siskintrail.bench.ledger.LedgerExperiment;
 import io.siskintrail.bench.membership.MembershipExperiment;
 import io.siskintrail.bench.orders.LedgerFaultsExperiment;
 import io.siskintrail.service.LogSetup;
@@ -15,6 +16,7 @@
 
     static {
         EXPERIMENTS.put("in-force", InForceBench::new);
+        EXPERIMENTS.put("ledger", LedgerExperiment::new);
         EXPERIMENTS.put("policy", PolicyBench::new);
         EXPERIMENTS.put("ledger-faults", LedgerFaultsExperiment::new);
         EXPERIMENTS.put("membership", MembershipExperiment::new);
--- /dev/null
+++ b/siskintrail.bench/src/io/siskintrail/bench/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** Measures the order ledger on replicated disks. */
+package io.siskintrail.bench.ledger;
--- a/siskintrail.control/src/io/siskintrail/control/internal/replica/ControlReplica.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/replica/ControlReplica.java
@@ -62,6 +62,7 @@
     private final ReplacementPolicy replacement;
     private final Map<HostId, FailureDomain> domains = new HashMap<>();
     private final DiskThread disk;
+    private final SnapshotSchedule snapshots;
     private final RemoteControlClient remote;
     private final List<ReplicaEffect.Persist> unsynced = new ArrayList<>();
     private volatile LeaderLease lease = LeaderLease.NONE;
@@ -69,7 +70,6 @@
     private volatile boolean stopped;
     private boolean leading;
     private long startIndex;
-    private long lastSnapshotIndex;
 
     /**
      * Opens the store and prepares the replica; to be made before the transport starts.
@@ -101,7 +101,8 @@
         StoredState stored = store.open();
         this.runner = new StateRunner<>(state, codec);
         runner.restore(stored.snapshot());
-        this.lastSnapshotIndex = stored.snapshot().position().index();
+        this.snapshots = new SnapshotSchedule(plan.snapshotEntries(), seed, this::snapshotTaken);
+        snapshots.restored(stored.snapshot().position().index());
         this.replica = new Replica(self, plan.settings(), stored, seed);
         this.follows = new FollowDesk(replica, this::sendControl);
         this.formation = new Formation(self, plan.first());
@@ -136,6 +137,7 @@
         stopped = true;
         lease = LeaderLease.NONE;
         disk.stop();
+        snapshots.stop();
         store.close();
         LogEvent.info(LOG, "replica.stopped").with("replica", self).write();
     }
@@ -273,10 +275,7 @@
         replica.step(now, input).forEach(this::carryOut);
         updateLease();
         updateStatus();
-        if (runner.appliedIndex() - lastSnapshotIndex >= plan.snapshotEntries()) {
-            lastSnapshotIndex = runner.appliedIndex();
-            step(new ReplicaInput.SnapshotTaken(lastSnapshotIndex, runner.image()));
-        }
+        snapshots.applied(runner);
     }
 
     private void carryOut(ReplicaEffect effect) {
@@ -294,7 +293,7 @@
             commit(c.entries());
         } else if (effect instanceof ReplicaEffect.Restore r) {
             runner.restore(r.snapshot());
-            lastSnapshotIndex = r.snapshot().position().index();
+            snapshots.restored(r.snapshot().position().index());
         } else if (effect instanceof ReplicaEffect.Proposed p) {
             proposals.appended(p.token(), p.position());
         } else if (effect instanceof ReplicaEffect.ProposalRefused p) {
@@ -338,6 +337,10 @@
         lease = new LeaderLease(until, startIndex);
     }
 
+    private void snapshotTaken(ReplicaInput.SnapshotTaken snapshot) {
+        loop.execute(() -> step(snapshot));
+    }
+
     private void updateStatus() {
         status =
                 new ReplicaStatus(
--- a/siskintrail.control/src/io/siskintrail/control/internal/replica/DiskThread.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/replica/DiskThread.java
@@ -23,6 +23,8 @@
     private final BlockingQueue<Job> queue = new LinkedBlockingQueue<>();
     private final Thread thread = new Thread(this::run, "control-disk");
 
+    private volatile boolean stopping;
+
     private record Job(List<ReplicaEffect.Persist> changes, long number) {}
 
     /**
@@ -47,9 +49,13 @@
         queue.add(new Job(changes, number));
     }
 
-    /** Stops without waiting for what is queued. */
+    /**
+     * Stops after what is being written; what is queued behind is dropped. The thread is not
+     * interrupted, because that would close the file that it writes to.
+     */
     void stop() {
-        thread.interrupt();
+        stopping = true;
+        queue.add(new Job(List.of(), 0));
         try {
             thread.join(JOIN_MILLIS);
         } catch (InterruptedException e) {
@@ -60,10 +66,13 @@
     private void run() {
         List<Job> jobs = new ArrayList<>();
         try {
-            while (true) {
+            while (!stopping) {
                 jobs.clear();
                 jobs.add(queue.take());
                 queue.drainTo(jobs);
+                if (stopping) {
+                    return;
+                }
                 for (Job job : jobs) {
                     job.changes().forEach(store::write);
                 }
--- a/siskintrail.control/src/io/siskintrail/control/internal/replica/StateRunner.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/replica/StateRunner.java
@@ -15,6 +15,7 @@
 import io.siskintrail.wire.control.StateCodec;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 
 /**
  * Applies committed entries to a replicated state, each command once, and tells local listeners.
@@ -75,9 +76,15 @@
         return answer(command, applyOnce(entry, command));
     }
 
-    /** Returns the image of sessions and state as of the last applied entry. */
-    Payload image() {
-        return new ReplicatedImage(sessions.images(), codec.encodeImage(state.image())).encode();
+    /**
+     * Captures sessions and state as of the last applied entry.
+     *
+     * @return encodes what was captured; may be called on another thread
+     */
+    Supplier<Payload> capture() {
+        List<SessionTable.Image> sessionImages = sessions.images();
+        S image = state.image();
+        return () -> new ReplicatedImage(sessionImages, codec.encodeImage(image)).encode();
     }
 
     /** Replaces sessions and state by those of a snapshot. */
