--- a/siskintrail.control.test/tst/io/siskintrail/control/ControlServiceDiskTest.java
+++ b/siskintrail.control.test/tst/io/siskintrail/control/ControlServiceDiskTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.siskintrail.control.internal.http.OperatorTokens;
 import io.siskintrail.control.internal.replica.ReplicatedControlLog;
 import io.siskintrail.internal.control.ConfigurationCommand;
 import io.siskintrail.internal.control.ControlCommand;
@@ -16,6 +17,10 @@
 import io.siskintrail.wire.control.CommittedListener;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -25,6 +30,7 @@
 
 class ControlServiceDiskTest {
     private static final int PATIENCE_SECONDS = 60;
+    private static final String TOKEN = "token-of-an-operator";
 
     @TempDir private Path folder;
     private final ControlStateCodec codec = new ControlStateCodec();
@@ -46,6 +52,44 @@
         }
     }
 
+    @Test
+    void replicaIsShownToOperators() throws Exception {
+        ControlSettings settings =
+                new ControlSettings(
+                        "c1",
+                        "d",
+                        "127.0.0.1:0",
+                        "127.0.0.1:" + freePort(),
+                        "shared-key",
+                        folder.toString(),
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        List.of(new ControlSettings.Operator("o", OperatorTokens.hashOf(TOKEN))));
+        ControlService service = new ControlService(settings);
+        service.start();
+        try {
+            HttpRequest request =
+                    HttpRequest.newBuilder(
+                                    URI.create(
+                                            "http://" + service.httpAddress() + "/admin/replica"))
+                            .header("Authorization", "Bearer " + TOKEN)
+                            .build();
+            String body = "";
+            for (int i = 0; i < PATIENCE_SECONDS * 10 && !body.contains("LEADER"); i++) {
+                TimeUnit.MILLISECONDS.sleep(100);
+                body =
+                        HttpClient.newHttpClient()
+                                .send(request, HttpResponse.BodyHandlers.ofString())
+                                .body();
+            }
+            assertThat(body).contains("\"role\":\"LEADER\"");
+            assertThat(body).contains("\"voters\":[\"c1:");
+        } finally {
+            service.stop();
+        }
+    }
+
     private record First(CompletableFuture<byte[]> found) implements CommittedListener {
         @Override
         public void entry(LogPosition position, long atMillis, byte[] command) {
--- a/siskintrail.control/src/io/siskintrail/control/ControlService.java
+++ b/siskintrail.control/src/io/siskintrail/control/ControlService.java
@@ -59,7 +59,7 @@
         context =
                 ApplicationContext.builder()
                         .properties(httpProperties())
-                        .singletons(configuration, new OperatorTokens(settings.operators()))
+                        .singletons(configuration, log, new OperatorTokens(settings.operators()))
                         .start();
         server = context.getBean(EmbeddedServer.class).start();
         LogEvent.info(LOG, "control.started")
--- a/siskintrail.control/src/io/siskintrail/control/internal/replica/ReplicatedControlLog.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/replica/ReplicatedControlLog.java
@@ -15,6 +15,7 @@
 import io.siskintrail.wire.control.ControlClient;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.Optional;
 
 /** The control log of a replica with a disk. Owns the data folder. */
 public final class ReplicatedControlLog implements ControlLog {
@@ -66,9 +67,9 @@
         return replica.lease();
     }
 
-    /** Returns what the replica shows of itself. */
-    public ReplicaStatus status() {
-        return replica.status();
+    @Override
+    public Optional<ReplicaStatus> status() {
+        return Optional.ofNullable(replica.status());
     }
 
     @Override
