--- a/siskintrail.test/tst/io/siskintrail/internal/policy/Requests.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/policy/Requests.java
@@ -21,6 +21,11 @@
     }
 
     static WorkRequest request(long ticket, String account, Rank rank, String key) {
+        return request(ticket, account, rank, key, 60_000);
+    }
+
+    static WorkRequest request(
+            long ticket, String account, Rank rank, String key, long maxWaitMillis) {
         return new WorkRequest(
                 ticket,
                 new AccountId(account),
@@ -30,7 +35,7 @@
                 0,
                 100,
                 100,
-                60_000,
+                maxWaitMillis,
                 new long[0],
                 false);
     }
--- a/siskintrail/src/io/siskintrail/internal/policy/Admission.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/Admission.java
@@ -12,6 +12,8 @@
 final class Admission {
     private static final double RATE_TAU_MILLIS = 3_000;
     private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
+    private static final long MIN_SAMPLE_MILLIS = 1_000;
+    private static final double MAX_WAIT_MILLIS = 600_000;
 
     private final WorkQueues queues;
     private final Map<Rank, VirtualCounters> counters;
@@ -107,14 +109,14 @@
     /** Returns the expected wait of one more request of the account, 0 when none waits. */
     long expectedWait(long now, WorkRequest request) {
         int ahead = queues.waiting(request.rank(), request.account());
-        if (ahead == 0) {
+        if (ahead == 0 || now - queues.waitingSince(request) < MIN_SAMPLE_MILLIS) {
             return 0;
         }
         double own = meter(request.rank(), request.account()).perSecond(now);
         int accounts = Math.max(1, queues.waitingAccounts(request.rank()));
         double share = rankStarts.get(request.rank()).perSecond(now) / accounts;
         double rate = Math.max(own, share);
-        return rate <= 0 ? 0 : (long) (ahead / rate * 1000);
+        return (long) Math.min(MAX_WAIT_MILLIS, ahead / rate * 1000);
     }
 
     private Refusal checkLimits(long now, WorkRequest request) {
--- a/siskintrail/src/io/siskintrail/internal/policy/EndpointHealth.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/EndpointHealth.java
@@ -2,11 +2,12 @@
 
 /**
  * Limits how many requests an endpoint may run: a new or recovered one starts with one and doubles
- * with time, and one that fails is left alone for a while. So an endpoint that fails fast, and
- * therefore looks idle, attracts no work.
+ * with time, and one that fails is left alone for a while and then ramped up more slowly until a
+ * request succeeds. So an endpoint that fails fast, and therefore looks idle, attracts no work.
  */
 final class EndpointHealth {
     private static final long RAMP_STEP_MILLIS = 250;
+    private static final long PROBE_STEP_MILLIS = 2_000;
     private static final int RAMP_START = 1;
     private static final long FIRST_COOLDOWN_MILLIS = 1_000;
     private static final int MAX_COOLDOWN_DOUBLINGS = 5;
@@ -26,10 +27,10 @@
         if (now < blockedUntil) {
             return 0;
         }
-        if (failures > 0) {
-            return Math.min(RAMP_START, slots);
-        }
-        long steps = (now - rampFrom) / RAMP_STEP_MILLIS;
+        long steps =
+                failures > 0
+                        ? (now - blockedUntil) / PROBE_STEP_MILLIS
+                        : (now - rampFrom) / RAMP_STEP_MILLIS;
         if (steps >= MAX_RAMP_DOUBLINGS) {
             return slots;
         }
--- a/siskintrail/src/io/siskintrail/internal/policy/FairQueue.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/FairQueue.java
@@ -53,12 +53,18 @@
         return lane == null ? 0 : lane.works.size();
     }
 
+    /** Returns when the queue of {@code account} was empty last; the far future when it is now. */
+    long waitingSince(AccountId account) {
+        Lane lane = lanes.get(account);
+        return lane == null ? Long.MAX_VALUE : lane.since;
+    }
+
     /** Adds {@code work} at the place that its order gives it. */
     void add(Work work) {
         AccountId account = work.request.account();
         Lane lane = lanes.get(account);
         if (lane == null) {
-            lane = new Lane(account, counters.counter(account));
+            lane = new Lane(account, counters.counter(account), work.arrivedAt);
             lanes.put(account, lane);
             order.add(lane);
         }
@@ -111,9 +117,11 @@
     private static final class Lane {
         private final AccountId account;
         private final TreeMap<Long, Work> works = new TreeMap<>();
+        private final long since;
         private double key;
 
-        private Lane(AccountId account, double key) {
+        private Lane(AccountId account, double key, long since) {
+            this.since = since;
             this.account = account;
             this.key = key;
         }
--- a/siskintrail/src/io/siskintrail/internal/policy/RouterSlots.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/RouterSlots.java
@@ -7,15 +7,20 @@
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.Rank;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
 /** What a coordinator has granted to one router and what that router last claimed. */
 final class RouterSlots {
+    private static final int MAX_OUTSTANDING = 256;
+
     final HostId router;
     private final Map<EndpointId, Cell> cells = new TreeMap<>();
+    private final ArrayDeque<Sent> outstanding = new ArrayDeque<>();
     private long claimSequence;
     private long claimedAt;
     private long appliedGrant;
@@ -43,6 +48,7 @@
         claimSequence = claim.sequence();
         claimedAt = now;
         appliedGrant = claim.appliedGrant();
+        outstanding.removeIf(s -> s.sequence <= appliedGrant);
         waits = claim.waits();
         suspendable = claim.suspendable();
         suspending = claim.suspending();
@@ -87,8 +93,14 @@
         if (c == null) {
             return 0;
         }
-        int safe = Math.max(c.sent, c.running());
-        return isCurrent() ? safe : Math.max(safe, c.granted);
+        int most = Math.max(c.sent, c.running());
+        if (!isCurrent()) {
+            most = Math.max(most, c.granted);
+            for (Sent s : outstanding) {
+                most = Math.max(most, s.counts.getOrDefault(id, 0));
+            }
+        }
+        return most;
     }
 
     /** Returns slots that come free as soon as the router sees the last grant. */
@@ -193,6 +205,12 @@
                         slots.add(new PolicyMessage.GrantedSlots(id, c.sent));
                     }
                 });
+        Map<EndpointId, Integer> counts = new HashMap<>();
+        slots.forEach(s -> counts.put(s.endpoint(), s.count()));
+        outstanding.addLast(new Sent(sequence, counts));
+        if (outstanding.size() > MAX_OUTSTANDING) {
+            outstanding.removeFirst();
+        }
         Suspensions suspend = suspendToSend;
         suspendToSend = Suspensions.NONE;
         return new PolicyMessage.Grant(
@@ -210,6 +228,9 @@
         return cells.computeIfAbsent(id, i -> new Cell());
     }
 
+    /** Counts of a grant that the router may or may not have applied since its last claim. */
+    private record Sent(long sequence, Map<EndpointId, Integer> counts) {}
+
     private static final class Cell {
         private int sent;
         private int granted;
--- a/siskintrail/src/io/siskintrail/internal/policy/SlotCoordinator.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/SlotCoordinator.java
@@ -23,11 +23,12 @@
     static final long REPORT_LAG_MILLIS = 1_000;
     private static final long SUSPECT_MILLIS = 3_000;
     private static final long CALM_MILLIS = 2_000;
+    private static final long LOST_TTL_MILLIS = 10_000;
 
     private final String pool;
     private final long startedAt;
     private final Map<HostId, RouterSlots> routers = new TreeMap<>();
-    private final Map<EndpointId, Lost> lost = new HashMap<>();
+    private final Map<HostId, Lost> lost = new TreeMap<>();
     private final Map<EndpointId, RunningWindow> windows = new HashMap<>();
     private final Map<EndpointId, Long> suspects = new HashMap<>();
     private final boolean afterLoss;
@@ -50,6 +51,7 @@
 
     /** Takes in what a router holds and wants; returns false when the claim is out of date. */
     boolean claim(long now, HostId from, Claim claim) {
+        lost.remove(from);
         return routers.computeIfAbsent(from, RouterSlots::new).apply(now, claim);
     }
 
@@ -64,6 +66,7 @@
     Map<HostId, Grant> allocate(
             long now, List<EndpointState> members, Set<HostId> live, Fairness fairness) {
         routers.values().removeIf(r -> expire(now, r));
+        lost.values().removeIf(l -> now - l.at > LOST_TTL_MILLIS);
         Map<EndpointId, Integer> free = free(now, members);
         AllocationRound round =
                 new AllocationRound(now, members, List.copyOf(routers.values()), free, fairness);
@@ -91,11 +94,9 @@
             return false;
         }
         suspectUntil = Math.max(suspectUntil, now + SUSPECT_MILLIS);
-        for (EndpointId id : r.endpoints()) {
-            if (r.running(id) > 0) {
-                lost.merge(id, new Lost(now, r.running(id)), Lost::plus);
-            }
-        }
+        Map<EndpointId, Integer> held = new HashMap<>();
+        r.endpoints().forEach(id -> held.put(id, r.committed(id)));
+        lost.put(r.router, new Lost(now, held));
         return true;
     }
 
@@ -128,20 +129,19 @@
         if (reported > window.most()) {
             suspects.put(id, now + CALM_MILLIS);
         }
+        int unreported = 0;
+        for (Lost l : lost.values()) {
+            boolean reportedSince = e.reportedAt() > l.at + REPORT_LAG_MILLIS;
+            unreported += reportedSince ? 0 : l.held.getOrDefault(id, 0);
+        }
+        if (unreported > 0) {
+            return unreported;
+        }
         if (now >= Math.max(suspectUntil, suspects.getOrDefault(id, 0L))) {
-            lost.remove(id);
             return 0;
         }
-        Lost l = lost.get(id);
-        if (l != null && e.reportedAt() <= l.at + REPORT_LAG_MILLIS) {
-            return l.count;
-        }
         return Math.max(0, reported - window.least());
     }
 
-    private record Lost(long at, int count) {
-        private Lost plus(Lost other) {
-            return new Lost(Math.max(at, other.at), count + other.count);
-        }
-    }
+    private record Lost(long at, Map<EndpointId, Integer> held) {}
 }
--- a/siskintrail/src/io/siskintrail/internal/policy/WorkQueues.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/WorkQueues.java
@@ -37,6 +37,12 @@
         return waiting.get(rank).getOrDefault(account, 0);
     }
 
+    /** Returns when the first of the requests that {@code request} would queue behind came. */
+    long waitingSince(WorkRequest request) {
+        FairQueue queue = get(request.target(), request.rank());
+        return queue == null ? Long.MAX_VALUE : queue.waitingSince(request.account());
+    }
+
     /** Returns how many accounts wait in {@code rank}. */
     int waitingAccounts(Rank rank) {
         return waiting.get(rank).size();
