--- a/siskintrail.control/src/io/siskintrail/control/ControlService.java
+++ b/siskintrail.control/src/io/siskintrail/control/ControlService.java
@@ -4,7 +4,6 @@
 import io.micronaut.runtime.server.EmbeddedServer;
 import io.siskintrail.control.internal.configuration.ConfigurationService;
 import io.siskintrail.control.internal.configuration.ControlLog;
-import io.siskintrail.control.internal.configuration.MemoryControlLog;
 import io.siskintrail.control.internal.http.OperatorTokens;
 import io.siskintrail.control.internal.replica.ReplicatedControlLog;
 import io.siskintrail.internal.control.Configuration;
@@ -45,10 +44,7 @@
                         settings.sharedKey());
         settings.replicas().forEach(p -> addPeer(p.info()));
         settings.routers().forEach(p -> addPeer(p.info()));
-        log =
-                settings.dataFolder().isEmpty()
-                        ? new MemoryControlLog()
-                        : ReplicatedControlLog.open(settings, transport, loop);
+        log = ReplicatedControlLog.open(settings, transport, loop);
         configuration =
                 new ConfigurationService(
                         log.client(), transport, loop, log::lease, settings.routerHosts());
--- a/siskintrail.control/src/io/siskintrail/control/internal/replica/ControlReplica.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/replica/ControlReplica.java
@@ -122,6 +122,7 @@
         disk.start();
         loop.every(TICK_MILLIS, this::tick);
         loop.every(RemoteControlClient.TICK_MILLIS, remote::tick);
+        loop.execute(this::offerOrReplace);
         loop.every(OFFER_MILLIS, this::offerOrReplace);
         LogEvent.info(LOG, "replica.started")
                 .with("replica", self)
--- a/siskintrail.control/src/io/siskintrail/control/internal/replica/ReplicatedControlLog.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/replica/ReplicatedControlLog.java
@@ -3,6 +3,7 @@
 import io.siskintrail.control.ControlSettings;
 import io.siskintrail.control.internal.configuration.ControlLog;
 import io.siskintrail.control.internal.configuration.LeaderLease;
+import io.siskintrail.internal.consensus.Snapshot;
 import io.siskintrail.internal.control.ControlAnswer;
 import io.siskintrail.internal.control.ControlCommand;
 import io.siskintrail.internal.control.ControlImage;
@@ -10,6 +11,8 @@
 import io.siskintrail.service.ControlLoop;
 import io.siskintrail.storage.DataFolder;
 import io.siskintrail.storage.FileLogStore;
+import io.siskintrail.storage.LogStore;
+import io.siskintrail.storage.MemoryLogStore;
 import io.siskintrail.wire.ControlStateCodec;
 import io.siskintrail.wire.PeerTransport;
 import io.siskintrail.wire.control.ControlClient;
@@ -17,44 +20,53 @@
 import java.security.SecureRandom;
 import java.util.Optional;
 
-/** The control log of a replica with a disk. Owns the data folder. */
+/** The control log of this process: its replica, on a disk or in memory. Owns the data folder. */
 public final class ReplicatedControlLog implements ControlLog {
-    private final DataFolder folder;
+    private final Runnable release;
     private final ControlReplica<ControlCommand, ControlAnswer, ControlImage> replica;
 
     private ReplicatedControlLog(
-            DataFolder folder,
-            ControlReplica<ControlCommand, ControlAnswer, ControlImage> replica) {
-        this.folder = folder;
-        this.replica = replica;
+            ControlSettings settings,
+            long diskId,
+            LogStore store,
+            Runnable release,
+            PeerTransport transport,
+            ControlLoop loop) {
+        ReplicaPlan plan =
+                ReplicaPlan.of(settings.info(), settings.replicaHosts(), settings.firstHosts());
+        this.release = release;
+        this.replica =
+                new ControlReplica<>(
+                        plan,
+                        diskId,
+                        store,
+                        new ControlState(),
+                        new ControlStateCodec(),
+                        transport,
+                        loop,
+                        new SecureRandom().nextLong());
     }
 
     /**
-     * Opens the data folder and prepares the replica; to be called before the transport starts.
+     * Opens the data folder, or memory where the settings name none, and prepares the replica; to
+     * be called before the transport starts.
      *
      * @throws io.siskintrail.storage.StorageException when the stored state cannot be used
      */
     public static ReplicatedControlLog open(
             ControlSettings settings, PeerTransport transport, ControlLoop loop) {
+        if (settings.dataFolder().isEmpty()) {
+            LogStore store = new MemoryLogStore(Snapshot.EMPTY);
+            return new ReplicatedControlLog(settings, 0, store, () -> {}, transport, loop);
+        }
         DataFolder folder = DataFolder.open(Path.of(settings.dataFolder()));
-        FileLogStore store =
+        LogStore store =
                 new FileLogStore(
                         folder.files(),
                         new ThriftRecordCodec(),
                         FileLogStore.DEFAULT_SEGMENT_BYTES);
-        ReplicaPlan plan =
-                ReplicaPlan.of(settings.info(), settings.replicaHosts(), settings.firstHosts());
-        ControlReplica<ControlCommand, ControlAnswer, ControlImage> replica =
-                new ControlReplica<>(
-                        plan,
-                        folder.diskId(),
-                        store,
-                        new ControlState(),
-                        new ControlStateCodec(),
-                        transport,
-                        loop,
-                        new SecureRandom().nextLong());
-        return new ReplicatedControlLog(folder, replica);
+        return new ReplicatedControlLog(
+                settings, folder.diskId(), store, folder::close, transport, loop);
     }
 
     @Override
@@ -80,6 +92,6 @@
     @Override
     public void stop() {
         replica.stop();
-        folder.close();
+        release.run();
     }
 }
--- a/siskintrail/src/io/siskintrail/internal/consensus/Replica.java
+++ b/siskintrail/src/io/siskintrail/internal/consensus/Replica.java
@@ -277,6 +277,9 @@
         Snapshot initial = Snapshot.initial(replicas);
         core.log.reset(initial);
         core.out.persist(new ReplicaEffect.SaveSnapshot(initial, true));
+        if (replicas.voters().size() == 1) {
+            core.electionDeadline = core.now;
+        }
     }
 
     private void propose(Propose input) {
