--- a/siskintrail.bench/src/io/siskintrail/bench/policy/BigCaller.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/BigCaller.java
@@ -43,7 +43,7 @@
         double[] small = new double[SMALL];
         Arrays.fill(small, 0.06);
         double calm = p95(figures(Strategy.OURS, rank, small, 0, seed));
-        for (Strategy s : Strategy.values()) {
+        for (Strategy s : Strategy.COMMON) {
             Figures f = figures(s, rank, small, BIG_FACTOR, seed);
             put(table, s, "modest-" + rank, f).put("small_p95_without_big_ms", calm);
             if (s == Strategy.OURS) {
@@ -62,7 +62,7 @@
         for (int i = 0; i < SMALL; i++) {
             small[i] = i < GREEDY ? 0.3 : 0.04;
         }
-        for (Strategy s : Strategy.values()) {
+        for (Strategy s : Strategy.COMMON) {
             Figures f = figures(s, rank, small, BIG_FACTOR, seed);
             put(table, s, "greedy-" + rank, f);
             if (s == Strategy.OURS) {
--- a/siskintrail.bench/src/io/siskintrail/bench/policy/Floods.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/Floods.java
@@ -19,7 +19,7 @@
         Table table = new Table("flood-bulk");
         double calm = run(Strategy.OURS, URGENT_SHARE, 0, seed).urgentFirstToken(0.95);
         for (double factor : new double[] {4, 10}) {
-            for (Strategy s : Strategy.values()) {
+            for (Strategy s : Strategy.COMMON) {
                 Figures f = run(s, URGENT_SHARE, factor, seed);
                 double p95 = f.urgentFirstToken(0.95);
                 double useful = f.usefulShare(r -> true);
@@ -42,7 +42,7 @@
     static Table urgent(long seed) {
         Table table = new Table("flood-urgent");
         for (double factor : new double[] {4, 10}) {
-            for (Strategy s : Strategy.values()) {
+            for (Strategy s : Strategy.COMMON) {
                 Figures f = run(s, factor, 0.5, seed);
                 double bulk = f.usefulShare(r -> r.rank == Rank.BULK);
                 double least =
--- a/siskintrail.bench/src/io/siskintrail/bench/policy/Losses.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/Losses.java
@@ -29,7 +29,7 @@
         Table table = new Table("engine-loss");
         int domain = (SHAPE.engines() + 2) / 3;
         for (int lost : new int[] {1, domain}) {
-            for (Strategy s : Strategy.values()) {
+            for (Strategy s : Strategy.COMMON) {
                 World world = loaded(s, 0.4, 0.4, seed);
                 List<Engine> victims = victims(world, lost);
                 world.at(LOSS, () -> victims.forEach(world::kill));
@@ -80,7 +80,7 @@
 
     static Table router(long seed) {
         Table table = new Table("router-loss");
-        for (Strategy s : Strategy.values()) {
+        for (Strategy s : Strategy.COMMON) {
             World world = loaded(s, 0.3, 2, seed);
             world.at(LOSS, () -> killRouter(world, world.nodes.get(0), s));
             SlotWatch watch = new SlotWatch(world);
@@ -92,7 +92,7 @@
 
     static Table partition(long seed) {
         Table table = new Table("usage-exchange-partition");
-        for (Strategy s : Strategy.values()) {
+        for (Strategy s : Strategy.COMMON) {
             World world = loaded(s, 0.3, 2, seed);
             world.at(LOSS, () -> world.lost = m -> m instanceof PolicyMessage.Usage);
             world.at(BACK, () -> world.lost = m -> false);
@@ -100,7 +100,7 @@
             world.run(END);
             put(table, s, "usage-lost", world, watch);
         }
-        for (Strategy s : Strategy.values()) {
+        for (Strategy s : Strategy.COMMON) {
             World world = loaded(s, 0.3, 2, seed);
             world.at(LOSS, () -> split(world, s));
             world.at(BACK, () -> heal(world, s));
--- a/siskintrail.bench/src/io/siskintrail/bench/policy/RetryStorm.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/RetryStorm.java
@@ -26,7 +26,7 @@
 
     static Table run(long seed) {
         Table table = new Table("retry-storm");
-        for (Strategy s : Strategy.values()) {
+        for (Strategy s : Strategy.COMMON) {
             Figures calm = figures(s, false, seed);
             Figures storm = figures(s, true, seed);
             double before = calm.usefulShare(r -> true);
--- a/siskintrail.bench/src/io/siskintrail/bench/policy/Scenario.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/Scenario.java
@@ -18,7 +18,9 @@
     /** A router is lost. */
     ROUTER_LOSS(Losses::router),
     /** Routers do not hear of each other. */
-    USAGE_EXCHANGE_PARTITION(Losses::partition);
+    USAGE_EXCHANGE_PARTITION(Losses::partition),
+    /** Prefix caches of the engines. */
+    CACHE(CacheAffinity::run);
 
     private final LongFunction<Table> run;
 
--- a/siskintrail.bench/src/io/siskintrail/bench/policy/Strategy.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/Strategy.java
@@ -5,6 +5,7 @@
 import io.siskintrail.internal.policy.PolicyInput;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.StateMachine;
+import java.util.List;
 
 /** Ours and the baselines that it is measured against. */
 enum Strategy {
@@ -49,8 +50,18 @@
         StateMachine<PolicyInput, PolicyEffect> router(World world, int index, HostId id) {
             return new Baseline(index, true);
         }
+    },
+    /** The endpoint with the most of the prompt cached, known without lag. */
+    ORACLE {
+        @Override
+        StateMachine<PolicyInput, PolicyEffect> router(World world, int index, HostId id) {
+            return new Oracle(world);
+        }
     };
 
+    /** Those that a router without perfect knowledge can follow. */
+    static final List<Strategy> COMMON = List.of(OURS, ALONE, ROUND_ROBIN, FCFS);
+
     /** Returns the state machine of one router. */
     abstract StateMachine<PolicyInput, PolicyEffect> router(World world, int index, HostId id);
 
