Run the deployment in processes and check the eight promises

Cause: the parts were tested alone; nothing showed that the shipped binaries keep the promises together under kills, pauses and lost disks.

The fakes sample: each engine's tokens differ, so an answer mixed of two generations breaks the chain that the check follows. A test injects a violation of each promise and sees it reported.

Found: with all jars on one class path a router also served the administration API of control (ambiguous routes, missing beans). Beans of each program now depend on siskintrail.program.

--- a/siskintrail.bench/src/io/siskintrail/bench/Main.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/Main.java
@@ -20,6 +20,7 @@
         EXPERIMENTS.put("policy", PolicyBench::new);
         EXPERIMENTS.put("ledger-faults", LedgerFaultsExperiment::new);
         EXPERIMENTS.put("membership", MembershipExperiment::new);
+        EXPERIMENTS.put("promises", PromisesExperiment::new);
         EXPERIMENTS.put("quickstart", QuickstartExperiment::new);
     }
 
--- /dev/null
+++ b/siskintrail.bench/src/io/siskintrail/bench/promises/package-info.java
@@ -0,0 +1,2 @@
+/** Runs a deployment in processes under faults and checks what must always hold. */
+package io.siskintrail.bench.promises;
--- a/siskintrail.control/src/io/siskintrail/control/ControlService.java
+++ b/siskintrail.control/src/io/siskintrail/control/ControlService.java
@@ -97,6 +97,8 @@
         String address = settings.httpAddress();
         int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
         return Map.of(
+                "siskintrail.program",
+                "control",
                 "micronaut.server.host",
                 hostPart(address),
                 "micronaut.server.port",
--- a/siskintrail.fake/src/io/siskintrail/fake/EngineState.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/EngineState.java
@@ -3,6 +3,7 @@
 import io.siskintrail.lib.ModelId;
 import java.util.ArrayDeque;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Queue;
@@ -22,6 +23,8 @@
     private final AtomicLong decodedTokens = new AtomicLong();
     private final AtomicLong computedPromptTokens = new AtomicLong();
     private final AtomicLong startedStreams = new AtomicLong();
+    private final Set<String> startedPrompts = new HashSet<>();
+    private long lastStartMillis;
     private int running;
     private volatile boolean paused;
     private EngineFault fault = EngineFault.NONE;
@@ -48,6 +51,16 @@
         return startedStreams.get();
     }
 
+    /** Returns the wall-clock time in milliseconds of the last start of a stream, 0 for none. */
+    public synchronized long lastStartMillis() {
+        return lastStartMillis;
+    }
+
+    /** Returns the first words of all prompts whose streams have begun. */
+    public synchronized Set<String> startedPrompts() {
+        return new HashSet<>(startedPrompts);
+    }
+
     /** Returns how many streams hold a slot now. */
     public synchronized int running() {
         return running;
@@ -100,6 +113,8 @@
     /** Counts the prompt as computed unless it is cached; returns whether it was cached. */
     synchronized boolean computePrompt(String prompt, int prefixTokens) {
         startedStreams.incrementAndGet();
+        lastStartMillis = System.currentTimeMillis();
+        startedPrompts.add(prompt.split(" ", 2)[0]);
         computedPromptTokens.addAndGet(prefixTokens);
         boolean cached = !cache.add(prompt);
         if (!cached) {
--- a/siskintrail.fake/src/io/siskintrail/fake/EngineStream.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/EngineStream.java
@@ -35,7 +35,9 @@
         this.ctx = ctx;
         this.state = state;
         this.request = request;
-        this.tokens = new FakeTokens(request.model(), request.prompt(), request.seed());
+        FakeEngineSettings settings = state.settings();
+        String salt = settings.divergent() ? settings.id() : "";
+        this.tokens = new FakeTokens(request.model(), request.prompt(), request.seed(), salt);
         tokens.skip(request.prefix());
         offset = request.prefix().size();
     }
--- a/siskintrail.fake/src/io/siskintrail/fake/FakeEndpoints.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/FakeEndpoints.java
@@ -1,6 +1,7 @@
 package io.siskintrail.fake;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -108,6 +109,9 @@
                 node.put("decodedTokens", engine.state().decodedTokens());
                 node.put("computedPromptTokens", engine.state().computedPromptTokens());
                 node.put("startedStreams", engine.state().startedStreams());
+                node.put("lastStartMillis", engine.state().lastStartMillis());
+                ArrayNode prompts = node.putArray("startedPrompts");
+                engine.state().startedPrompts().forEach(prompts::add);
             } else if (e instanceof FakeService service) {
                 ObjectNode counts = node.putObject("executions");
                 service.executions().forEach(counts::put);
--- a/siskintrail.fake/src/io/siskintrail/fake/FakeEngineSettings.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/FakeEngineSettings.java
@@ -16,6 +16,7 @@
  * @param checksFencing whether it refuses orders with old fencing numbers
  * @param announceTo {@code ip:port} of routers to announce to; empty to announce nowhere
  * @param announceToken the token that routers expect of endpoints
+ * @param divergent whether its tokens differ from those of other engines, as sampling makes them
  */
 public record FakeEngineSettings(
         String id,
@@ -27,4 +28,32 @@
         int firstTokenMillis,
         boolean checksFencing,
         List<String> announceTo,
-        String announceToken) {}
+        String announceToken,
+        boolean divergent) {
+
+    /** Describes an engine that generates what all engines of its model generate. */
+    public FakeEngineSettings(
+            String id,
+            String domain,
+            String listen,
+            List<ModelId> models,
+            int slots,
+            int tokenMillis,
+            int firstTokenMillis,
+            boolean checksFencing,
+            List<String> announceTo,
+            String announceToken) {
+        this(
+                id,
+                domain,
+                listen,
+                models,
+                slots,
+                tokenMillis,
+                firstTokenMillis,
+                checksFencing,
+                announceTo,
+                announceToken,
+                false);
+    }
+}
--- a/siskintrail.router/src/io/siskintrail/router/RouterService.java
+++ b/siskintrail.router/src/io/siskintrail/router/RouterService.java
@@ -305,6 +305,8 @@
         String address = settings.httpAddress();
         int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
         return Map.of(
+                "siskintrail.program",
+                "router",
                 "micronaut.server.host",
                 hostPart(address),
                 "micronaut.server.port",
--- a/siskintrail.router/src/io/siskintrail/router/internal/rules/RulesFollower.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/rules/RulesFollower.java
@@ -72,6 +72,11 @@
         return rules;
     }
 
+    @Override
+    public long number() {
+        return configuration.rulesNumber();
+    }
+
     /** Returns the configuration in force on this router. */
     public Configuration configuration() {
         return configuration;
--- a/siskintrail.router/src/io/siskintrail/router/internal/rules/RulesView.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/rules/RulesView.java
@@ -13,4 +13,9 @@
      * flight goes on without asking.
      */
     boolean mayTakeWork();
+
+    /** Returns the number of the rules in force on this router; 0 when none were received. */
+    default long number() {
+        return 0;
+    }
 }
