--- a/siskintrail.wire.test/tst/io/siskintrail/wire/ThriftPeerTransportTest.java
+++ b/siskintrail.wire.test/tst/io/siskintrail/wire/ThriftPeerTransportTest.java
@@ -54,6 +54,17 @@
         }
     }
 
+    @Test
+    void theAddressIsFreeOnceTheTransportIsClosed() throws Exception {
+        InetSocketAddress address = freeAddress();
+        for (int i = 0; i < 50; i++) {
+            try (ThriftPeerTransport transport =
+                    new ThriftPeerTransport(A, address, "shared-key")) {
+                transport.start();
+            }
+        }
+    }
+
     private static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
--- a/siskintrail.wire/src/io/siskintrail/wire/ThriftPeerTransport.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/ThriftPeerTransport.java
@@ -24,6 +24,7 @@
 public final class ThriftPeerTransport implements PeerTransport, AutoCloseable {
     private static final int MAX_FRAME_BYTES = 16 << 20;
     private static final int WORKERS = 1;
+    private static final long STOP_MILLIS = 5_000;
 
     private final HostId self;
     private final InetSocketAddress listen;
@@ -128,6 +129,16 @@
         senders.values().forEach(PeerSender::stop);
         if (server != null) {
             server.stop();
+            awaitServer();
+        }
+    }
+
+    /** Waits until the listening socket is closed, so that the address can be bound again. */
+    private void awaitServer() {
+        try {
+            serverThread.join(STOP_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
