Show accounts and orders to operators

Cause: operators could not see orders or what rules give an account. Change: siskintrail accounts and orders over the administration API. Conclusion: an unknown order can be found from a shell.

--- a/siskintrail.control/src/io/siskintrail/control/internal/replica/ReplicatedControlLog.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/replica/ReplicatedControlLog.java
@@ -8,6 +8,7 @@
 import io.siskintrail.internal.control.ControlCommand;
 import io.siskintrail.internal.control.ControlImage;
 import io.siskintrail.internal.control.ControlState;
+import io.siskintrail.internal.ledger.OrderRecord;
 import io.siskintrail.service.ControlLoop;
 import io.siskintrail.storage.DataFolder;
 import io.siskintrail.storage.FileLogStore;
@@ -18,11 +19,15 @@
 import io.siskintrail.wire.control.ControlClient;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 
 /** The control log of this process: its replica, on a disk or in memory. Owns the data folder. */
 public final class ReplicatedControlLog implements ControlLog {
     private final Runnable release;
+    private final ControlLoop loop;
+    private final ControlState state = new ControlState();
     private final ControlReplica<ControlCommand, ControlAnswer, ControlImage> replica;
 
     private ReplicatedControlLog(
@@ -35,12 +40,13 @@
         ReplicaPlan plan =
                 ReplicaPlan.of(settings.info(), settings.replicaHosts(), settings.firstHosts());
         this.release = release;
+        this.loop = loop;
         this.replica =
                 new ControlReplica<>(
                         plan,
                         diskId,
                         store,
-                        new ControlState(),
+                        state,
                         new ControlStateCodec(),
                         transport,
                         loop,
@@ -74,6 +80,11 @@
         return replica.client();
     }
 
+    @Override
+    public CompletionStage<List<OrderRecord>> orders() {
+        return loop.submit(() -> state.ledger().image().records());
+    }
+
     @Override
     public LeaderLease lease() {
         return replica.lease();
--- a/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
+++ b/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
@@ -138,6 +138,9 @@
         assertThat(out.toString()).contains("weight 2 account=a");
         assertThat(run("rules", "history", "--json")).isEqualTo(0);
         assertThat(out.toString()).contains("\"operator\" : \"huda\"");
+        assertThat(run("accounts")).isEqualTo(0);
+        assertThat(out.toString()).containsMatch("a +2 +- +- +- +4000ms +60000ms +10%");
+        assertThat(run("orders", "--state", "unknown")).isEqualTo(0);
         assertThat(run("status", "--json")).isEqualTo(0);
         assertThat(out.toString()).contains("\"rulesNumber\" : 1");
     }
--- a/siskintrail.pgm/src/io/siskintrail/pgm/CommandCatalog.java
+++ b/siskintrail.pgm/src/io/siskintrail/pgm/CommandCatalog.java
@@ -10,6 +10,7 @@
 /** Lists the commands. */
 final class CommandCatalog {
     private static final int DEFAULT_HISTORY = 20;
+    private static final int DEFAULT_ORDERS = 100;
 
     static final List<CommandSpec> ALL =
             List.of(
@@ -50,6 +51,21 @@
                                             .setLimit((int) number(l, "limit", DEFAULT_HISTORY))),
                     new CommandSpec(
                             "status", List.of(), List.of(), true, (l, o) -> new StatusCommand()),
+                    new CommandSpec(
+                            "accounts",
+                            List.of(),
+                            List.of(),
+                            true,
+                            (l, o) -> new AccountsCommand()),
+                    new CommandSpec(
+                            "orders",
+                            List.of(),
+                            List.of(option("state", "STATE", false), option("limit", "N", false)),
+                            true,
+                            (l, o) ->
+                                    new OrdersCommand()
+                                            .setState(l.getOptionValue("state", ""))
+                                            .setLimit((int) number(l, "limit", DEFAULT_ORDERS))),
                     new CommandSpec(
                             "drain",
                             List.of("HOST"),
--- a/siskintrail/src/io/siskintrail/internal/control/LineChange.java
+++ b/siskintrail/src/io/siskintrail/internal/control/LineChange.java
@@ -41,7 +41,7 @@
     }
 
     /** Returns the digest by which files are known to be equal. */
-    static String digest(String text) {
+    public static String digest(String text) {
         HashValue128 hash = Hashing.murmur3_128().hashCharsTo128Bits(text);
         return hash.toString();
     }
