--- a/siskintrail.bench/src/io/siskintrail/bench/Main.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/Main.java
@@ -21,6 +21,7 @@
         EXPERIMENTS.put("ledger-faults", LedgerFaultsExperiment::new);
         EXPERIMENTS.put("membership", MembershipExperiment::new);
         EXPERIMENTS.put("promises", PromisesExperiment::new);
+        EXPERIMENTS.put("rules", RulesBench::new);
         EXPERIMENTS.put("quickstart", QuickstartExperiment::new);
     }
 
