--- a/siskintrail.bench/src/io/siskintrail/bench/policy/Scenario.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/Scenario.java
@@ -20,7 +20,9 @@
     /** Routers do not hear of each other. */
     USAGE_EXCHANGE_PARTITION(Losses::partition),
     /** Prefix caches of the engines. */
-    CACHE(CacheAffinity::run);
+    CACHE(CacheAffinity::run),
+    /** A request that kills the engines that run it. */
+    POISON(Poison::run);
 
     private final LongFunction<Table> run;
 
--- a/siskintrail.bench/src/io/siskintrail/bench/policy/World.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/World.java
@@ -8,12 +8,14 @@
 import io.siskintrail.internal.policy.PolicyRules;
 import io.siskintrail.internal.policy.Target;
 import io.siskintrail.internal.policy.WorkRequest;
+import io.siskintrail.lib.AccountId;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.EndpointInfo;
 import io.siskintrail.lib.EndpointKind;
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.ModelId;
+import io.siskintrail.lib.Rank;
 import io.siskintrail.lib.RequestKey;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -23,6 +25,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 
@@ -42,6 +45,7 @@
     final List<Request> requests = new ArrayList<>();
     BiPredicate<HostId, HostId> cut = (a, b) -> false;
     Callers callers = new Callers(this);
+    BiConsumer<Engine, List<Engine.Job>> onDeath = (e, jobs) -> {};
     final PolicyRules rules;
     Predicate<PolicyMessage> lost = m -> false;
     long refusals;
@@ -206,6 +210,23 @@
         return call;
     }
 
+    /** Makes a request that kills the engine that runs it. */
+    Request poison(long group) {
+        Request r =
+                new Request(
+                        requests.size(),
+                        group,
+                        new AccountId("poisoner"),
+                        Rank.URGENT,
+                        100,
+                        100,
+                        new long[0],
+                        now);
+        r.poisonous = true;
+        requests.add(r);
+        return r;
+    }
+
     /** Makes a further send of the same wish, with the same content. */
     Request again(Request before) {
         Request r =
@@ -285,7 +306,9 @@
             return;
         }
         enginesKilled++;
-        for (Engine.Job job : e.die()) {
+        List<Engine.Job> jobs = e.die();
+        onDeath.accept(e, jobs);
+        for (Engine.Job job : jobs) {
             int tokens = job.tokens(now);
             job.call.request.delivered += tokens;
             later(job.call, () -> failed(job.call, tokens));
--- /dev/null
+++ b/siskintrail.router.test/tst/io/siskintrail/bench/policy/ScenarioTest.java
@@ -0,0 +1,31 @@
+package io.siskintrail.bench.policy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Checks the targets of the scenarios with a fixed seed, in virtual time. */
+class ScenarioTest {
+    private static final long SEED = 1;
+
+    @ParameterizedTest
+    @EnumSource
+    void meetsItsTargets(Scenario scenario) {
+        assertThat(scenario.run(SEED).missed()).isEmpty();
+    }
+
+    @Test
+    void sameSeedGivesTheSameFigures() {
+        assertThat(Scenario.POISON.run(SEED).csv()).isEqualTo(Scenario.POISON.run(SEED).csv());
+    }
+
+    @Test
+    void aMissedTargetIsListed() {
+        Table table = new Table("example");
+        table.row(Strategy.OURS, "any").target("value <= 1", 2, false);
+        assertThat(table.missed())
+                .containsExactly("scenario=example variant=any target=\"value <= 1\" seen=2.0000");
+    }
+}
