Quarantine poisonous requests; tell stripes of silent engines

Cause: a request that crashes each engine that runs it took them all. Change: Quarantine blames a fingerprint that alone ran on two engines that died; reports go to all routers, a correlated loss blames nobody. A stripe that finds an engine silent tells the others. UNREACHABLE is no death.

--- a/siskintrail.router/src/io/siskintrail/router/internal/generation/EngineAttempts.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/generation/EngineAttempts.java
@@ -11,6 +11,7 @@
 import io.siskintrail.router.internal.endpoint.EngineCall;
 import io.siskintrail.router.internal.endpoint.EngineChunk;
 import io.siskintrail.router.internal.endpoint.EngineClient;
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -106,9 +107,19 @@
     }
 
     private static GenerationInput failed(GenerationId id, int attempt, Throwable error) {
-        boolean refused = error instanceof HttpClientResponseException;
-        AttemptEnd cause = refused ? AttemptEnd.REFUSED : AttemptEnd.RESET;
-        return failed(id, attempt, cause, error.toString());
+        return failed(id, attempt, cause(error), error.toString());
+    }
+
+    private static AttemptEnd cause(Throwable error) {
+        if (error instanceof HttpClientResponseException) {
+            return AttemptEnd.REFUSED;
+        }
+        for (Throwable t = error; t != null; t = t.getCause()) {
+            if (t instanceof ConnectException) {
+                return AttemptEnd.UNREACHABLE;
+            }
+        }
+        return AttemptEnd.RESET;
     }
 
     private static GenerationInput failed(
--- a/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationService.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationService.java
@@ -2,6 +2,7 @@
 
 import io.siskintrail.internal.generation.BuddyMessage;
 import io.siskintrail.internal.generation.Fingerprint;
+import io.siskintrail.internal.generation.GenerationEffect;
 import io.siskintrail.internal.generation.GenerationInput;
 import io.siskintrail.internal.generation.GenerationMachine;
 import io.siskintrail.internal.generation.GenerationSettings;
@@ -43,6 +44,9 @@
     private final long incarnation;
     private final List<GenerationStripe> stripes = new ArrayList<>();
     private final GenerationStats stats = new GenerationStats();
+    private final QuarantineShell quarantine;
+    private final HostId self;
+    private volatile List<HostInfo> routers = List.of();
     private final AtomicLong nextCaller = new AtomicLong();
 
     /**
@@ -66,9 +70,13 @@
             EngineClient engines) {
         this.transport = transport;
         this.incarnation = incarnation;
+        this.self = self.id();
+        this.quarantine = new QuarantineShell(this::sendToAll, this::refuse, slots::address);
         for (int i = 0; i < stripeCount; i++) {
             GenerationMachine machine = new GenerationMachine(settings, self, incarnation, i);
-            stripes.add(new GenerationStripe(i, machine, slots, engines, this::send, stats));
+            stripes.add(
+                    new GenerationStripe(
+                            i, machine, slots, engines, this::send, stats, this::endpointLost));
         }
         transport.handle(MessageKind.BUDDY, this::receive);
     }
@@ -76,10 +84,12 @@
     @Override
     public void start() {
         stripes.forEach(GenerationStripe::start);
+        quarantine.start();
     }
 
     @Override
     public void stop() {
+        quarantine.stop();
         stripes.forEach(GenerationStripe::stop);
     }
 
@@ -90,7 +100,8 @@
 
     /** Replaces the routers of the deployment; this one may be among them. */
     public void setRouters(List<HostInfo> hosts) {
-        postAll(new GenerationInput.Routers(List.copyOf(hosts)));
+        routers = List.copyOf(hosts);
+        postAll(new GenerationInput.Routers(routers));
     }
 
     /** Says that membership found a router dead. */
@@ -98,8 +109,7 @@
         postAll(new GenerationInput.RouterDown(host));
     }
 
-    /** Refuses requests with this content from now on, or no longer. */
-    public void quarantine(Fingerprint fingerprint, boolean on) {
+    private void refuse(Fingerprint fingerprint, boolean on) {
         postAll(new GenerationInput.Quarantined(fingerprint, on));
     }
 
@@ -162,6 +172,21 @@
         stripes.forEach(stripe -> stripe.post(input));
     }
 
+    private void endpointLost(GenerationEffect.EndpointLost e) {
+        quarantine.endpointLost(e);
+        if (e.silent()) {
+            postAll(new GenerationInput.EndpointSilent(e.endpoint()));
+        }
+    }
+
+    private void sendToAll(BuddyMessage message) {
+        for (HostInfo host : routers) {
+            if (!host.id().equals(self)) {
+                send(host.id(), message);
+            }
+        }
+    }
+
     private void send(HostId to, BuddyMessage message) {
         transport.send(to, MessageKind.BUDDY, BuddyCodec.encode(incarnation, message));
     }
@@ -174,6 +199,10 @@
             LogEvent.warning(LOG, "buddy.message.refused").with("sender", sender).write();
             return;
         }
+        if (packet.message() instanceof BuddyMessage.OfRouter m) {
+            quarantine.receive(sender, m);
+            return;
+        }
         GenerationInput input =
                 new GenerationInput.Message(sender, packet.incarnation(), packet.message());
         if (packet.message() instanceof BuddyMessage.OfRequest m) {
--- a/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationStripe.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationStripe.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /** Owns one generation machine, the thread it lives on, and the callers and streams it serves. */
 final class GenerationStripe implements Service {
@@ -26,6 +27,7 @@
     private final EngineAttempts attempts;
     private final BiConsumer<HostId, BuddyMessage> sender;
     private final GenerationStats stats;
+    private final Consumer<GenerationEffect.EndpointLost> whenLost;
     private final Map<Long, CallerSink> callers = new HashMap<>();
     private final CountDownLatch drained = new CountDownLatch(1);
     private volatile boolean stopped;
@@ -36,7 +38,9 @@
             SlotSource slots,
             EngineClient engines,
             BiConsumer<HostId, BuddyMessage> sender,
-            GenerationStats stats) {
+            GenerationStats stats,
+            Consumer<GenerationEffect.EndpointLost> whenLost) {
+        this.whenLost = whenLost;
         this.machine = machine;
         this.slots = slots;
         this.sender = sender;
@@ -143,6 +147,7 @@
                     .with("endpoint", e.endpoint())
                     .with("generations", e.running().size())
                     .write();
+            whenLost.accept(e);
         } else if (effect instanceof GenerationEffect.Drained) {
             drained.countDown();
         }
--- a/siskintrail.router/src/io/siskintrail/router/internal/policy/PolicyService.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/policy/PolicyService.java
@@ -227,7 +227,7 @@
     private static Outcome outcome(AttemptEnd cause) {
         return switch (cause) {
             case FINISHED -> Outcome.DONE;
-            case RESET, SILENT, REFUSED, NO_FIRST_TOKEN -> Outcome.ENDPOINT_FAILED;
+            case RESET, SILENT, UNREACHABLE, REFUSED, NO_FIRST_TOKEN -> Outcome.ENDPOINT_FAILED;
             case ABANDONED, SUSPENDED -> Outcome.CANCELLED;
             case STALLED, GAP, MISMATCH -> Outcome.FAILED;
         };
--- a/siskintrail.test/tst/io/siskintrail/internal/generation/PathWorld.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/generation/PathWorld.java
@@ -251,6 +251,8 @@
                 engine(e.endpoint()).begin(this, e);
             } else if (effect instanceof GenerationEffect.EndAttempt e) {
                 cancel(e.endpoint(), e.generation(), e.attempt());
+            } else if (effect instanceof GenerationEffect.EndpointLost e) {
+                lost(e);
             } else if (effect instanceof GenerationEffect.CancelForeign e) {
                 cancel(e.endpoint(), e.generation(), e.attempt());
             }
@@ -266,6 +268,12 @@
             }
         }
 
+        private void lost(GenerationEffect.EndpointLost e) {
+            if (e.silent()) {
+                input(incarnation, new GenerationInput.EndpointSilent(e.endpoint()));
+            }
+        }
+
         private void cancel(EndpointId endpoint, GenerationId generation, int attempt) {
             if (chance(70)) {
                 engine(endpoint)
--- a/siskintrail.wire.test/tst/io/siskintrail/wire/BuddyCodecTest.java
+++ b/siskintrail.wire.test/tst/io/siskintrail/wire/BuddyCodecTest.java
@@ -20,6 +20,7 @@
 import io.siskintrail.lib.RequestKey;
 import io.siskintrail.lib.ResultCode;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -62,6 +63,8 @@
                 new BuddyMessage.Relay(REF, ID, EPOCH, 9, null, 0, 0, TokenRun.EMPTY, null),
                 new BuddyMessage.Diverged(REF, ID, 9),
                 new BuddyMessage.Unsubscribe(REF, ID, 9),
+                new BuddyMessage.DeathReport(endpoint, Set.of(PRINT, new Fingerprint(5, 6))),
+                new BuddyMessage.QuarantineNotice(PRINT, 600_000),
                 new BuddyMessage.Probe(2),
                 new BuddyMessage.ProbeAck(2));
     }
--- a/siskintrail.wire/idl/buddy.thrift
+++ b/siskintrail.wire/idl/buddy.thrift
@@ -56,7 +56,9 @@
   DIVERGED = 13,
   UNSUBSCRIBE = 14,
   PROBE = 15,
-  PROBE_ACK = 16
+  PROBE_ACK = 16,
+  DEATH_REPORT = 17,
+  QUARANTINE_NOTICE = 18
 }
 
 /** One message. */
@@ -85,5 +87,8 @@
   20: optional i64 fingerprintHigh,
   21: optional i64 fingerprintLow,
   /** The generation that answers the request already, in a conflict. */
-  22: optional string running
+  22: optional string running,
+  /** Upper and lower halves in turn, of what ran on an endpoint that died. */
+  23: optional list<i64> fingerprints,
+  24: optional i64 millis
 }
--- a/siskintrail.wire/src/io/siskintrail/wire/BuddyCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/BuddyCodec.java
@@ -8,6 +8,8 @@
 import io.siskintrail.lib.RequestKey;
 import io.siskintrail.wire.gen.buddy.TBuddyKind;
 import io.siskintrail.wire.gen.buddy.TBuddyMessage;
+import java.util.HashSet;
+import java.util.Set;
 import org.apache.thrift.TException;
 
 /** Converts the messages between generation stripes. */
@@ -42,6 +44,13 @@
         if (kind == TBuddyKind.PROBE_ACK) {
             return new BuddyMessage.ProbeAck(t.getStripe());
         }
+        if (kind == TBuddyKind.DEATH_REPORT) {
+            return new BuddyMessage.DeathReport(
+                    BuddyValues.endpoint(t.getEndpoint()), fingerprints(t));
+        }
+        if (kind == TBuddyKind.QUARANTINE_NOTICE) {
+            return new BuddyMessage.QuarantineNotice(fingerprint(t), t.getMillis());
+        }
         RequestRef ref = new RequestRef(new AccountId(t.getAccount()), new RequestKey(t.getKey()));
         GenerationId id = BuddyValues.generation(t.getGeneration());
         return switch (kind) {
@@ -116,6 +125,14 @@
                 BuddyValues.read(t.getOutcome()));
     }
 
+    private static Set<Fingerprint> fingerprints(TBuddyMessage t) {
+        Set<Fingerprint> found = new HashSet<>();
+        for (int i = 0; i + 1 < t.getFingerprintsSize(); i += 2) {
+            found.add(new Fingerprint(t.getFingerprints().get(i), t.getFingerprints().get(i + 1)));
+        }
+        return found;
+    }
+
     private static Fingerprint fingerprint(TBuddyMessage t) {
         return t.isSetFingerprintHigh()
                 ? new Fingerprint(t.getFingerprintHigh(), t.getFingerprintLow())
--- a/siskintrail.wire/src/io/siskintrail/wire/BuddyWriter.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/BuddyWriter.java
@@ -6,6 +6,8 @@
 import io.siskintrail.lib.GenerationId;
 import io.siskintrail.wire.gen.buddy.TBuddyKind;
 import io.siskintrail.wire.gen.buddy.TBuddyMessage;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Writes buddy messages into their Thrift form. */
 final class BuddyWriter {
@@ -21,6 +23,10 @@
             t.setStripe(m.stripe());
             return t;
         }
+        if (message instanceof BuddyMessage.OfRouter m) {
+            router(t, m);
+            return t;
+        }
         BuddyMessage.OfRequest request = (BuddyMessage.OfRequest) message;
         t.setAccount(request.ref().account().value());
         t.setKey(request.ref().key().value());
@@ -40,6 +46,23 @@
         return t;
     }
 
+    private static void router(TBuddyMessage t, BuddyMessage.OfRouter message) {
+        if (message instanceof BuddyMessage.DeathReport m) {
+            t.setKind(TBuddyKind.DEATH_REPORT);
+            t.setEndpoint(m.endpoint().value());
+            List<Long> halves = new ArrayList<>();
+            for (Fingerprint f : m.running()) {
+                halves.add(f.high());
+                halves.add(f.low());
+            }
+            t.setFingerprints(halves);
+        } else if (message instanceof BuddyMessage.QuarantineNotice m) {
+            t.setKind(TBuddyKind.QUARANTINE_NOTICE);
+            fingerprint(t, m.fingerprint());
+            t.setMillis(m.millis());
+        }
+    }
+
     private static void rare(TBuddyMessage t, BuddyMessage message) {
         if (message instanceof BuddyMessage.NotHeld m) {
             about(t, TBuddyKind.NOT_HELD, m.generation(), m.epoch());
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/buddy/TBuddyKind.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/buddy/TBuddyKind.java
@@ -26,7 +26,9 @@
   DIVERGED(13),
   UNSUBSCRIBE(14),
   PROBE(15),
-  PROBE_ACK(16);
+  PROBE_ACK(16),
+  DEATH_REPORT(17),
+  QUARANTINE_NOTICE(18);
 
   private final int value;
 
@@ -81,6 +83,10 @@
         return PROBE;
       case 16:
         return PROBE_ACK;
+      case 17:
+        return DEATH_REPORT;
+      case 18:
+        return QUARANTINE_NOTICE;
       default:
         return null;
     }
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/buddy/TBuddyMessage.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/buddy/TBuddyMessage.java
@@ -35,6 +35,8 @@
   private static final org.apache.thrift.protocol.TField FINGERPRINT_HIGH_FIELD_DESC = new org.apache.thrift.protocol.TField("fingerprintHigh", org.apache.thrift.protocol.TType.I64, (short)20);
   private static final org.apache.thrift.protocol.TField FINGERPRINT_LOW_FIELD_DESC = new org.apache.thrift.protocol.TField("fingerprintLow", org.apache.thrift.protocol.TType.I64, (short)21);
   private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.STRING, (short)22);
+  private static final org.apache.thrift.protocol.TField FINGERPRINTS_FIELD_DESC = new org.apache.thrift.protocol.TField("fingerprints", org.apache.thrift.protocol.TType.LIST, (short)23);
+  private static final org.apache.thrift.protocol.TField MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("millis", org.apache.thrift.protocol.TType.I64, (short)24);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TBuddyMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TBuddyMessageTupleSchemeFactory();
@@ -74,6 +76,11 @@
    * The generation that answers the request already, in a conflict.
    */
   public @org.apache.thrift.annotation.Nullable java.lang.String running; // optional
+  /**
+   * Upper and lower halves in turn, of what ran on an endpoint that died.
+   */
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> fingerprints; // optional
+  public long millis; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -111,7 +118,12 @@
     /**
      * The generation that answers the request already, in a conflict.
      */
-    RUNNING((short)22, "running");
+    RUNNING((short)22, "running"),
+    /**
+     * Upper and lower halves in turn, of what ran on an endpoint that died.
+     */
+    FINGERPRINTS((short)23, "fingerprints"),
+    MILLIS((short)24, "millis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -171,6 +183,10 @@
           return FINGERPRINT_LOW;
         case 22: // RUNNING
           return RUNNING;
+        case 23: // FINGERPRINTS
+          return FINGERPRINTS;
+        case 24: // MILLIS
+          return MILLIS;
         default:
           return null;
       }
@@ -224,8 +240,9 @@
   private static final int __BASISOFFSET_ISSET_ID = 7;
   private static final int __FINGERPRINTHIGH_ISSET_ID = 8;
   private static final int __FINGERPRINTLOW_ISSET_ID = 9;
+  private static final int __MILLIS_ISSET_ID = 10;
   private short __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.ACCOUNT,_Fields.KEY,_Fields.STRIPE,_Fields.GENERATION,_Fields.EPOCH,_Fields.SPEC,_Fields.LINEAGE,_Fields.RUN,_Fields.OUTCOME,_Fields.ATTEMPT,_Fields.ENDPOINT,_Fields.FAILURES,_Fields.OFFSET,_Fields.ENDED,_Fields.CALLER,_Fields.BASIS_EPOCH,_Fields.BASIS_OFFSET,_Fields.FINGERPRINT_HIGH,_Fields.FINGERPRINT_LOW,_Fields.RUNNING};
+  private static final _Fields optionals[] = {_Fields.ACCOUNT,_Fields.KEY,_Fields.STRIPE,_Fields.GENERATION,_Fields.EPOCH,_Fields.SPEC,_Fields.LINEAGE,_Fields.RUN,_Fields.OUTCOME,_Fields.ATTEMPT,_Fields.ENDPOINT,_Fields.FAILURES,_Fields.OFFSET,_Fields.ENDED,_Fields.CALLER,_Fields.BASIS_EPOCH,_Fields.BASIS_OFFSET,_Fields.FINGERPRINT_HIGH,_Fields.FINGERPRINT_LOW,_Fields.RUNNING,_Fields.FINGERPRINTS,_Fields.MILLIS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -274,6 +291,11 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.RUNNING, new org.apache.thrift.meta_data.FieldMetaData("running", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.FINGERPRINTS, new org.apache.thrift.meta_data.FieldMetaData("fingerprints", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
+    tmpMap.put(_Fields.MILLIS, new org.apache.thrift.meta_data.FieldMetaData("millis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TBuddyMessage.class, metaDataMap);
   }
@@ -346,6 +368,11 @@
     if (other.isSetRunning()) {
       this.running = other.running;
     }
+    if (other.isSetFingerprints()) {
+      java.util.List<java.lang.Long> __this__fingerprints = new java.util.ArrayList<java.lang.Long>(other.fingerprints);
+      this.fingerprints = __this__fingerprints;
+    }
+    this.millis = other.millis;
   }
 
   @Override
@@ -387,6 +414,9 @@
     setFingerprintLowIsSet(false);
     this.fingerprintLow = 0;
     this.running = null;
+    this.fingerprints = null;
+    setMillisIsSet(false);
+    this.millis = 0;
   }
 
   /**
@@ -961,6 +991,76 @@
     }
   }
 
+  public int getFingerprintsSize() {
+    return (this.fingerprints == null) ? 0 : this.fingerprints.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Long> getFingerprintsIterator() {
+    return (this.fingerprints == null) ? null : this.fingerprints.iterator();
+  }
+
+  public void addToFingerprints(long elem) {
+    if (this.fingerprints == null) {
+      this.fingerprints = new java.util.ArrayList<java.lang.Long>();
+    }
+    this.fingerprints.add(elem);
+  }
+
+  /**
+   * Upper and lower halves in turn, of what ran on an endpoint that died.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Long> getFingerprints() {
+    return this.fingerprints;
+  }
+
+  /**
+   * Upper and lower halves in turn, of what ran on an endpoint that died.
+   */
+  public TBuddyMessage setFingerprints(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> fingerprints) {
+    this.fingerprints = fingerprints;
+    return this;
+  }
+
+  public void unsetFingerprints() {
+    this.fingerprints = null;
+  }
+
+  /** Returns true if field fingerprints is set (has been assigned a value) and false otherwise */
+  public boolean isSetFingerprints() {
+    return this.fingerprints != null;
+  }
+
+  public void setFingerprintsIsSet(boolean value) {
+    if (!value) {
+      this.fingerprints = null;
+    }
+  }
+
+  public long getMillis() {
+    return this.millis;
+  }
+
+  public TBuddyMessage setMillis(long millis) {
+    this.millis = millis;
+    setMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field millis is set (has been assigned a value) and false otherwise */
+  public boolean isSetMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MILLIS_ISSET_ID);
+  }
+
+  public void setMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -1140,6 +1240,22 @@
       }
       break;
 
+    case FINGERPRINTS:
+      if (value == null) {
+        unsetFingerprints();
+      } else {
+        setFingerprints((java.util.List<java.lang.Long>)value);
+      }
+      break;
+
+    case MILLIS:
+      if (value == null) {
+        unsetMillis();
+      } else {
+        setMillis((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -1213,6 +1329,12 @@
     case RUNNING:
       return getRunning();
 
+    case FINGERPRINTS:
+      return getFingerprints();
+
+    case MILLIS:
+      return getMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1269,6 +1391,10 @@
       return isSetFingerprintLow();
     case RUNNING:
       return isSetRunning();
+    case FINGERPRINTS:
+      return isSetFingerprints();
+    case MILLIS:
+      return isSetMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1484,6 +1610,24 @@
         return false;
     }
 
+    boolean this_present_fingerprints = true && this.isSetFingerprints();
+    boolean that_present_fingerprints = true && that.isSetFingerprints();
+    if (this_present_fingerprints || that_present_fingerprints) {
+      if (!(this_present_fingerprints && that_present_fingerprints))
+        return false;
+      if (!this.fingerprints.equals(that.fingerprints))
+        return false;
+    }
+
+    boolean this_present_millis = true && this.isSetMillis();
+    boolean that_present_millis = true && that.isSetMillis();
+    if (this_present_millis || that_present_millis) {
+      if (!(this_present_millis && that_present_millis))
+        return false;
+      if (this.millis != that.millis)
+        return false;
+    }
+
     return true;
   }
 
@@ -1577,6 +1721,14 @@
     if (isSetRunning())
       hashCode = hashCode * 8191 + running.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetFingerprints()) ? 131071 : 524287);
+    if (isSetFingerprints())
+      hashCode = hashCode * 8191 + fingerprints.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetMillis()) ? 131071 : 524287);
+    if (isSetMillis())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(millis);
+
     return hashCode;
   }
 
@@ -1808,6 +1960,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetFingerprints(), other.isSetFingerprints());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetFingerprints()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fingerprints, other.fingerprints);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetMillis(), other.isSetMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.millis, other.millis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -2007,6 +2179,22 @@
       }
       first = false;
     }
+    if (isSetFingerprints()) {
+      if (!first) sb.append(", ");
+      sb.append("fingerprints:");
+      if (this.fingerprints == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.fingerprints);
+      }
+      first = false;
+    }
+    if (isSetMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("millis:");
+      sb.append(this.millis);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -2265,6 +2453,32 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 23: // FINGERPRINTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list19 = iprot.readListBegin();
+                struct.fingerprints = new java.util.ArrayList<java.lang.Long>(_list19.size);
+                long _elem20;
+                for (int _i21 = 0; _i21 < _list19.size; ++_i21)
+                {
+                  _elem20 = iprot.readI64();
+                  struct.fingerprints.add(_elem20);
+                }
+                iprot.readListEnd();
+              }
+              struct.setFingerprintsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 24: // MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.millis = iprot.readI64();
+              struct.setMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -2337,9 +2551,9 @@
           oprot.writeFieldBegin(LINEAGE_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.lineage.size()));
-            for (TSegment _iter19 : struct.lineage)
+            for (TSegment _iter22 : struct.lineage)
             {
-              _iter19.write(oprot);
+              _iter22.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2421,6 +2635,25 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.fingerprints != null) {
+        if (struct.isSetFingerprints()) {
+          oprot.writeFieldBegin(FINGERPRINTS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.fingerprints.size()));
+            for (long _iter23 : struct.fingerprints)
+            {
+              oprot.writeI64(_iter23);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.isSetMillis()) {
+        oprot.writeFieldBegin(MILLIS_FIELD_DESC);
+        oprot.writeI64(struct.millis);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2502,7 +2735,13 @@
       if (struct.isSetRunning()) {
         optionals.set(19);
       }
-      oprot.writeBitSet(optionals, 20);
+      if (struct.isSetFingerprints()) {
+        optionals.set(20);
+      }
+      if (struct.isSetMillis()) {
+        optionals.set(21);
+      }
+      oprot.writeBitSet(optionals, 22);
       if (struct.isSetAccount()) {
         oprot.writeString(struct.account);
       }
@@ -2524,9 +2763,9 @@
       if (struct.isSetLineage()) {
         {
           oprot.writeI32(struct.lineage.size());
-          for (TSegment _iter20 : struct.lineage)
+          for (TSegment _iter24 : struct.lineage)
           {
-            _iter20.write(oprot);
+            _iter24.write(oprot);
           }
         }
       }
@@ -2569,6 +2808,18 @@
       if (struct.isSetRunning()) {
         oprot.writeString(struct.running);
       }
+      if (struct.isSetFingerprints()) {
+        {
+          oprot.writeI32(struct.fingerprints.size());
+          for (long _iter25 : struct.fingerprints)
+          {
+            oprot.writeI64(_iter25);
+          }
+        }
+      }
+      if (struct.isSetMillis()) {
+        oprot.writeI64(struct.millis);
+      }
     }
 
     @Override
@@ -2578,7 +2829,7 @@
       struct.setIncarnationIsSet(true);
       struct.kind = io.siskintrail.wire.gen.buddy.TBuddyKind.findByValue(iprot.readI32());
       struct.setKindIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(20);
+      java.util.BitSet incoming = iprot.readBitSet(22);
       if (incoming.get(0)) {
         struct.account = iprot.readString();
         struct.setAccountIsSet(true);
@@ -2607,14 +2858,14 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.lineage = new java.util.ArrayList<TSegment>(_list21.size);
-          @org.apache.thrift.annotation.Nullable TSegment _elem22;
-          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+          org.apache.thrift.protocol.TList _list26 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.lineage = new java.util.ArrayList<TSegment>(_list26.size);
+          @org.apache.thrift.annotation.Nullable TSegment _elem27;
+          for (int _i28 = 0; _i28 < _list26.size; ++_i28)
           {
-            _elem22 = new TSegment();
-            _elem22.read(iprot);
-            struct.lineage.add(_elem22);
+            _elem27 = new TSegment();
+            _elem27.read(iprot);
+            struct.lineage.add(_elem27);
           }
         }
         struct.setLineageIsSet(true);
@@ -2674,6 +2925,23 @@
         struct.running = iprot.readString();
         struct.setRunningIsSet(true);
       }
+      if (incoming.get(20)) {
+        {
+          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.fingerprints = new java.util.ArrayList<java.lang.Long>(_list29.size);
+          long _elem30;
+          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+          {
+            _elem30 = iprot.readI64();
+            struct.fingerprints.add(_elem30);
+          }
+        }
+        struct.setFingerprintsIsSet(true);
+      }
+      if (incoming.get(21)) {
+        struct.millis = iprot.readI64();
+        struct.setMillisIsSet(true);
+      }
     }
   }
 
--- a/siskintrail/src/io/siskintrail/internal/generation/AttemptEnd.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/AttemptEnd.java
@@ -16,6 +16,8 @@
     GAP(false),
     /** A chunk repeated a position with another token. */
     MISMATCH(false),
+    /** No connection to the endpoint could be made. */
+    UNREACHABLE(false),
     /** The engine refused the request or answered with an error. */
     REFUSED(false),
     /** The generation was suspended for other work. */
@@ -29,7 +31,7 @@
         this.endpointLost = endpointLost;
     }
 
-    /** Returns whether the end may mean that the endpoint is dead. */
+    /** Returns whether the end may mean that the endpoint died while it ran the attempt. */
     public boolean endpointLost() {
         return endpointLost;
     }
--- a/siskintrail/src/io/siskintrail/internal/generation/AttemptRunner.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/AttemptRunner.java
@@ -114,12 +114,21 @@
             if (in.cause().endpointLost()) {
                 stripe.emit(
                         new GenerationEffect.EndpointLost(
-                                g.endpoint, List.of(g.spec.fingerprint())));
+                                g.endpoint, List.of(g.spec.fingerprint()), false));
             }
             lose(g, in.cause());
         }
     }
 
+    void onSilent(GenerationInput.EndpointSilent in) {
+        for (GenerationId id : List.copyOf(running.getOrDefault(in.endpoint(), Set.of()))) {
+            OwnedGeneration g = stripe.owned.get(id);
+            if (!g.streaming) {
+                lose(g, AttemptEnd.SILENT);
+            }
+        }
+    }
+
     void onSuspend(GenerationInput.Suspend in) {
         OwnedGeneration g = stripe.owned.get(in.generation());
         if (g != null && g.phase == Phase.RUNNING) {
@@ -181,7 +190,7 @@
             lost.add(stripe.owned.get(id));
         }
         List<Fingerprint> fingerprints = lost.stream().map(g -> g.spec.fingerprint()).toList();
-        stripe.emit(new GenerationEffect.EndpointLost(endpoint, fingerprints));
+        stripe.emit(new GenerationEffect.EndpointLost(endpoint, fingerprints, true));
         lost.forEach(g -> lose(g, AttemptEnd.SILENT));
     }
 
--- a/siskintrail/src/io/siskintrail/internal/generation/BuddyMessage.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/BuddyMessage.java
@@ -3,6 +3,7 @@
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.GenerationId;
 import java.util.List;
+import java.util.Set;
 
 /** What stripes of different routers tell each other. Any message can be lost or repeated. */
 public sealed interface BuddyMessage {
@@ -19,6 +20,15 @@
         int stripe();
     }
 
+    /** A message between routers as a whole. */
+    sealed interface OfRouter extends BuddyMessage {}
+
+    /** Tells what ran on an endpoint that died. */
+    record DeathReport(EndpointId endpoint, Set<Fingerprint> running) implements OfRouter {}
+
+    /** Asks to refuse a fingerprint for {@code millis}. */
+    record QuarantineNotice(Fingerprint fingerprint, long millis) implements OfRouter {}
+
     /**
      * Asks a router to keep a copy, with all that is known so far.
      *
--- a/siskintrail/src/io/siskintrail/internal/generation/GenerationEffect.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/GenerationEffect.java
@@ -70,8 +70,14 @@
     /** Send a message to another router, best effort. */
     record Send(HostId to, BuddyMessage message) implements GenerationEffect {}
 
-    /** Streams of {@code endpoint} were lost together; {@code running} is what ran on them. */
-    record EndpointLost(EndpointId endpoint, List<Fingerprint> running)
+    /**
+     * Streams of an endpoint were lost together.
+     *
+     * @param endpoint the endpoint
+     * @param running what ran on the streams
+     * @param silent whether they fell silent, so that other stripes should know
+     */
+    record EndpointLost(EndpointId endpoint, List<Fingerprint> running, boolean silent)
             implements GenerationEffect {}
 
     /**
--- a/siskintrail/src/io/siskintrail/internal/generation/GenerationInput.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/GenerationInput.java
@@ -56,6 +56,12 @@
     record AttemptFailed(GenerationId generation, int attempt, AttemptEnd cause, String detail)
             implements GenerationInput {}
 
+    /**
+     * Another stripe found that no stream of the endpoint makes progress, so attempts here that
+     * wait for their first token there will wait in vain.
+     */
+    record EndpointSilent(EndpointId endpoint) implements GenerationInput {}
+
     /** Urgent work needs the slot of the generation. */
     record Suspend(GenerationId generation) implements GenerationInput {}
 
--- a/siskintrail/src/io/siskintrail/internal/generation/GenerationMachine.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/GenerationMachine.java
@@ -84,6 +84,8 @@
             attempts.onRefused(in);
         } else if (input instanceof GenerationInput.AttemptFailed in) {
             attempts.onFailed(in);
+        } else if (input instanceof GenerationInput.EndpointSilent in) {
+            attempts.onSilent(in);
         } else if (input instanceof GenerationInput.Suspend in) {
             attempts.onSuspend(in);
         } else if (input instanceof GenerationInput.Routers in) {
