--- a/siskintrail.bench/src/io/siskintrail/bench/path/ResumeMeasure.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/path/ResumeMeasure.java
@@ -205,8 +205,14 @@
                                     && right.subList(0, c.tokens().size()).equals(c.tokens());
                     System.out.printf(
                             "wrong stream=%d tokens=%d right_prefix=%b done=%b error=%s"
-                                    + " connections=%d%n",
-                            i, c.tokens().size(), prefix, c.isDone(), c.error(), c.connections());
+                                    + " connections=%d first_difference=%d%n",
+                            i,
+                            c.tokens().size(),
+                            prefix,
+                            c.isDone(),
+                            c.error(),
+                            c.connections(),
+                            firstDifference(right, c.tokens()));
                 }
                 int had = lostAt == 0 ? 0 : gapAround(c);
                 if (had > 0) {
@@ -226,6 +232,14 @@
             restartSlotExtra = restartMillis / (double) serviceMillis;
         }
 
+        private static int firstDifference(List<Integer> right, List<Integer> had) {
+            int at = 0;
+            while (at < had.size() && at < right.size() && right.get(at).equals(had.get(at))) {
+                at++;
+            }
+            return at;
+        }
+
         /**
          * Records the gap that spans the loss when it is longer than an undisturbed one; returns
          * how many tokens the caller had, 0 when its stream was not affected.
--- a/siskintrail.router/src/io/siskintrail/router/internal/generation/CallerSink.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/generation/CallerSink.java
@@ -33,7 +33,9 @@
     void deliver(GenerationEffect.Deliver e) {
         begin();
         int offset = e.after().offset() - e.run().size();
-        chunks.tryEmitNext(new AnswerChunk(offset, e.run(), e.after().toEventId(), null));
+        chunks.emitNext(
+                new AnswerChunk(offset, e.run(), e.after().toEventId(), null),
+                Sinks.EmitFailureHandler.FAIL_FAST);
     }
 
     void finish(Outcome outcome, int tokens) {
