--- a/siskintrail.router/src/io/siskintrail/router/internal/generation/CallerSink.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/generation/CallerSink.java
@@ -31,18 +31,18 @@
     }
 
     void deliver(GenerationEffect.Deliver e) {
-        begin();
         int offset = e.after().offset() - e.run().size();
         chunks.emitNext(
                 new AnswerChunk(offset, e.run(), e.after().toEventId(), null),
                 Sinks.EmitFailureHandler.FAIL_FAST);
+        begin();
     }
 
     void finish(Outcome outcome, int tokens) {
         if (outcome.isWhole()) {
-            begin();
             chunks.tryEmitNext(new AnswerChunk(tokens, TokenRun.EMPTY, null, outcome.reason()));
             chunks.tryEmitComplete();
+            begin();
             return;
         }
         Failure failure = new Failure(outcome.code(), outcome.reason());
