Measure the cost of control and share wake-ups of its ticks

Cause: what a router spends on control was not known; its control thread woke for each periodic task alone. Change: siskintrail-bench control-cost measures seven routers, idle and busy, and the slopes of the membership; ControlLoop.every runs tasks when the clock passes a multiple of their period.

--- a/siskintrail.bench/src/io/siskintrail/bench/Main.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/Main.java
@@ -1,5 +1,6 @@
 package io.siskintrail.bench;
 
+import io.siskintrail.bench.cost.ControlCostExperiment;
 import io.siskintrail.bench.ledger.LedgerExperiment;
 import io.siskintrail.bench.membership.MembershipExperiment;
 import io.siskintrail.bench.orders.LedgerFaultsExperiment;
@@ -15,6 +16,7 @@
     private static final Map<String, Supplier<Experiment>> EXPERIMENTS = new TreeMap<>();
 
     static {
+        EXPERIMENTS.put("control-cost", ControlCostExperiment::new);
         EXPERIMENTS.put("in-force", InForceBench::new);
         EXPERIMENTS.put("ledger", LedgerExperiment::new);
         EXPERIMENTS.put("policy", PolicyBench::new);
--- a/siskintrail.bench/src/io/siskintrail/bench/membership/Cluster.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/membership/Cluster.java
@@ -1,7 +1,7 @@
 package io.siskintrail.bench.membership;
 
 /** Nodes with endpoints under one way of spreading knowledge. */
-interface Cluster {
+public interface Cluster {
 
     /** Starts node {@code node} with nothing known, its endpoints with it. */
     void start(int node);
--- a/siskintrail.bench/src/io/siskintrail/bench/membership/GossipCluster.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/membership/GossipCluster.java
@@ -24,7 +24,7 @@
 import java.util.Set;
 
 /** The memberships of many routers, with the sizes of their messages on the wire. */
-final class GossipCluster implements Cluster {
+public final class GossipCluster implements Cluster {
     private static final long RENEW_MILLIS = 500;
     private static final long MILLIS_PER_SECOND = 1_000;
     private static final int MODELS = 22;
@@ -45,7 +45,8 @@
     private long requests;
     private long lastWorkMillis = -1;
 
-    GossipCluster(VirtualNetwork net, int nodes, int endpoints) {
+    /** Prepares a cluster in which nothing runs yet. */
+    public GossipCluster(VirtualNetwork net, int nodes, int endpoints) {
         this.net = net;
         this.nodes = nodes;
         this.endpoints = endpoints;
@@ -191,9 +192,12 @@
     private void send(int from, MembershipEffect.Send s) {
         int to = Integer.parseInt(s.to().value().substring(1));
         long boot = boots[to];
-        net.send(
-                wireBytes(from, s),
-                () -> step(to, boot, new MembershipInput.Received(host(from), s.message())));
+        byte[] body = MembershipCodec.encode(s.message());
+        net.send(wireBytes(from, body), () -> deliver(from, to, boot, body));
+    }
+
+    private void deliver(int from, int to, long boot, byte[] body) {
+        step(to, boot, new MembershipInput.Received(host(from), MembershipCodec.decode(body)));
     }
 
     private void check(int node, long boot, MembershipEffect.Check c) {
@@ -210,8 +214,7 @@
         }
     }
 
-    private static int wireBytes(int from, MembershipEffect.Send s) {
-        byte[] body = MembershipCodec.encode(s.message());
+    private static int wireBytes(int from, byte[] body) {
         Envelope envelope =
                 new Envelope(
                         host(from).value(),
--- a/siskintrail.bench/src/io/siskintrail/bench/membership/VirtualNetwork.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/membership/VirtualNetwork.java
@@ -5,7 +5,7 @@
 import java.util.SplittableRandom;
 
 /** Events in virtual time, and messages with latency and loss that are counted. */
-final class VirtualNetwork {
+public final class VirtualNetwork {
     private static final int LATENCY_MICROS = 500;
     private static final long MICROS_PER_MILLI = 1_000;
 
@@ -21,12 +21,14 @@
 
     private record Event(long atMicros, long number, Runnable task) {}
 
-    VirtualNetwork(long seed, double lossShare) {
+    /** Makes a network that loses a share of its messages. */
+    public VirtualNetwork(long seed, double lossShare) {
         this.random = new SplittableRandom(seed);
         this.lossShare = lossShare;
     }
 
-    long nowMillis() {
+    /** Returns the virtual time. */
+    public long nowMillis() {
         return nowMicros / MICROS_PER_MILLI;
     }
 
@@ -55,7 +57,7 @@
     }
 
     /** Lets time pass until {@code millis}. */
-    void runUntil(long millis) {
+    public void runUntil(long millis) {
         long end = millis * MICROS_PER_MILLI;
         while (!events.isEmpty() && events.peek().atMicros <= end) {
             Event e = events.poll();
@@ -65,11 +67,13 @@
         nowMicros = end;
     }
 
-    long messages() {
+    /** Returns the messages sent so far. */
+    public long messages() {
         return messages;
     }
 
-    long bytes() {
+    /** Returns the bytes sent so far. */
+    public long bytes() {
         return bytes;
     }
 
--- a/siskintrail.router/src/io/siskintrail/router/RouterService.java
+++ b/siskintrail.router/src/io/siskintrail/router/RouterService.java
@@ -265,6 +265,16 @@
         LogEvent.info(LOG, "router.stopped").with("host", settings.host()).write();
     }
 
+    /** Returns the bytes sent to other hosts since the start, without framing. */
+    public long peerBytesSent() {
+        return transport.bytesSent();
+    }
+
+    /** Returns the messages sent to other hosts since the start. */
+    public long peerMessagesSent() {
+        return transport.messagesSent();
+    }
+
     /** Runs {@code task} on the control thread; a task that sleeps pauses this router. */
     public void onControlThread(Runnable task) {
         loop.execute(task);
--- a/siskintrail.service/src/io/siskintrail/service/ControlLoop.java
+++ b/siskintrail.service/src/io/siskintrail/service/ControlLoop.java
@@ -51,9 +51,29 @@
         return CompletableFuture.supplyAsync(task, executor);
     }
 
-    /** Runs {@code task} on the control thread every {@code millis} milliseconds. */
+    /**
+     * Runs {@code task} on the control thread whenever the monotonic clock passes a multiple of
+     * {@code millis} milliseconds, so that tasks with related periods share their wake-ups. Runs
+     * that a pause of the process has missed are left out.
+     */
     public void every(long millis, Runnable task) {
-        executor.scheduleWithFixedDelay(guarded(task), millis, millis, TimeUnit.MILLISECONDS);
+        Runnable guarded = guarded(task);
+        scheduleNext(millis * NANOS_PER_MILLI, guarded);
+    }
+
+    private void scheduleNext(long periodNanos, Runnable task) {
+        long delay = periodNanos - Math.floorMod(System.nanoTime(), periodNanos);
+        try {
+            executor.schedule(
+                    () -> {
+                        task.run();
+                        scheduleNext(periodNanos, task);
+                    },
+                    delay,
+                    TimeUnit.NANOSECONDS);
+        } catch (RejectedExecutionException e) {
+            LogEvent.debug(LOG, "control.task.dropped").write();
+        }
     }
 
     /** Runs {@code task} on the control thread once, after {@code millis} milliseconds. */
