Ask for an operator token on the router's administration API

Cause: anyone who reached a router through the balancer could read its status and endpoints, and the announce token of endpoints opened the accounts. Conclusion: both binaries know operators by the same hashed tokens.

--- a/siskintrail.bench/src/io/siskintrail/bench/QuickstartExperiment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/QuickstartExperiment.java
@@ -2,7 +2,6 @@
 
 import io.siskintrail.control.ControlService;
 import io.siskintrail.control.ControlSettings;
-import io.siskintrail.control.internal.http.OperatorTokens;
 import io.siskintrail.fake.FakeEngine;
 import io.siskintrail.fake.FakeEngineSettings;
 import io.siskintrail.fake.FakeTokens;
@@ -10,6 +9,7 @@
 import io.siskintrail.router.RouterService;
 import io.siskintrail.router.RouterSettings;
 import io.siskintrail.router.internal.account.ApiKeys;
+import io.siskintrail.service.OperatorTokens;
 import io.siskintrail.service.Service;
 import io.siskintrail.service.ShutdownSignal;
 import java.io.IOException;
@@ -146,9 +146,7 @@
                 List.of(),
                 List.of(),
                 List.of(new ControlSettings.Peer(ROUTER, "local", routerPeerAddress)),
-                List.of(
-                        new ControlSettings.Operator(
-                                "quickstart", OperatorTokens.hashOf(OPERATOR_TOKEN))));
+                operators());
     }
 
     private RouterSettings routerSettings() {
@@ -162,7 +160,13 @@
                 List.of(),
                 List.of(new RouterSettings.Peer(CONTROL, "local", controlPeerAddress)),
                 List.of(new RouterSettings.Account("quickstart", ApiKeys.hashOf(API_KEY))),
-                null);
+                null,
+                operators());
+    }
+
+    private static List<OperatorTokens.Operator> operators() {
+        return List.of(
+                new OperatorTokens.Operator("quickstart", OperatorTokens.hashOf(OPERATOR_TOKEN)));
     }
 
     private static String freeAddress() {
--- a/siskintrail.bench/src/io/siskintrail/bench/orders/Deployment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/orders/Deployment.java
@@ -124,7 +124,8 @@
                                 "host-" + other, "local", "127.0.0.1:" + ports[other])),
                 List.of(),
                 List.of(new RouterSettings.Account("depot", ApiKeys.hashOf(API_KEY))),
-                null);
+                null,
+                List.of());
     }
 
     private FakeServiceSettings endpointSettings(int number) {
--- a/siskintrail.bench/src/io/siskintrail/bench/path/PathDeployment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/path/PathDeployment.java
@@ -133,6 +133,7 @@
                 others,
                 List.of(),
                 List.of(new RouterSettings.Account("clinic", ApiKeys.hashOf(API_KEY))),
-                null);
+                null,
+                List.of());
     }
 }
--- a/siskintrail.control.test/tst/io/siskintrail/control/ControlServiceDiskTest.java
+++ b/siskintrail.control.test/tst/io/siskintrail/control/ControlServiceDiskTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.siskintrail.control.internal.http.OperatorTokens;
 import io.siskintrail.control.internal.replica.ReplicatedControlLog;
 import io.siskintrail.internal.control.ConfigurationCommand;
 import io.siskintrail.internal.control.ControlCommand;
@@ -11,6 +10,7 @@
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.HostInfo;
 import io.siskintrail.service.ControlLoop;
+import io.siskintrail.service.OperatorTokens;
 import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ControlStateCodec;
 import io.siskintrail.wire.ThriftPeerTransport;
@@ -65,7 +65,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
-                        List.of(new ControlSettings.Operator("o", OperatorTokens.hashOf(TOKEN))));
+                        List.of(new OperatorTokens.Operator("o", OperatorTokens.hashOf(TOKEN))));
         ControlService service = new ControlService(settings);
         service.start();
         try {
--- a/siskintrail.control/src/io/siskintrail/control/ControlSettings.java
+++ b/siskintrail.control/src/io/siskintrail/control/ControlSettings.java
@@ -5,6 +5,7 @@
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.HostInfo;
+import io.siskintrail.service.OperatorTokens;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -36,7 +37,7 @@
         List<Peer> replicas,
         List<String> firstReplicas,
         List<Peer> routers,
-        List<Operator> operators) {
+        List<OperatorTokens.Operator> operators) {
     private static final int MIN_SECRET_LENGTH = 8;
 
     /** Checks the settings as a whole. */
@@ -112,25 +113,6 @@
         }
     }
 
-    /**
-     * An operator.
-     *
-     * @param operator the name that the history shows
-     * @param tokenSha256 the SHA-256 of the token in hexadecimal
-     */
-    public record Operator(String operator, String tokenSha256) {
-        private static final String HEX_OF_32_BYTES = "[0-9a-f]{64}";
-
-        /** Checks the name and the hash. */
-        public Operator {
-            require(operator != null && !operator.isEmpty(), "operator", "a name");
-            require(
-                    tokenSha256 != null && tokenSha256.matches(HEX_OF_32_BYTES),
-                    "tokenSha256",
-                    "64 lower-case hexadecimal digits");
-        }
-    }
-
     private static void requireAddress(String value, String key) {
         require(
                 value != null && value.matches("[0-9a-fA-F.:\\[\\]]+:\\d{1,5}"),
--- a/siskintrail.control/src/io/siskintrail/control/internal/http/OperatorFilter.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/http/OperatorFilter.java
@@ -8,6 +8,7 @@
 import io.micronaut.http.annotation.ServerFilter;
 import io.siskintrail.lib.Failure;
 import io.siskintrail.lib.ResultCode;
+import io.siskintrail.service.OperatorTokens;
 import java.util.Optional;
 
 /** Lets operators with a known token through to the administration API and notes who they are. */
--- a/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
+++ b/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
@@ -4,7 +4,7 @@
 
 import io.siskintrail.control.ControlService;
 import io.siskintrail.control.ControlSettings;
-import io.siskintrail.control.internal.http.OperatorTokens;
+import io.siskintrail.service.OperatorTokens;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
@@ -45,7 +45,7 @@
                                 List.of(),
                                 List.of(),
                                 List.of(
-                                        new ControlSettings.Operator(
+                                        new OperatorTokens.Operator(
                                                 "huda", OperatorTokens.hashOf(TOKEN)))));
         control.start();
     }
@@ -101,6 +101,8 @@
         "status --token-file missing-file, 2, 2009",
         "hosts remove nobody, 0, ''",
         "drain nobody, 3, 3018",
+        "endpoints, 2, 2001",
+        "endpoints --router http://127.0.0.1:1, 5, 2010",
     })
     void saysWhatIsWrongWithTheCommand(String line, int status, String code) {
         assertThat(run(line.split(" "))).isEqualTo(status);
--- a/siskintrail.pgm/src/io/siskintrail/pgm/AdminApi.java
+++ b/siskintrail.pgm/src/io/siskintrail/pgm/AdminApi.java
@@ -15,6 +15,7 @@
 import java.net.URL;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.function.Supplier;
 
 /**
@@ -90,6 +91,14 @@
         return configuration;
     }
 
+    /** Returns the refusal of a router, which has the form of its callers' API, in our form. */
+    private static JsonNode refusalOfRouter(JsonNode error) {
+        return Json.object()
+                .put("code", error.path("number").asInt())
+                .put("name", error.path("code").asText().toUpperCase(Locale.ROOT))
+                .put("detail", error.path("message").asText());
+    }
+
     private static URL url(String control) throws CommandException {
         try {
             return URI.create(control).toURL();
@@ -108,6 +117,9 @@
             if (!node.isMissingNode() && (!refusal || node.has("code"))) {
                 return node;
             }
+            if (node.path("error").has("number")) {
+                return refusalOfRouter(node.path("error"));
+            }
         } catch (JsonProcessingException ignored) {
             // Falls through to the same failure as a body of another form.
         }
--- a/siskintrail.pgm/src/io/siskintrail/pgm/CommandCatalog.java
+++ b/siskintrail.pgm/src/io/siskintrail/pgm/CommandCatalog.java
@@ -66,6 +66,12 @@
                                     new OrdersCommand()
                                             .setState(l.getOptionValue("state", ""))
                                             .setLimit((int) number(l, "limit", DEFAULT_ORDERS))),
+                    new CommandSpec(
+                            "endpoints",
+                            List.of(),
+                            List.of(option(CommandSpec.ROUTER, "URL", false)),
+                            true,
+                            (l, o) -> new EndpointsCommand()),
                     new CommandSpec(
                             "drain",
                             List.of("HOST"),
--- a/siskintrail.pgm/src/io/siskintrail/pgm/CommandSpec.java
+++ b/siskintrail.pgm/src/io/siskintrail/pgm/CommandSpec.java
@@ -20,6 +20,14 @@
         boolean needsControl,
         Factory factory) {
 
+    /** The option of commands that ask a router in place of control. */
+    static final String ROUTER = "router";
+
+    /** Returns whether the command asks a router. */
+    boolean asksRouter() {
+        return options.stream().anyMatch(o -> ROUTER.equals(o.getLongOpt()));
+    }
+
     /** Sets a command up. */
     @FunctionalInterface
     interface Factory {
--- a/siskintrail.pgm/src/io/siskintrail/pgm/Launcher.java
+++ b/siskintrail.pgm/src/io/siskintrail/pgm/Launcher.java
@@ -16,6 +16,7 @@
 /** Finds the command that the arguments name, runs it and prints its failure. */
 public final class Launcher {
     private static final String CONTROL_VARIABLE = "SISKINTRAIL_CONTROL";
+    private static final String ROUTER_VARIABLE = "SISKINTRAIL_ROUTER";
     private static final String TOKEN_VARIABLE = "SISKINTRAIL_TOKEN";
 
     private final Map<String, String> environment;
@@ -63,7 +64,7 @@
             throw usage(Messages.text("error.surplus", surplus));
         }
         Command command = spec.factory().create(line, operands).setOutput(output);
-        return spec.needsControl() ? command.setApi(api(line)) : command;
+        return spec.needsControl() ? command.setApi(api(spec, line)) : command;
     }
 
     private static CommandLine parse(CommandSpec spec, String[] rest) throws CommandException {
@@ -79,10 +80,13 @@
         }
     }
 
-    private AdminApi api(CommandLine line) throws CommandException {
-        String controls = line.getOptionValue("control", environment.get(CONTROL_VARIABLE));
-        if (controls == null || controls.isBlank()) {
-            throw usage(Messages.text("error.control"));
+    private AdminApi api(CommandSpec spec, CommandLine line) throws CommandException {
+        String hosts =
+                spec.asksRouter()
+                        ? line.getOptionValue(CommandSpec.ROUTER, environment.get(ROUTER_VARIABLE))
+                        : line.getOptionValue("control", environment.get(CONTROL_VARIABLE));
+        if (hosts == null || hosts.isBlank()) {
+            throw usage(Messages.text(spec.asksRouter() ? "error.router" : "error.control"));
         }
         String token = environment.get(TOKEN_VARIABLE);
         if (line.hasOption("token-file")) {
@@ -91,7 +95,7 @@
         if (token == null || token.isBlank()) {
             throw usage(Messages.text("error.token"));
         }
-        return new AdminApi(List.of(controls.split(",")), token);
+        return new AdminApi(List.of(hosts.split(",")), token);
     }
 
     private static CommandException usage(String detail) {
--- a/siskintrail.router.test/tst/io/siskintrail/router/GenerationsTest.java
+++ b/siskintrail.router.test/tst/io/siskintrail/router/GenerationsTest.java
@@ -209,7 +209,8 @@
                 others,
                 List.of(),
                 List.of(new RouterSettings.Account("clinic", ApiKeys.hashOf(KEY))),
-                null);
+                null,
+                List.of());
     }
 
     private static FakeEngineSettings engineSettings(int number, List<String> routers) {
--- a/siskintrail.router.test/tst/io/siskintrail/router/RefusedRequestTest.java
+++ b/siskintrail.router.test/tst/io/siskintrail/router/RefusedRequestTest.java
@@ -63,6 +63,18 @@
         check(fixture.post(path, RouterFixture.API_KEY, "{}"), code);
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "/admin/status, , MISSING_OPERATOR_TOKEN",
+        "/admin/endpoints, test-key, UNKNOWN_OPERATOR_TOKEN",
+        "/admin/accounts, announce-token, UNKNOWN_OPERATOR_TOKEN",
+    })
+    void administrationIsForOperatorsOnly(String path, String token, ResultCode code)
+            throws Exception {
+        check(fixture.get(path, token), code);
+        assertThat(fixture.get(path, RouterFixture.OPERATOR_TOKEN).statusCode()).isEqualTo(200);
+    }
+
     private static void check(HttpResponse<String> response, ResultCode code) throws Exception {
         assertThat(response.statusCode()).isEqualTo(code.httpStatus());
         JsonNode error = MAPPER.readTree(response.body()).path("error");
--- a/siskintrail.router.test/tst/io/siskintrail/router/RouterFixture.java
+++ b/siskintrail.router.test/tst/io/siskintrail/router/RouterFixture.java
@@ -5,6 +5,7 @@
 import io.siskintrail.fake.FakeTokens;
 import io.siskintrail.lib.ModelId;
 import io.siskintrail.router.internal.account.ApiKeys;
+import io.siskintrail.service.OperatorTokens;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -20,6 +21,8 @@
     private static final long POLL_MILLIS = 20;
     private static final long READY_MILLIS = 60_000;
 
+    static final String OPERATOR_TOKEN = "token-of-huda";
+
     private final RouterService router;
     private final List<FakeEngine> engines = new ArrayList<>();
     private final HttpClient client = HttpClient.newHttpClient();
@@ -43,6 +46,15 @@
         return engines;
     }
 
+    HttpResponse<String> get(String path, String token) throws Exception {
+        HttpRequest.Builder builder =
+                HttpRequest.newBuilder(URI.create("http://" + address() + path));
+        if (token != null) {
+            builder.header("Authorization", "Bearer " + token);
+        }
+        return client.send(builder.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
     HttpResponse<String> post(String path, String key, String body) throws Exception {
         HttpRequest.Builder builder =
                 HttpRequest.newBuilder(URI.create("http://" + address() + path))
@@ -94,7 +106,10 @@
                 List.of(),
                 List.of(),
                 List.of(new RouterSettings.Account("clinic", ApiKeys.hashOf(API_KEY))),
-                new RouterSettings.Limits(100_000, 8_192, 1_000, 10_000));
+                new RouterSettings.Limits(100_000, 8_192, 1_000, 10_000),
+                List.of(
+                        new OperatorTokens.Operator(
+                                "huda", OperatorTokens.hashOf(OPERATOR_TOKEN))));
     }
 
     private FakeEngineSettings engine(String id) {
--- a/siskintrail.router.test/tst/io/siskintrail/router/ServicesTest.java
+++ b/siskintrail.router.test/tst/io/siskintrail/router/ServicesTest.java
@@ -248,7 +248,8 @@
                                 "host-" + other, "local", "127.0.0.1:" + peerPorts[other])),
                 List.of(),
                 List.of(new RouterSettings.Account("hekla", ApiKeys.hashOf("caller-key"))),
-                null);
+                null,
+                List.of());
     }
 
     private FakeServiceSettings serviceSettings(int number) {
--- a/siskintrail.router/src/io/siskintrail/router/RouterService.java
+++ b/siskintrail.router/src/io/siskintrail/router/RouterService.java
@@ -29,6 +29,7 @@
 import io.siskintrail.router.internal.stream.StreamFilter;
 import io.siskintrail.service.ControlLoop;
 import io.siskintrail.service.LogEvent;
+import io.siskintrail.service.OperatorTokens;
 import io.siskintrail.service.Service;
 import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ThriftPeerTransport;
@@ -99,6 +100,7 @@
                 ApplicationContext.builder()
                         .properties(httpProperties())
                         .singletons(
+                                new OperatorTokens(settings.operators()),
                                 settings,
                                 chain,
                                 directory,
--- a/siskintrail.router/src/io/siskintrail/router/RouterSettings.java
+++ b/siskintrail.router/src/io/siskintrail/router/RouterSettings.java
@@ -4,6 +4,7 @@
 
 import io.siskintrail.lib.AccountId;
 import io.siskintrail.lib.HostId;
+import io.siskintrail.service.OperatorTokens;
 import java.util.List;
 
 /**
@@ -19,6 +20,7 @@
  * @param controlHosts the hosts that run a control replica
  * @param accounts the client accounts and the SHA-256 of their API keys
  * @param limits the limits on requests
+ * @param operators who may use the administration API
  */
 public record RouterSettings(
         String host,
@@ -30,7 +32,8 @@
         List<Peer> peers,
         List<Peer> controlHosts,
         List<Account> accounts,
-        Limits limits) {
+        Limits limits,
+        List<OperatorTokens.Operator> operators) {
     private static final int MIN_SECRET_LENGTH = 8;
 
     /** Checks the settings as a whole. */
@@ -45,6 +48,33 @@
         controlHosts = controlHosts == null ? List.of() : List.copyOf(controlHosts);
         accounts = accounts == null ? List.of() : List.copyOf(accounts);
         limits = limits == null ? Limits.defaults() : limits;
+        operators = operators == null ? List.of() : List.copyOf(operators);
+    }
+
+    /** Makes settings without operators: the administration API refuses everyone. */
+    public RouterSettings(
+            String host,
+            String domain,
+            String httpAddress,
+            String peerAddress,
+            String sharedKey,
+            String announceToken,
+            List<Peer> peers,
+            List<Peer> controlHosts,
+            List<Account> accounts,
+            Limits limits) {
+        this(
+                host,
+                domain,
+                httpAddress,
+                peerAddress,
+                sharedKey,
+                announceToken,
+                peers,
+                controlHosts,
+                accounts,
+                limits,
+                List.of());
     }
 
     /** Returns the id of this host. */
--- a/siskintrail.router/src/io/siskintrail/router/internal/http/AccountsController.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/http/AccountsController.java
@@ -6,19 +6,12 @@
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.annotation.Controller;
 import io.micronaut.http.annotation.Get;
-import io.micronaut.http.annotation.Header;
 import io.siskintrail.internal.policy.AccountReport;
-import io.siskintrail.lib.Failure;
 import io.siskintrail.lib.Rank;
-import io.siskintrail.lib.ResultCode;
-import io.siskintrail.router.RouterSettings;
 import io.siskintrail.router.internal.policy.PolicyService;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 /** Tells operators who waits on this router, who was refused and why. */
@@ -27,20 +20,13 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final PolicyService policy;
-    private final byte[] expected;
 
-    AccountsController(PolicyService policy, RouterSettings settings) {
+    AccountsController(PolicyService policy) {
         this.policy = policy;
-        this.expected = ("Bearer " + settings.announceToken()).getBytes(StandardCharsets.UTF_8);
     }
 
     @Get
-    CompletionStage<HttpResponse<?>> list(@Header("Authorization") String authorization) {
-        if (!MessageDigest.isEqual(expected, authorization.getBytes(StandardCharsets.UTF_8))) {
-            Failure failure =
-                    new Failure(ResultCode.UNKNOWN_API_KEY, "the operator token is not valid");
-            return CompletableFuture.completedFuture(ErrorBody.response(failure));
-        }
+    CompletionStage<HttpResponse<?>> list() {
         return policy.accounts().thenApply(AccountsController::toBody);
     }
 
--- a/siskintrail.control/src/io/siskintrail/control/internal/http/OperatorTokens.java
+++ b/siskintrail.service/src/io/siskintrail/service/OperatorTokens.java
@@ -1,6 +1,5 @@
-package io.siskintrail.control.internal.http;
+package io.siskintrail.service;
 
-import io.siskintrail.control.ControlSettings;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -14,8 +13,28 @@
 
     private record Entry(String operator, byte[] hash) {}
 
+    /**
+     * An operator as the settings name it.
+     *
+     * @param operator the name that the history shows
+     * @param tokenSha256 the SHA-256 of the token in hexadecimal
+     */
+    public record Operator(String operator, String tokenSha256) {
+        private static final String HEX_OF_32_BYTES = "[0-9a-f]{64}";
+
+        /** Checks the name and the hash. */
+        public Operator {
+            SettingsException.require(
+                    operator != null && !operator.isEmpty(), "operator", "a name");
+            SettingsException.require(
+                    tokenSha256 != null && tokenSha256.matches(HEX_OF_32_BYTES),
+                    "tokenSha256",
+                    "64 lower-case hexadecimal digits");
+        }
+    }
+
     /** Takes the operators of the settings. */
-    public OperatorTokens(List<ControlSettings.Operator> operators) {
+    public OperatorTokens(List<Operator> operators) {
         entries =
                 operators.stream()
                         .map(o -> new Entry(o.operator(), HexFormat.of().parseHex(o.tokenSha256())))
