Bound the bytes on the way to a replica

The window counted entries only: large commands could queue more than the frame of the transport holds, and the batch would be lost again and again. At most four batches of 1 MB are on the way now, and a client splits its proposals the same way.

--- a/siskintrail.test/tst/io/siskintrail/internal/consensus/Simulation.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/consensus/Simulation.java
@@ -17,7 +17,7 @@
 
 /** Several replicas in virtual time on a network and on disks that fail. */
 final class Simulation {
-    static final ReplicaSettings SETTINGS = new ReplicaSettings(20, 100, 80, 4, 64, 12, 7, 3);
+    static final ReplicaSettings SETTINGS = new ReplicaSettings(20, 100, 80, 4, 8, 12, 7, 3);
     private static final ReplicaSettings ONE_BY_ONE =
             new ReplicaSettings(20, 100, 80, 1, 64, 12, 7, 3);
     private static final long TICK_MILLIS = 10;
--- a/siskintrail/src/io/siskintrail/internal/consensus/ReplicaSettings.java
+++ b/siskintrail/src/io/siskintrail/internal/consensus/ReplicaSettings.java
@@ -10,7 +10,8 @@
  *     alone; shorter than {@code electionMillis} by more than the clocks of two hosts can drift in
  *     that time
  * @param maxBatchEntries the most entries in one message
- * @param maxBatchBytes the most payload bytes in one message, passed by a single larger entry only
+ * @param maxBatchBytes the most payload bytes in one message, passed by a single larger entry only;
+ *     four times as many can be on the way to one replica
  * @param windowEntries the most entries on the way to one replica
  * @param chunkBytes the size of a piece of a snapshot
  * @param keepEntries the entries that stay in the log behind a snapshot for slow replicas
--- a/siskintrail/src/io/siskintrail/internal/consensus/Replication.java
+++ b/siskintrail/src/io/siskintrail/internal/consensus/Replication.java
@@ -12,6 +12,7 @@
 /** Brings the log of a leader to the other replicas and counts what they hold. */
 final class Replication {
     private static final int CHUNK_RETRY_HEARTBEATS = 4;
+    private static final int WINDOW_BATCHES = 4;
 
     private final ReplicaCore core;
     private final Map<ReplicaId, Progress> peers = new TreeMap<>();
@@ -159,7 +160,7 @@
             p.probeSent = false;
         }
         boolean sent = false;
-        while (p.hasRoom(core.settings.windowEntries()) && p.next <= core.log.lastIndex()) {
+        while (hasRoom(p) && p.next <= core.log.lastIndex()) {
             sendEntries(to, p, nextBatch(p));
             sent = true;
         }
@@ -168,6 +169,11 @@
         }
     }
 
+    private boolean hasRoom(Progress p) {
+        long windowBytes = (long) WINDOW_BATCHES * core.settings.maxBatchBytes();
+        return p.hasRoom(core.settings.windowEntries(), windowBytes);
+    }
+
     private List<LogEntry> nextBatch(Progress p) {
         return core.log.batch(
                 p.next,
@@ -185,9 +191,10 @@
                         entries,
                         core.commitIndex(),
                         core.now));
-        if (p.mode == Progress.Mode.REPLICATE) {
-            p.next += entries.size();
-        } else {
+        if (p.mode == Progress.Mode.REPLICATE && !entries.isEmpty()) {
+            long bytes = entries.stream().mapToLong(LogEntry::size).sum();
+            p.sent(p.next - 1 + entries.size(), bytes);
+        } else if (p.mode == Progress.Mode.PROBE) {
             p.probeSent = true;
         }
     }
--- a/siskintrail/src/io/siskintrail/internal/session/ClientSession.java
+++ b/siskintrail/src/io/siskintrail/internal/session/ClientSession.java
@@ -16,6 +16,7 @@
  */
 public final class ClientSession implements StateMachine<SessionInput, SessionEffect> {
     private static final long REDIRECT_PAUSE_MILLIS = 20;
+    private static final int MAX_MESSAGE_BYTES = 1 << 20;
     private static final long MAX_IDLE_MILLIS = SessionTable.SESSION_MILLIS / 2;
 
     private final List<HostId> replicas;
@@ -249,12 +250,19 @@
         }
         long floor = pending.firstKey();
         List<NumberedCommand> commands = new ArrayList<>(numbers.size());
+        int bytes = 0;
         for (long number : numbers) {
             Pending p = pending.get(number);
+            bytes += p.command.length();
+            if (bytes > MAX_MESSAGE_BYTES && !commands.isEmpty()) {
+                effects.add(new SessionEffect.Propose(target, List.copyOf(commands)));
+                commands.clear();
+                bytes = p.command.length();
+            }
             p.sentAt = now;
             p.sent = true;
             commands.add(new NumberedCommand(client, number, floor, p.command));
         }
-        effects.add(new SessionEffect.Propose(target, commands));
+        effects.add(new SessionEffect.Propose(target, List.copyOf(commands)));
     }
 }
