Answer followers of an idle log

A follower heard nothing of an idle log and asked another replica every second, so all of them kept it waiting and sent each commit three times. An answer without entries now shows that the replica is there.

--- a/siskintrail.control/src/io/siskintrail/control/internal/replica/FollowDesk.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/replica/FollowDesk.java
@@ -29,28 +29,39 @@
         this.sender = sender;
     }
 
-    /** Answers at once, or with the next commit when there is nothing yet. */
+    /**
+     * Answers at once; where there is nothing yet, with no entries, to show that this replica is
+     * there, and again with the next commit.
+     */
     void ask(long nowMillis, HostId from, Follow question) {
+        if (!answer(from, question)) {
+            waiting.put(new Waiting(from, question.after()), nowMillis + WAIT_MILLIS);
+            sender.accept(from, new ControlMessage.Followed(question.after(), List.of()));
+        }
+    }
+
+    private boolean answer(HostId from, Follow question) {
         List<LogEntry> entries = replica.committedAfter(question.after(), MAX_ENTRIES);
         if (entries == null) {
             sender.accept(from, chunk(question));
-        } else if (entries.isEmpty()) {
-            waiting.put(new Waiting(from, question.after()), nowMillis + WAIT_MILLIS);
-        } else {
-            sender.accept(from, new ControlMessage.Followed(question.after(), entries));
+            return true;
+        }
+        if (entries.isEmpty()) {
+            return false;
         }
+        sender.accept(from, new ControlMessage.Followed(question.after(), entries));
+        return true;
     }
 
     /** Answers everyone who waits. */
     void committed(long nowMillis) {
-        List<Map.Entry<Waiting, Long>> all = List.copyOf(waiting.entrySet());
-        waiting.clear();
-        for (Map.Entry<Waiting, Long> entry : all) {
-            if (entry.getValue() >= nowMillis) {
-                Waiting w = entry.getKey();
-                ask(nowMillis, w.host(), new Follow(w.after(), 0, 0));
-            }
-        }
+        waiting.entrySet()
+                .removeIf(
+                        e ->
+                                e.getValue() < nowMillis
+                                        || answer(
+                                                e.getKey().host(),
+                                                new Follow(e.getKey().after(), 0, 0)));
     }
 
     private ControlMessage chunk(Follow question) {
