--- a/siskintrail.bench/src/io/siskintrail/bench/Main.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/Main.java
@@ -24,6 +24,7 @@
         EXPERIMENTS.put("membership", MembershipExperiment::new);
         EXPERIMENTS.put("promises", PromisesExperiment::new);
         EXPERIMENTS.put("rules", RulesBench::new);
+        EXPERIMENTS.put("path", PathBench::new);
         EXPERIMENTS.put("path-faults", PathFaultsBench::new);
         EXPERIMENTS.put("resume", ResumeBench::new);
         EXPERIMENTS.put("quickstart", QuickstartExperiment::new);
--- a/siskintrail.bench/src/io/siskintrail/bench/path/PathDeployment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/path/PathDeployment.java
@@ -19,6 +19,10 @@
 
     private static final String TOKEN = "path-bench-announce";
     private static final String SHARED_KEY = "path-bench-shared-key";
+
+    /** Differs from the address that connections leave from, so that ports are free again. */
+    private static final String ENGINE_ADDRESS = "127.0.0.2:0";
+
     private static final int DOMAINS = 3;
     private static final long SPREAD_MILLIS = 1_500;
 
@@ -66,7 +70,7 @@
                             new FakeEngineSettings(
                                     "engine-" + i,
                                     "domain-" + i % DOMAINS,
-                                    "127.0.0.1:0",
+                                    ENGINE_ADDRESS,
                                     List.of(MODEL),
                                     slots,
                                     tokenMillis,
