--- a/siskintrail.bench/src/io/siskintrail/bench/Main.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/Main.java
@@ -20,6 +20,7 @@
         EXPERIMENTS.put("in-force", InForceBench::new);
         EXPERIMENTS.put("ledger", LedgerExperiment::new);
         EXPERIMENTS.put("policy", PolicyBench::new);
+        EXPERIMENTS.put("policy-cost", PolicyCostBench::new);
         EXPERIMENTS.put("ledger-faults", LedgerFaultsExperiment::new);
         EXPERIMENTS.put("membership", MembershipExperiment::new);
         EXPERIMENTS.put("promises", PromisesExperiment::new);
--- a/siskintrail.bench/src/io/siskintrail/bench/policy/Poison.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/policy/Poison.java
@@ -1,8 +1,11 @@
 package io.siskintrail.bench.policy;
 
 import io.siskintrail.internal.generation.Fingerprint;
-import io.siskintrail.internal.policy.PoisonDetector;
+import io.siskintrail.internal.generation.Quarantine;
+import io.siskintrail.internal.generation.QuarantineEffect;
+import io.siskintrail.internal.generation.QuarantineInput;
 import io.siskintrail.internal.policy.PolicyRules;
+import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.Rank;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,6 +20,8 @@
 final class Poison {
     private static final long FIRST = 20_000;
     private static final long END = 80_000;
+    private static final long HOP_MILLIS = 1;
+    private static final long TICK_MILLIS = 50;
     private static final long RESEND_MILLIS = 1_000;
     private static final long REVIVE_MILLIS = 20_000;
     private static final long POISON_GROUP = -7;
@@ -61,7 +66,7 @@
     /** Callers and the quarantine of every router. */
     private static final class Victims extends Callers {
         private final boolean detects;
-        private final Map<Node, PoisonDetector> detectors = new HashMap<>();
+        private final Map<Node, Quarantine> detectors = new HashMap<>();
         private final Map<Node, Set<Long>> quarantined = new HashMap<>();
         private final Set<Long> blamed = new HashSet<>();
         private long incarnations = 1;
@@ -72,11 +77,13 @@
             super(world);
             this.detects = detects;
             for (Node n : world.nodes) {
-                detectors.put(n, new PoisonDetector());
+                detectors.put(n, new Quarantine());
                 quarantined.put(n, new HashSet<>());
             }
             if (detects) {
-                world.every(50, this::judge);
+                for (Node n : world.nodes) {
+                    world.every(TICK_MILLIS, () -> step(n, new QuarantineInput.Tick()));
+                }
             }
         }
 
@@ -93,35 +100,49 @@
         private void died(Engine engine, List<Engine.Job> jobs) {
             long incarnation = ++incarnations;
             for (Node reporter : world.nodes) {
-                List<Fingerprint> running =
-                        jobs.stream()
-                                .filter(j -> j.call.node == reporter)
-                                .map(j -> new Fingerprint(0, j.call.request.group))
-                                .toList();
-                world.at(world.now() + 2, () -> tell(engine, incarnation, running));
+                Set<Fingerprint> running = new HashSet<>();
+                jobs.stream()
+                        .filter(j -> j.call.node == reporter)
+                        .forEach(j -> running.add(new Fingerprint(0, j.call.request.group)));
+                if (detects && !running.isEmpty()) {
+                    EndpointId id = engine.info.id();
+                    world.at(
+                            world.now() + HOP_MILLIS,
+                            () -> step(reporter, new QuarantineInput.Died(id, running)));
+                }
             }
             world.at(world.now() + REVIVE_MILLIS, () -> world.revive(engine, incarnation));
         }
 
-        private void tell(Engine engine, long incarnation, List<Fingerprint> running) {
-            for (PoisonDetector d : detectors.values()) {
-                d.report(world.now(), engine.info.id(), incarnation, engine.info.domain(), running);
+        private void step(Node node, QuarantineInput input) {
+            for (QuarantineEffect effect : detectors.get(node).step(world.now(), input)) {
+                if (effect instanceof QuarantineEffect.Report r) {
+                    tell(node, new QuarantineInput.Reported(node.id, r.endpoint(), r.running()));
+                } else if (effect instanceof QuarantineEffect.Announce a) {
+                    tell(node, new QuarantineInput.Announced(a.fingerprint(), a.millis()));
+                } else if (effect instanceof QuarantineEffect.Quarantined q && q.on()) {
+                    refuse(node, q.fingerprint().low());
+                }
             }
         }
 
-        private void judge() {
+        private void tell(Node from, QuarantineInput input) {
             for (Node n : world.nodes) {
-                for (Fingerprint f : detectors.get(n).judge(world.now())) {
-                    quarantined.get(n).add(f.low());
-                    if (f.low() == POISON_GROUP) {
-                        lastQuarantine = world.now();
-                    } else {
-                        blamed.add(f.low());
-                    }
+                if (n != from) {
+                    world.at(world.now() + HOP_MILLIS, () -> step(n, input));
                 }
             }
         }
 
+        private void refuse(Node node, long content) {
+            quarantined.get(node).add(content);
+            if (content == POISON_GROUP) {
+                lastQuarantine = world.now();
+            } else {
+                blamed.add(content);
+            }
+        }
+
         @Override
         void endpointFailed(Call call) {
             if (call.request.poisonous) {
--- a/siskintrail/src/io/siskintrail/internal/policy/AllocationRound.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/AllocationRound.java
@@ -60,7 +60,7 @@
         count();
         bulkFloor = fairness.floorSlots(Rank.BULK, slots);
         for (Rank rank : Rank.values()) {
-            headroom.put(rank, fairness.shareHeadroom(rank, slots));
+            headroom.put(rank, fairness.shareHeadroom(now, rank, slots));
         }
         collect();
     }
--- a/siskintrail/src/io/siskintrail/internal/policy/Fairness.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/Fairness.java
@@ -46,8 +46,8 @@
     }
 
     /** Returns how many slots accounts over their share leave to the bursts of the others. */
-    int shareHeadroom(Rank rank, int slots) {
-        int within = counters.get(rank).runningWithinShare(slots, OVER_SHARE);
+    int shareHeadroom(long now, Rank rank, int slots) {
+        int within = counters.get(rank).runningWithinShare(now, slots, OVER_SHARE);
         return (int) Math.ceil(rules.shareHeadroom() * Math.sqrt(within));
     }
 
--- a/siskintrail/src/io/siskintrail/internal/policy/VirtualCounters.java
+++ b/siskintrail/src/io/siskintrail/internal/policy/VirtualCounters.java
@@ -24,6 +24,7 @@
  */
 final class VirtualCounters {
     private static final int SENDS = 3;
+    private static final long WITHIN_MILLIS = 50;
     private static final Comparator<Entry> BY_COUNTER =
             Comparator.<Entry>comparingDouble(e -> e.counter).thenComparing(e -> e.account);
 
@@ -35,6 +36,9 @@
     private final TreeSet<Entry> backlogged = new TreeSet<>(BY_COUNTER);
     private double credit;
     private double activeWeight;
+    private long withinAt = Long.MIN_VALUE / 2;
+    private int withinSlots;
+    private int within;
     private double lastLeast;
 
     /**
@@ -79,13 +83,22 @@
         return slots * weight / Math.max(weight, activeWeight);
     }
 
-    /** Returns the requests that run of accounts with at most {@code factor} nominal shares. */
-    int runningWithinShare(int slots, double factor) {
+    /**
+     * Returns the requests that run of accounts with at most {@code factor} nominal shares; up to
+     * {@link #WITHIN_MILLIS} old, since it takes a look at each active account.
+     */
+    int runningWithinShare(long now, int slots, double factor) {
+        if (now - withinAt < WITHIN_MILLIS && slots == withinSlots) {
+            return within;
+        }
         int n = 0;
         for (Entry e : active) {
             int running = e.running();
             n += running <= factor * nominalSlots(e.account, slots) ? running : 0;
         }
+        withinAt = now;
+        withinSlots = slots;
+        within = n;
         return n;
     }
 
