--- a/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
+++ b/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
@@ -103,6 +103,8 @@
         "drain nobody, 3, 3018",
         "endpoints, 2, 2001",
         "endpoints --router http://127.0.0.1:1, 5, 2010",
+        "waits, 2, 2001",
+        "waits --router http://127.0.0.1:1, 5, 2010",
     })
     void saysWhatIsWrongWithTheCommand(String line, int status, String code) {
         assertThat(run(line.split(" "))).isEqualTo(status);
--- a/siskintrail.pgm/src/io/siskintrail/pgm/CommandCatalog.java
+++ b/siskintrail.pgm/src/io/siskintrail/pgm/CommandCatalog.java
@@ -72,6 +72,12 @@
                             List.of(option(CommandSpec.ROUTER, "URL", false)),
                             true,
                             (l, o) -> new EndpointsCommand()),
+                    new CommandSpec(
+                            "waits",
+                            List.of(),
+                            List.of(option(CommandSpec.ROUTER, "URL", false)),
+                            true,
+                            (l, o) -> new WaitsCommand()),
                     new CommandSpec(
                             "drain",
                             List.of("HOST"),
