Add floods, poison, a second loss and rolling restarts

Change: the five faults and a second operator who edits all the time. The processes of a run end with it, also when it is interrupted.

--- a/siskintrail.bench.test/tst/io/siskintrail/bench/promises/PromiseChecksTest.java
+++ b/siskintrail.bench.test/tst/io/siskintrail/bench/promises/PromiseChecksTest.java
@@ -56,7 +56,8 @@
                 Arguments.of(Promise.GRACEFUL, new Builder().cutStream()),
                 Arguments.of(Promise.CONFIGURATION, new Builder().seen(2, 0).seen(1, 0)),
                 Arguments.of(Promise.CONFIGURATION, new Builder().seen(1, 2)),
-                Arguments.of(Promise.CONFIGURATION, new Builder().accepted(9)));
+                Arguments.of(Promise.CONFIGURATION, new Builder().accepted(9L)),
+                Arguments.of(Promise.CONFIGURATION, new Builder().accepted(1L, 1L)));
     }
 
     @ParameterizedTest
@@ -114,7 +115,7 @@
         private Set<String> started = Set.of("g2");
         private long lateStarts;
         private List<String> cut = List.of();
-        private long accepted = 1;
+        private List<Long> accepted = List.of(1L);
 
         Builder generation(GenerationEvidence g) {
             generations.add(g);
@@ -151,8 +152,8 @@
             return this;
         }
 
-        Builder accepted(long number) {
-            accepted = number;
+        Builder accepted(Long... numbers) {
+            accepted = List.of(numbers);
             return this;
         }
 
@@ -167,7 +168,7 @@
                     List.of(new LeaveEvidence("engine-1", lateStarts)),
                     cut,
                     observations,
-                    List.of(accepted),
+                    accepted,
                     1,
                     SALTS);
         }
--- a/siskintrail.bench/src/io/siskintrail/bench/promises/Deployment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/promises/Deployment.java
@@ -40,6 +40,7 @@
     Deployment(Path folder, Path work, String classpath, String network) throws IOException {
         this.work = work;
         this.classpath = classpath;
+        Runtime.getRuntime().addShutdownHook(new Thread(this::destroyAll, "deployment-end"));
         try (Stream<Path> files = Files.list(folder)) {
             for (Path file : files.filter(f -> f.toString().endsWith(".json")).toList()) {
                 String name = file.getFileName().toString().replace(".json", "");
@@ -129,14 +130,16 @@
 
     @Override
     public void close() throws InterruptedException {
-        for (Process process : processes.values()) {
-            process.destroyForcibly();
-        }
+        destroyAll();
         for (Process process : processes.values()) {
             process.waitFor(EXIT_SECONDS, TimeUnit.SECONDS);
         }
     }
 
+    private void destroyAll() {
+        processes.values().forEach(Process::destroyForcibly);
+    }
+
     private void signal(String name, String signal) throws IOException, InterruptedException {
         Process process = processes.get(name);
         if (process != null) {
--- a/siskintrail.bench/src/io/siskintrail/bench/promises/Faults.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/promises/Faults.java
@@ -1,5 +1,6 @@
 package io.siskintrail.bench.promises;
 
+import io.siskintrail.lib.ResultCode;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -12,6 +13,9 @@
     private static final long LONG_MILLIS = 12_000;
     private static final long DRAIN_SECONDS = 40;
     private static final long CALL_MILLIS = 2_000;
+    private static final int FLOOD_CALLERS = 200;
+    private static final int ENGINES = 9;
+    private static final int MAX_POISON_SENDS = 20;
     private static final List<String> CHUNK_FAULTS =
             List.of("LOSE_CHUNK", "REPEAT_CHUNK", "CROSS_CHUNKS", "RESET", "DELAY_CHUNK");
     private static final List<String> SERVICE_FAULTS =
@@ -48,6 +52,11 @@
         faults.add(new Fault("control.killed", this::controlKilled));
         faults.add(new Fault("control.isolated", this::controlPaused));
         faults.add(new Fault("control.disk.lost", this::diskLost));
+        faults.add(new Fault("control.second.loss", this::secondLoss));
+        faults.add(new Fault("flood.bulk", () -> flood("example-key-schools")));
+        faults.add(new Fault("flood.urgent", () -> flood("example-key-clinics")));
+        faults.add(new Fault("poisonous.request", this::poison));
+        faults.add(new Fault("rolling.restart", this::rollingRestart));
         Collections.shuffle(faults, random);
         for (Fault fault : faults) {
             System.out.println("fault=" + fault.name);
@@ -106,8 +115,54 @@
         deployment.resume(router);
     }
 
+    private void rollingRestart() throws IOException, InterruptedException {
+        for (String router : deployment.names("router")) {
+            stopGracefully(router);
+            Thread.sleep(SHORT_MILLIS);
+        }
+        for (String control : deployment.names("control")) {
+            deployment.terminate(control, DRAIN_SECONDS);
+            deployment.start(control);
+            Thread.sleep(SHORT_MILLIS);
+        }
+    }
+
+    private void flood(String apiKey) throws InterruptedException {
+        traffic.flood(FLOOD_CALLERS, LONG_MILLIS, apiKey, random.nextLong());
+        Thread.sleep(LONG_MILLIS);
+    }
+
+    /** Sends one content under new keys until it is quarantined, as its caller would. */
+    private void poison() throws IOException, InterruptedException {
+        for (int i = 1; i <= ENGINES; i++) {
+            order("engine-" + i, "die-on-deadly");
+        }
+        int sends = 0;
+        int code = 0;
+        while (sends < MAX_POISON_SENDS && code != ResultCode.REQUEST_QUARANTINED.number()) {
+            code = traffic.single("deadly content", "example-key-courts").code();
+            sends++;
+        }
+        System.out.printf("poisonous.request sends=%d code=%d%n", sends, code);
+        for (int i = 1; i <= ENGINES; i++) {
+            order("engine-" + i, "restart-if-down");
+        }
+    }
+
+    private void secondLoss() throws IOException, InterruptedException {
+        deployment.kill("control-1");
+        Thread.sleep(LONG_MILLIS);
+        deployment.kill("control-2");
+        Thread.sleep(LONG_MILLIS);
+        deployment.start("control-1");
+        deployment.start("control-2");
+    }
+
     private void routerStopped() throws IOException, InterruptedException {
-        String router = pick("router");
+        stopGracefully(pick("router"));
+    }
+
+    private void stopGracefully(String router) throws IOException, InterruptedException {
         List<GenerationCaller> streams =
                 traffic.streamsAt(deployment.address(router, "httpAddress"));
         List<String> before = streams.stream().map(GenerationCaller::lastFault).toList();
--- a/siskintrail.bench/src/io/siskintrail/bench/promises/GenerationCaller.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/promises/GenerationCaller.java
@@ -22,6 +22,7 @@
 
     private final Http http;
     private final Balancer balancer;
+    private final String key;
     private final String model;
     private final String prompt;
     private final long seed;
@@ -34,9 +35,16 @@
     private boolean ambiguous;
 
     GenerationCaller(
-            Http http, Balancer balancer, String model, String prompt, long seed, int wanted) {
+            Http http,
+            Balancer balancer,
+            String key,
+            String model,
+            String prompt,
+            long seed,
+            int wanted) {
         this.http = http;
         this.balancer = balancer;
+        this.key = key;
         this.model = model;
         this.prompt = prompt;
         this.seed = seed;
@@ -86,7 +94,7 @@
         json.put("max_tokens", wanted).put("stream", true);
         HttpRequest.Builder builder =
                 Http.request(lastRouter, "/v1/completions", apiKey, STREAM_MILLIS)
-                        .header("Idempotency-Key", prompt.split(" ", 2)[0])
+                        .header("Idempotency-Key", key)
                         .POST(HttpRequest.BodyPublishers.ofString(json.toString()));
         if (lastEventId != null) {
             builder.header("Last-Event-ID", lastEventId);
--- a/siskintrail.bench/src/io/siskintrail/bench/promises/PromiseChecks.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/promises/PromiseChecks.java
@@ -112,6 +112,11 @@
                 faults.add(null);
             }
         }
+        long distinct = evidence.accepted().stream().distinct().count();
+        faults.add(
+                distinct < evidence.accepted().size()
+                        ? "one number was accepted for two edits"
+                        : null);
         long newest = evidence.accepted().stream().mapToLong(Long::longValue).max().orElse(0);
         faults.add(
                 evidence.finalNumber() < newest
--- a/siskintrail.bench/src/io/siskintrail/bench/promises/PromisesRun.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/promises/PromisesRun.java
@@ -12,11 +12,13 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.Stream;
 
 /** One run: starts the deployment, makes traffic and faults, and judges what was seen. */
 public final class PromisesRun {
     private static final ModelId MODEL = new ModelId("quoting", "", "2026-03");
     private static final String OPERATOR = "example-token-sami";
+    private static final String RIVAL = "example-token-huda";
     private static final long READY_MILLIS = 90_000;
     private static final long POLL_MILLIS = 100;
     private static final long EDIT_MILLIS = 300;
@@ -37,6 +39,7 @@
     private final List<LeaveEvidence> leaves = new ArrayList<>();
     private Balancer balancer;
     private RulesEditor editor;
+    private RulesEditor rivalEditor;
     private volatile boolean stopped;
 
     PromisesRun(Deployment deployment, Path rulesFile, long seed, boolean full) {
@@ -72,7 +75,8 @@
         prepare();
         awaitReady();
         Thread observer = background("observer", this::observe);
-        Thread operator = background("operator", this::edit);
+        Thread operator = background("operator", () -> edit(editor));
+        Thread rival = background("rival", () -> edit(rivalEditor));
         Traffic traffic = new Traffic(http, balancer);
         traffic.start(full ? 40 : 12, full ? 8 : 3, seed);
         Thread.sleep(WARM_UP_MILLIS);
@@ -88,6 +92,7 @@
         stopped = true;
         observer.join();
         operator.join();
+        rival.join();
         traffic.faults().forEach(e -> System.out.println("caller.fault=" + e));
         Evidence evidence = evidence(traffic, faults);
         System.out.println(summary(evidence));
@@ -104,7 +109,9 @@
         for (String name : deployment.names("control")) {
             controls.add(deployment.address(name, "httpAddress"));
         }
-        editor = new RulesEditor(http, controls, OPERATOR, Files.readString(rulesFile));
+        String text = Files.readString(rulesFile);
+        editor = new RulesEditor(http, controls, OPERATOR, text);
+        rivalEditor = new RulesEditor(http, controls, RIVAL, text);
     }
 
     private void awaitReady() throws InterruptedException, IOException {
@@ -132,9 +139,9 @@
         }
     }
 
-    private void edit() throws InterruptedException {
+    private void edit(RulesEditor by) throws InterruptedException {
         while (!stopped) {
-            editor.step();
+            by.step();
             Thread.sleep(EDIT_MILLIS);
         }
     }
@@ -142,7 +149,7 @@
     private void pollRouters() throws InterruptedException {
         for (String router : balancer.all()) {
             long bound = System.currentTimeMillis() - IN_FORCE_MILLIS;
-            long required = full ? editor.newestBefore(bound) : 0;
+            long required = full ? newestAccepted(bound) : 0;
             try {
                 JsonNode status = http.get(router, "/admin/status", OPERATOR, CALL_MILLIS);
                 boolean ready = status.path("ready").asBoolean();
@@ -155,6 +162,10 @@
         }
     }
 
+    private long newestAccepted(long untilMillis) {
+        return Math.max(editor.newestBefore(untilMillis), rivalEditor.newestBefore(untilMillis));
+    }
+
     private void leave(Faults faults) throws IOException, InterruptedException {
         long at = System.currentTimeMillis();
         faults.order(LEAVING_ENGINE, "leave");
@@ -210,7 +221,9 @@
                 leaves,
                 faults.cut(),
                 List.copyOf(observations),
-                List.copyOf(editor.accepted().keySet()),
+                Stream.of(editor, rivalEditor)
+                        .flatMap(e -> e.accepted().keySet().stream())
+                        .toList(),
                 finalNumber(),
                 salts);
     }
--- a/siskintrail.bench/src/io/siskintrail/bench/promises/Traffic.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/promises/Traffic.java
@@ -74,6 +74,28 @@
         return List.copyOf(faults);
     }
 
+    /** Adds callers of one account for a while, far more than the fleet can take. */
+    void flood(int callers, long millis, String apiKey, long seed) {
+        long until = System.currentTimeMillis() + millis;
+        for (int i = 0; i < callers; i++) {
+            Random random = new Random(seed + i);
+            threads.submit(
+                    () -> {
+                        while (System.currentTimeMillis() < until && !stopped) {
+                            generate(random, apiKey, SHORT_TOKENS);
+                        }
+                        return null;
+                    });
+        }
+    }
+
+    /** Sends one prompt; returns what its caller saw. Not part of the evidence. */
+    GenerationEvidence single(String prompt, String apiKey) throws InterruptedException {
+        String key = "single-" + serial.incrementAndGet();
+        return new GenerationCaller(http, balancer, key, MODEL, prompt, 1, SHORT_TOKENS)
+                .run(apiKey);
+    }
+
     private void loop(Random random, Step step) {
         while (!stopped) {
             try {
@@ -89,18 +111,19 @@
 
     private void generate(Random random) throws InterruptedException {
         boolean isLong = random.nextInt(100) < LONG_IN_100;
-        String prompt = "g%d assess the chairs".formatted(serial.incrementAndGet());
+        generate(
+                random,
+                isLong ? "example-key-schools" : "example-key-clinics",
+                isLong ? LONG_TOKENS : SHORT_TOKENS);
+    }
+
+    private void generate(Random random, String apiKey, int tokens) throws InterruptedException {
+        String key = "g" + serial.incrementAndGet();
+        String prompt = key + " assess the chairs";
         GenerationCaller caller =
-                new GenerationCaller(
-                        http,
-                        balancer,
-                        MODEL,
-                        prompt,
-                        random.nextInt(),
-                        isLong ? LONG_TOKENS : SHORT_TOKENS);
+                new GenerationCaller(http, balancer, key, MODEL, prompt, random.nextInt(), tokens);
         streaming.add(caller);
-        GenerationEvidence evidence =
-                caller.run(isLong ? "example-key-schools" : "example-key-clinics");
+        GenerationEvidence evidence = caller.run(apiKey);
         streaming.remove(caller);
         synchronized (this) {
             generations.add(evidence);
--- a/siskintrail.fake/src/io/siskintrail/fake/FakeEndpoint.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/FakeEndpoint.java
@@ -80,6 +80,13 @@
         announce();
     }
 
+    /** Does what {@link #restart()} does when the endpoint was killed, and nothing otherwise. */
+    public final void restartIfDown() {
+        if (!listener.isOpen()) {
+            restart();
+        }
+    }
+
     /** Stops to send and to answer, with all connections open, until {@link #resume()}. */
     public final void pause() {
         paused = true;
--- a/siskintrail.fake/src/io/siskintrail/fake/FakeEndpoints.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/FakeEndpoints.java
@@ -16,19 +16,22 @@
 
 /**
  * Runs several fake endpoints in one process. {@code POST /endpoints/{id}/{action}} orders a fault:
- * kill, restart, pause, resume, leave, or the name of an {@link EngineFault} or {@link
- * ServiceFault}. {@code GET /state} shows counters.
+ * kill, restart, restart-if-down, pause, resume, leave, {@code die-on-WORD} for prompts that hold a
+ * word, or the name of an {@link EngineFault} or {@link ServiceFault}. {@code GET /state} shows
+ * counters.
  */
 public final class FakeEndpoints implements Service {
     private static final int ADMIN_THREADS = 4;
     private static final int SERVICE_NOT_FOUND = 404;
     private static final int OK = 200;
     private static final int FAULT_OFFSET = 5;
+    private static final String DIE_ON = "die-on-";
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Map<String, Consumer<FakeEndpoint>> ACTIONS =
             Map.of(
                     "kill", FakeEndpoint::kill,
                     "restart", FakeEndpoint::restart,
+                    "restart-if-down", FakeEndpoint::restartIfDown,
                     "pause", FakeEndpoint::pause,
                     "resume", FakeEndpoint::resume,
                     "leave", FakeEndpoint::leave);
@@ -88,7 +91,9 @@
             return true;
         }
         try {
-            if (endpoint instanceof FakeEngine engine) {
+            if (endpoint instanceof FakeEngine engine && action.startsWith(DIE_ON)) {
+                engine.dieOn(action.substring(DIE_ON.length()));
+            } else if (endpoint instanceof FakeEngine engine) {
                 engine.inject(EngineFault.valueOf(action), FAULT_OFFSET);
             } else if (endpoint instanceof FakeService service) {
                 service.inject(ServiceFault.valueOf(action));
