--- a/siskintrail.control/src/io/siskintrail/control/ControlService.java
+++ b/siskintrail.control/src/io/siskintrail/control/ControlService.java
@@ -10,12 +10,12 @@
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.HostInfo;
 import io.siskintrail.service.ControlLoop;
+import io.siskintrail.service.HttpAddress;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.OperatorTokens;
 import io.siskintrail.service.Service;
 import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ThriftPeerTransport;
-import java.util.Map;
 
 /** A control replica in this process. */
 public final class ControlService implements Service {
@@ -54,7 +54,9 @@
         configuration.start();
         context =
                 ApplicationContext.builder()
-                        .properties(httpProperties())
+                        .properties(
+                                HttpAddress.parse(settings.httpAddress())
+                                        .serverProperties("control", MAX_BODY_BYTES))
                         .singletons(configuration, log, new OperatorTokens(settings.operators()))
                         .start();
         server = context.getBean(EmbeddedServer.class).start();
@@ -90,32 +92,6 @@
 
     /** Returns {@code ip:port} of the administration API. */
     public String httpAddress() {
-        return hostPart(settings.httpAddress()) + ":" + server.getPort();
-    }
-
-    private Map<String, Object> httpProperties() {
-        String address = settings.httpAddress();
-        int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
-        return Map.of(
-                "siskintrail.program",
-                "control",
-                "micronaut.server.host",
-                hostPart(address),
-                "micronaut.server.port",
-                port == 0 ? -1 : port,
-                "micronaut.server.max-request-size",
-                MAX_BODY_BYTES,
-                "micronaut.application.name",
-                "siskintrail-control",
-                "endpoints.all.enabled",
-                false,
-                "endpoints.prometheus.sensitive",
-                false,
-                "endpoints.prometheus.enabled",
-                true);
-    }
-
-    private static String hostPart(String address) {
-        return address.substring(0, address.lastIndexOf(':'));
+        return HttpAddress.parse(settings.httpAddress()).at(server.getPort());
     }
 }
--- a/siskintrail.router/src/io/siskintrail/router/RouterService.java
+++ b/siskintrail.router/src/io/siskintrail/router/RouterService.java
@@ -28,6 +28,7 @@
 import io.siskintrail.router.internal.rules.RulesView;
 import io.siskintrail.router.internal.stream.StreamFilter;
 import io.siskintrail.service.ControlLoop;
+import io.siskintrail.service.HttpAddress;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.OperatorTokens;
 import io.siskintrail.service.Service;
@@ -310,34 +311,14 @@
 
     /** Returns {@code ip:port} where the router listens for callers. */
     public String httpAddress() {
-        return hostPart(settings.httpAddress()) + ":" + server.getPort();
+        return HttpAddress.parse(settings.httpAddress()).at(server.getPort());
     }
 
     private Map<String, Object> httpProperties() {
-        String address = settings.httpAddress();
-        int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
-        return Map.of(
-                "siskintrail.program",
-                "router",
-                "micronaut.server.host",
-                hostPart(address),
-                "micronaut.server.port",
-                port == 0 ? -1 : port,
-                "micronaut.server.max-request-size",
-                settings.limits().bodyBytes(),
-                "micronaut.server.netty.max-header-size",
-                settings.limits().headerBytes(),
-                "micronaut.application.name",
-                "siskintrail-router",
-                "endpoints.prometheus.sensitive",
-                false,
-                "endpoints.all.enabled",
-                false,
-                "endpoints.prometheus.enabled",
-                true);
-    }
-
-    private static String hostPart(String address) {
-        return address.substring(0, address.lastIndexOf(':'));
+        Map<String, Object> properties =
+                HttpAddress.parse(settings.httpAddress())
+                        .serverProperties("router", settings.limits().bodyBytes());
+        properties.put("micronaut.server.netty.max-header-size", settings.limits().headerBytes());
+        return properties;
     }
 }
--- a/siskintrail.service/src/io/siskintrail/service/OperatorTokens.java
+++ b/siskintrail.service/src/io/siskintrail/service/OperatorTokens.java
@@ -1,17 +1,11 @@
 package io.siskintrail.service;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
 
 /** Finds the operator of a token by the SHA-256 of the token. */
 public final class OperatorTokens {
-    private final List<Entry> entries;
-
-    private record Entry(String operator, byte[] hash) {}
+    private final SecretHashes<String> owners = new SecretHashes<>();
 
     /**
      * An operator as the settings name it.
@@ -35,35 +29,16 @@
 
     /** Takes the operators of the settings. */
     public OperatorTokens(List<Operator> operators) {
-        entries =
-                operators.stream()
-                        .map(o -> new Entry(o.operator(), HexFormat.of().parseHex(o.tokenSha256())))
-                        .toList();
+        operators.forEach(o -> owners.add(o.operator(), o.tokenSha256()));
     }
 
     /** Returns who owns {@code token}; the time taken does not depend on which one matches. */
     public Optional<String> operatorOf(String token) {
-        byte[] hash = sha256(token);
-        String found = null;
-        for (Entry e : entries) {
-            if (MessageDigest.isEqual(hash, e.hash)) {
-                found = e.operator;
-            }
-        }
-        return Optional.ofNullable(found);
+        return owners.ownerOf(token);
     }
 
     /** Returns the SHA-256 of {@code token} in hexadecimal, as it stands in the settings. */
     public static String hashOf(String token) {
-        return HexFormat.of().formatHex(sha256(token));
-    }
-
-    private static byte[] sha256(String text) {
-        try {
-            return MessageDigest.getInstance("SHA-256")
-                    .digest(text.getBytes(StandardCharsets.UTF_8));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("SHA-256 is missing from this JDK", e);
-        }
+        return SecretHashes.hashOf(token);
     }
 }
