--- a/siskintrail.bench/src/io/siskintrail/bench/Main.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/Main.java
@@ -28,6 +28,7 @@
         EXPERIMENTS.put("path", PathBench::new);
         EXPERIMENTS.put("path-faults", PathFaultsBench::new);
         EXPERIMENTS.put("resume", ResumeBench::new);
+        EXPERIMENTS.put("slopes", SlopesExperiment::new);
         EXPERIMENTS.put("quickstart", QuickstartExperiment::new);
     }
 
