--- a/siskintrail.bench/src/io/siskintrail/bench/path/FaultMatrix.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/path/FaultMatrix.java
@@ -58,7 +58,10 @@
         CLIENT_RECONNECT
     }
 
-    /** Runs the matrix; exits with 0 when every cell is whole or a true typed error. */
+    /**
+     * Runs the matrix, or the rows that {@code args} name as ROUTER-KILLED; exits with 0 when every
+     * cell is whole or a true typed error.
+     */
     public static int run(String[] args) throws Exception {
         Map<Fault, Map<Step, String>> table = new EnumMap<>(Fault.class);
         int whole = 0;
@@ -68,7 +71,7 @@
                 new PathDeployment(
                         ROUTERS, true, ENGINES, SLOTS, TOKEN_MILLIS, FIRST_TOKEN_MILLIS)) {
             FaultMatrix matrix = new FaultMatrix(d);
-            for (Fault fault : Fault.values()) {
+            for (Fault fault : chosen(args)) {
                 Map<Step, String> row = new EnumMap<>(Step.class);
                 table.put(fault, row);
                 for (Step step : Step.values()) {
@@ -88,6 +91,15 @@
         return wrong == 0 ? 0 : 1;
     }
 
+    /** Returns the faults that the arguments name, all when there are none. */
+    private static List<Fault> chosen(String[] args) {
+        List<Fault> faults = new ArrayList<>();
+        for (String arg : args) {
+            faults.add(Fault.valueOf(arg.toUpperCase(java.util.Locale.ROOT).replace('-', '_')));
+        }
+        return faults.isEmpty() ? List.of(Fault.values()) : faults;
+    }
+
     private static void print(Map<Fault, Map<Step, String>> table) {
         System.out.println(
                 "| fault | queued | before first token | mid-stream | last token |"
