Log each request's steps and give engines its rank

Cause: a request could not be followed through the logs, the rank in the spec of a generation was always URGENT, and engines were told no priority. quickstart printed logs behind its result line.

Change: RequestLog writes attach, attempts and end with the request's id, which is the id of the answer behind cmpl-. Levels of loggers are held, since java.util.logging forgets those that nobody refers to.

--- a/siskintrail.bench/src/io/siskintrail/bench/QuickstartExperiment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/QuickstartExperiment.java
@@ -53,13 +53,8 @@
     public int run(String[] args) throws Exception {
         start();
         if (args.length > 0 && args[0].equals("--once")) {
-            try {
-                return once();
-            } finally {
-                stop();
-            }
+            return once();
         }
-        System.out.printf("control http://%s%ntoken   %s%n", control.httpAddress(), OPERATOR_TOKEN);
         System.out.printf("router  http://%s%nAPI key %s%n", router.httpAddress(), API_KEY);
         System.out.printf(
                 "try:    curl -N http://%s/v1/completions -H 'Authorization: Bearer %s' -d"
@@ -96,6 +91,17 @@
     }
 
     private int once() throws Exception {
+        Outcome outcome;
+        try {
+            outcome = killHalfWay();
+        } finally {
+            stop();
+        }
+        System.out.println(outcome.line);
+        return outcome.ok ? 0 : 1;
+    }
+
+    private Outcome killHalfWay() throws Exception {
         StreamingCaller caller = new StreamingCaller(router.httpAddress(), API_KEY);
         caller.awaitModels(ENGINES, READY_MILLIS);
         List<Integer> expected = expected();
@@ -106,16 +112,19 @@
         int missing = Math.max(0, expected.size() - answer.tokens().size());
         int repeated = Math.max(0, answer.tokens().size() - expected.size());
         boolean ok = wrong < 0 && answer.done();
-        System.out.printf(
-                "result=%s tokens=%d missing=%d repeated=%d resume_ms=%d%n",
-                ok ? "ok" : "failed",
-                answer.tokens().size(),
-                missing,
-                repeated,
-                TimeUnit.NANOSECONDS.toMillis(answer.longestGapNanos()));
-        return ok ? 0 : 1;
+        String line =
+                "result=%s tokens=%d missing=%d repeated=%d resume_ms=%d"
+                        .formatted(
+                                ok ? "ok" : "failed",
+                                answer.tokens().size(),
+                                missing,
+                                repeated,
+                                TimeUnit.NANOSECONDS.toMillis(answer.longestGapNanos()));
+        return new Outcome(ok, line);
     }
 
+    private record Outcome(boolean ok, String line) {}
+
     private void killServingEngineAt(int tokens) {
         if (tokens != KILL_AT) {
             return;
--- a/siskintrail.router/src/io/siskintrail/router/RouterService.java
+++ b/siskintrail.router/src/io/siskintrail/router/RouterService.java
@@ -95,7 +95,7 @@
                         List.of(
                                 new CurrencyFilter(rules),
                                 new AuthenticateFilter(keys),
-                                new IdentifyFilter(settings.limits(), directory),
+                                new IdentifyFilter(settings.limits(), directory, rules),
                                 new StreamFilter(generations)));
         context =
                 ApplicationContext.builder()
--- a/siskintrail.router/src/io/siskintrail/router/internal/endpoint/EngineCall.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/endpoint/EngineCall.java
@@ -1,6 +1,7 @@
 package io.siskintrail.router.internal.endpoint;
 
 import io.siskintrail.lib.ModelId;
+import io.siskintrail.lib.Rank;
 import java.util.List;
 
 /**
@@ -11,6 +12,7 @@
  * @param prompt the prompt
  * @param seed the sampling seed
  * @param maxTokens how many tokens the whole output may have
+ * @param rank which requests the engine should run first
  * @param prefix the tokens known from earlier attempts
  */
 public record EngineCall(
@@ -19,4 +21,5 @@
         String prompt,
         long seed,
         int maxTokens,
+        Rank rank,
         List<Integer> prefix) {}
--- a/siskintrail.router/src/io/siskintrail/router/internal/endpoint/EngineClient.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/endpoint/EngineClient.java
@@ -11,6 +11,7 @@
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
 import io.micronaut.http.client.sse.SseClient;
 import io.micronaut.http.sse.Event;
+import io.siskintrail.lib.Rank;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -21,6 +22,8 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration READ_TIMEOUT = Duration.ofHours(1);
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int PRIORITY_URGENT = 0;
+    private static final int PRIORITY_BULK = 1;
     private static final String DONE = "[DONE]";
 
     private final SseClient client;
@@ -72,6 +75,7 @@
         json.put("seed", call.seed());
         json.put("max_tokens", call.maxTokens());
         json.put("stream", true);
+        json.put("priority", call.rank() == Rank.URGENT ? PRIORITY_URGENT : PRIORITY_BULK);
         ArrayNode prefix = json.putArray("prefix_token_ids");
         call.prefix().forEach(prefix::add);
         return json.toString();
--- a/siskintrail.router/src/io/siskintrail/router/internal/filter/IdentifyFilter.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/filter/IdentifyFilter.java
@@ -1,10 +1,12 @@
 package io.siskintrail.router.internal.filter;
 
 import io.siskintrail.lib.ModelId;
+import io.siskintrail.lib.Rank;
 import io.siskintrail.lib.Result;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.router.RouterSettings;
 import io.siskintrail.router.internal.endpoint.EndpointDirectory;
+import io.siskintrail.router.internal.rules.RulesView;
 import io.siskintrail.router.internal.stream.AnswerStream;
 import java.util.Comparator;
 import java.util.Optional;
@@ -15,11 +17,14 @@
 public final class IdentifyFilter implements RequestFilter {
     private final RouterSettings.Limits limits;
     private final EndpointDirectory directory;
+    private final RulesView rules;
 
-    /** Takes the limits and the endpoints. */
-    public IdentifyFilter(RouterSettings.Limits limits, EndpointDirectory directory) {
+    /** Takes the limits, the endpoints and the rules. */
+    public IdentifyFilter(
+            RouterSettings.Limits limits, EndpointDirectory directory, RulesView rules) {
         this.limits = limits;
         this.directory = directory;
+        this.rules = rules;
     }
 
     @Override
@@ -41,7 +46,11 @@
         if (model.isEmpty()) {
             return refuse(ResultCode.UNKNOWN_MODEL, "no endpoint serves model " + call.model());
         }
-        return next.handle(request.withModel(model.get()));
+        return next.handle(request.withModel(model.get(), rank(request, model.get())));
+    }
+
+    private Rank rank(RequestContext request, ModelId model) {
+        return rules.rules().rank(request.account(), model.model());
     }
 
     private Optional<ModelId> newest(String name) {
--- a/siskintrail.router/src/io/siskintrail/router/internal/filter/RequestContext.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/filter/RequestContext.java
@@ -3,6 +3,7 @@
 import io.siskintrail.internal.generation.Position;
 import io.siskintrail.lib.AccountId;
 import io.siskintrail.lib.ModelId;
+import io.siskintrail.lib.Rank;
 import io.siskintrail.lib.RequestKey;
 
 /**
@@ -15,6 +16,7 @@
  * @param after what the caller has already, null when nothing
  * @param account the client account, found by the key
  * @param model the pinned model, adapter and version
+ * @param rank the rank that the rules in force give it
  */
 public record RequestContext(
         String authorization,
@@ -22,15 +24,16 @@
         RequestKey key,
         Position after,
         AccountId account,
-        ModelId model) {
+        ModelId model,
+        Rank rank) {
 
     /** Returns this request with the account set. */
     public RequestContext withAccount(AccountId id) {
-        return new RequestContext(authorization, call, key, after, id, model);
+        return new RequestContext(authorization, call, key, after, id, model, rank);
     }
 
-    /** Returns this request with the model set. */
-    public RequestContext withModel(ModelId id) {
-        return new RequestContext(authorization, call, key, after, account, id);
+    /** Returns this request with the model and its rank set. */
+    public RequestContext withModel(ModelId id, Rank newRank) {
+        return new RequestContext(authorization, call, key, after, account, id, newRank);
     }
 }
--- a/siskintrail.router/src/io/siskintrail/router/internal/generation/EngineAttempts.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/generation/EngineAttempts.java
@@ -46,6 +46,7 @@
                         body.prompt(),
                         e.spec().seed(),
                         body.maxTokens(),
+                        e.spec().rank(),
                         ids(e.prefix()));
         Disposable stream =
                 engines.run(address, call)
--- a/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationService.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationService.java
@@ -11,7 +11,6 @@
 import io.siskintrail.lib.GenerationId;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.HostInfo;
-import io.siskintrail.lib.Rank;
 import io.siskintrail.lib.RequestKey;
 import io.siskintrail.lib.Result;
 import io.siskintrail.router.internal.endpoint.EngineClient;
@@ -157,7 +156,7 @@
                 new GenerationId(UUID.randomUUID().toString()),
                 ref,
                 request.model(),
-                Rank.URGENT,
+                request.rank(),
                 seed == null ? ThreadLocalRandom.current().nextLong() : seed,
                 Fingerprint.of(request.account(), content),
                 call.promptTokens(),
--- a/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationStripe.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationStripe.java
@@ -28,6 +28,7 @@
     private final BiConsumer<HostId, BuddyMessage> sender;
     private final GenerationStats stats;
     private final Consumer<GenerationEffect.EndpointLost> whenLost;
+    private final RequestLog log = new RequestLog();
     private final Map<Long, CallerSink> callers = new HashMap<>();
     private final CountDownLatch drained = new CountDownLatch(1);
     private volatile boolean stopped;
@@ -71,6 +72,7 @@
         loop.execute(
                 () -> {
                     callers.put(attach.caller(), sink);
+                    log.attached(attach);
                     step(attach);
                 });
     }
@@ -79,6 +81,7 @@
         loop.execute(
                 () -> {
                     callers.remove(caller);
+                    log.detached(caller);
                     step(new GenerationInput.Detach(caller));
                 });
     }
@@ -111,12 +114,14 @@
             sender.accept(e.to(), e.message());
         } else if (effect instanceof GenerationEffect.Finish e) {
             CallerSink sink = callers.remove(e.caller());
+            log.finished(e);
             if (sink != null) {
                 sink.finish(e.outcome(), e.tokens());
             }
         } else if (effect instanceof GenerationEffect.RequestSlot e) {
             slots.request(e, this::post);
         } else if (effect instanceof GenerationEffect.StartAttempt e) {
+            log.started(e);
             attempts.start(e, slots.address(e.endpoint()));
         } else {
             carryOutRare(effect);
@@ -127,12 +132,7 @@
         if (effect instanceof GenerationEffect.EndAttempt e) {
             attempts.end(e.generation());
             slots.release(e.generation(), e.attempt(), e.endpoint(), e.cause());
-            LogEvent.debug(LOG, "attempt.ended")
-                    .with("generation", e.generation())
-                    .with("attempt", e.attempt())
-                    .with("endpoint", e.endpoint())
-                    .with("cause", e.cause())
-                    .write();
+            log.ended(e);
         } else if (effect instanceof GenerationEffect.WithdrawSlot e) {
             slots.withdraw(e.generation(), e.attempt());
         } else if (effect instanceof GenerationEffect.Resumed e) {
--- a/siskintrail.router/src/io/siskintrail/router/internal/http/CompletionsController.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/http/CompletionsController.java
@@ -88,6 +88,7 @@
                             key == null ? null : new RequestKey(key),
                             last == null ? null : position(last.trim()),
                             null,
+                            null,
                             null));
         } catch (IllegalArgumentException e) {
             return Result.err(
--- a/siskintrail.service/src/io/siskintrail/service/LogSetup.java
+++ b/siskintrail.service/src/io/siskintrail/service/LogSetup.java
@@ -9,7 +9,12 @@
 
 /** Sends all log events of the process to standard error, one line each. */
 public final class LogSetup {
-    private static final String OWN_LOGGERS = "io.siskintrail";
+    /** Held, because java.util.logging forgets levels of loggers that nobody refers to. */
+    private static final Logger OWN = Logger.getLogger("io.siskintrail");
+
+    /** Warns of each connection that an endpoint resets; the event endpoint.lost tells of them. */
+    private static final Logger NETTY_PIPELINE =
+            Logger.getLogger("io.netty.channel.DefaultChannelPipeline");
 
     private LogSetup() {}
 
@@ -20,7 +25,8 @@
             root.removeHandler(h);
         }
         root.setLevel(Level.WARNING);
-        Logger.getLogger(OWN_LOGGERS).setLevel(Level.INFO);
+        OWN.setLevel(Level.INFO);
+        NETTY_PIPELINE.setLevel(Level.SEVERE);
         root.addHandler(new FlushingHandler());
     }
 
