Let one of two simultaneous starts of a request give way

Two routers that start the same key at once and are each other's buddy both refused the other's copy, so both gave up their own generation and followed the other's, which was gone. After the search both started again, in step, without end. Ruled out: lost messages (the log shows two request.attached and no attempt).

Change: a router that owns an uncommitted start gives way to one with a lower id when it is asked to copy it; the other one refuses. Both compare the same ids.

--- a/siskintrail.router.test/tst/io/siskintrail/router/GenerationsTest.java
+++ b/siskintrail.router.test/tst/io/siskintrail/router/GenerationsTest.java
@@ -21,11 +21,14 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Streamed answers over real sockets, with two routers as buddies and four engines. */
+@Timeout(value = 300, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class GenerationsTest {
     private static final ModelId MODEL = new ModelId("quoting", "", "v1");
     private static final String TOKEN = "announce-token";
@@ -81,7 +84,7 @@
         assertThat(tokens(rest)).isEqualTo(expected(PROMPT).subList(10, TOKENS));
     }
 
-    @Test
+    @RepeatedTest(10)
     void secondRequestWithTheKeyJoinsAtAnotherRouter() throws Exception {
         CompletableFuture<List<Integer>> first =
                 CompletableFuture.supplyAsync(() -> tokens(quietStream(0, "k2")));
--- a/siskintrail/src/io/siskintrail/internal/generation/Holder.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/Holder.java
@@ -229,6 +229,10 @@
             }
             g = takeOver(copy);
         }
+        if (g != null && losesTo(g, m)) {
+            yielding.yield(g, m.spec().id(), m.epoch());
+            return false;
+        }
         OwnerEpoch epoch = g != null ? g.epoch : copy.epoch;
         Fingerprint fingerprint = g != null ? g.spec.fingerprint() : copy.spec.fingerprint();
         stripe.send(
@@ -236,6 +240,17 @@
         return true;
     }
 
+    /**
+     * Returns whether {@code g} gives way to another start of its request. Two routers that are
+     * each other's buddy compare the same ids, so exactly one of them gives way.
+     */
+    private static boolean losesTo(OwnedGeneration g, BuddyMessage.Open m) {
+        boolean nothingCommitted = g.committed == 0 && !g.committedEnd;
+        return nothingCommitted
+                && g.spec.fingerprint().equals(m.spec().fingerprint())
+                && m.spec().id().compareTo(g.id()) < 0;
+    }
+
     private void announce(OwnedGeneration g, HeldCopy copy) {
         BuddyMessage owned = new BuddyMessage.Owned(g.ref(), g.id(), g.epoch);
         copy.askers.addAll(stripe.peers.candidates(g.ref()));
