--- a/siskintrail.router/src/io/siskintrail/router/RouterService.java
+++ b/siskintrail.router/src/io/siskintrail/router/RouterService.java
@@ -24,6 +24,7 @@
 import io.siskintrail.router.internal.order.ServiceCalls;
 import io.siskintrail.router.internal.policy.PolicyMeters;
 import io.siskintrail.router.internal.policy.PolicyService;
+import io.siskintrail.router.internal.rules.Readiness;
 import io.siskintrail.router.internal.rules.RulesFollower;
 import io.siskintrail.router.internal.rules.RulesView;
 import io.siskintrail.router.internal.stream.StreamFilter;
@@ -47,12 +48,14 @@
     private static final System.Logger LOG = System.getLogger(RouterService.class.getName());
     private static final int MAX_STRIPES = 4;
     private static final long DRAIN_MILLIS = 30_000;
+    private static final long BALANCER_MILLIS = 1_000;
 
     private final RouterSettings settings;
     private final EndpointDirectory directory = new EndpointDirectory();
     private final ControlLoop loop = new ControlLoop("router-control");
     private final SecureRandom random = new SecureRandom();
     private ControlAccess control;
+    private Readiness readiness;
     private ThriftPeerTransport transport;
     private RulesFollower follower;
     private MembershipService membership;
@@ -85,6 +88,7 @@
     public void start() {
         startTransport();
         RulesView rules = control.rules();
+        readiness = new Readiness(rules);
         ApiKeys keys = new ApiKeys(settings.accounts());
         startOrders();
         generations.setRouters(routers());
@@ -102,6 +106,7 @@
                         .properties(httpProperties())
                         .singletons(
                                 new OperatorTokens(settings.operators()),
+                                readiness,
                                 settings,
                                 chain,
                                 directory,
@@ -262,6 +267,8 @@
 
     @Override
     public void stop() {
+        readiness.stop();
+        awaitBalancer();
         generations.drain(DRAIN_MILLIS);
         orders.stop();
         closeAll();
@@ -283,6 +290,15 @@
         loop.execute(task);
     }
 
+    /** Goes on as before while the balancer learns that this router is not ready. */
+    private static void awaitBalancer() {
+        try {
+            Thread.sleep(BALANCER_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Stops at once, as the death of the process would: open orders stay as they are. */
     public void abort() {
         orders.abort();
--- a/siskintrail.router/src/io/siskintrail/router/internal/http/HealthController.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/http/HealthController.java
@@ -3,18 +3,16 @@
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.annotation.Controller;
 import io.micronaut.http.annotation.Get;
-import io.siskintrail.lib.Failure;
-import io.siskintrail.lib.ResultCode;
-import io.siskintrail.router.internal.rules.RulesView;
+import io.siskintrail.router.internal.rules.Readiness;
 
 /** Tells the balancer whether this router takes new work. */
 @Controller("/health")
 final class HealthController {
 
-    private final RulesView rules;
+    private final Readiness readiness;
 
-    HealthController(RulesView rules) {
-        this.rules = rules;
+    HealthController(Readiness readiness) {
+        this.readiness = readiness;
     }
 
     @Get("/live")
@@ -24,12 +22,9 @@
 
     @Get("/ready")
     HttpResponse<String> ready() {
-        if (!rules.mayTakeWork()) {
-            return ErrorBody.response(
-                    new Failure(
-                            ResultCode.NOT_RUN_RULES_STALE,
-                            "this router cannot confirm that its rules are current"));
-        }
-        return HttpResponse.ok("{\"status\":\"ready\"}");
+        return readiness
+                .refusal()
+                .map(ErrorBody::response)
+                .orElseGet(() -> HttpResponse.ok("{\"status\":\"ready\"}"));
     }
 }
--- a/siskintrail.router/src/io/siskintrail/router/internal/http/StatusController.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/http/StatusController.java
@@ -5,6 +5,7 @@
 import io.siskintrail.lib.EndpointInfo;
 import io.siskintrail.router.RouterSettings;
 import io.siskintrail.router.internal.endpoint.EndpointDirectory;
+import io.siskintrail.router.internal.rules.Readiness;
 import io.siskintrail.router.internal.rules.RulesView;
 import java.util.List;
 
@@ -13,9 +14,15 @@
 final class StatusController {
     private final RouterSettings settings;
     private final RulesView rules;
+    private final Readiness readiness;
     private final EndpointDirectory directory;
 
-    StatusController(RouterSettings settings, RulesView rules, EndpointDirectory directory) {
+    StatusController(
+            RouterSettings settings,
+            RulesView rules,
+            EndpointDirectory directory,
+            Readiness readiness) {
+        this.readiness = readiness;
         this.settings = settings;
         this.rules = rules;
         this.directory = directory;
@@ -73,7 +80,7 @@
         return new Status(
                 settings.host(),
                 settings.domain(),
-                rules.mayTakeWork(),
+                readiness.refusal().isEmpty(),
                 rules.number(),
                 directory.live().size());
     }
--- a/siskintrail/src/io/siskintrail/lib/ResultCode.java
+++ b/siskintrail/src/io/siskintrail/lib/ResultCode.java
@@ -55,6 +55,7 @@
     NOT_RUN_RULES_STALE(3016, 503, "The host cannot confirm its rules; the request was not run."),
     HOSTS_PENDING(3017, 409, "An earlier change of the hosts is not in force yet."),
     HOSTS_REFUSED(3018, 409, "The hosts cannot be changed so."),
+    RULES_STALE(3019, 503, "The host cannot confirm its rules; an earlier sending may have run."),
 
     // 4xxx: control and storage.
     CONTROL_UNAVAILABLE(4001, 503, "No control leader took the command; it was not proposed."),
