Move attempts off endpoints that vanished from membership

Cause: with half of the engines paused at once, a stream that is resumed can land on another paused engine before any of its stripe's streams there fell silent; nothing but the bound of 10 s for a first token moved it on. Its lease had run out long before.

Change: when an endpoint no longer takes work while others of its models do, attempts that wait there for a first token are moved. When all of them vanish at once nothing is moved, since this router may be the one that is cut off. The wrong answers of bench resume show their offsets.

--- a/siskintrail.bench/src/io/siskintrail/bench/path/ReconnectingCaller.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/path/ReconnectingCaller.java
@@ -36,6 +36,7 @@
     private final int silenceMillis;
     private final List<Integer> tokens = new ArrayList<>();
     private final List<Long> times = new ArrayList<>();
+    private final List<Integer> offsets = new ArrayList<>();
     private String lastEventId;
     private volatile int received;
     private volatile boolean done;
@@ -113,6 +114,11 @@
         return tokens;
     }
 
+    /** Returns the offset behind each event, in the order of arrival. */
+    List<Integer> offsets() {
+        return offsets;
+    }
+
     /** Returns when each token came, by {@link System#nanoTime()}. */
     List<Long> times() {
         return times;
@@ -192,7 +198,10 @@
             times.add(System.nanoTime());
         }
         received = tokens.size();
-        lastEventId = id == null ? lastEventId : id;
+        if (id != null) {
+            lastEventId = id;
+            offsets.add(Integer.parseInt(id.substring(0, id.indexOf('/'))));
+        }
     }
 
     private void onError(String body) throws IOException {
--- a/siskintrail.bench/src/io/siskintrail/bench/path/ResumeMeasure.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/path/ResumeMeasure.java
@@ -205,14 +205,15 @@
                                     && right.subList(0, c.tokens().size()).equals(c.tokens());
                     System.out.printf(
                             "wrong stream=%d tokens=%d right_prefix=%b done=%b error=%s"
-                                    + " connections=%d first_difference=%d%n",
+                                    + " connections=%d first_difference=%d first_offsets=%s%n",
                             i,
                             c.tokens().size(),
                             prefix,
                             c.isDone(),
                             c.error(),
                             c.connections(),
-                            firstDifference(right, c.tokens()));
+                            firstDifference(right, c.tokens()),
+                            c.offsets().subList(0, Math.min(20, c.offsets().size())));
                 }
                 int had = lostAt == 0 ? 0 : gapAround(c);
                 if (had > 0) {
--- a/siskintrail.router/src/io/siskintrail/router/RouterService.java
+++ b/siskintrail.router/src/io/siskintrail/router/RouterService.java
@@ -93,6 +93,7 @@
         startOrders();
         generations.setRouters(routers());
         generations.start();
+        policy.onGone(generations::endpointGone);
         policy.start();
         RequestChain chain =
                 new RequestChain(
--- a/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationService.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationService.java
@@ -8,6 +8,7 @@
 import io.siskintrail.internal.generation.GenerationSettings;
 import io.siskintrail.internal.generation.GenerationSpec;
 import io.siskintrail.internal.generation.RequestRef;
+import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.GenerationId;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.HostInfo;
@@ -108,6 +109,11 @@
         postAll(new GenerationInput.RouterDown(host));
     }
 
+    /** Says that an endpoint takes no work any more; attempts that wait there are moved. */
+    public void endpointGone(EndpointId endpoint) {
+        postAll(new GenerationInput.EndpointSilent(endpoint));
+    }
+
     private void refuse(Fingerprint fingerprint, boolean on) {
         postAll(new GenerationInput.Quarantined(fingerprint, on));
     }
--- a/siskintrail.router/src/io/siskintrail/router/internal/policy/PolicyService.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/policy/PolicyService.java
@@ -50,7 +50,7 @@
 public final class PolicyService implements Service, SlotSource {
     private static final System.Logger LOG = System.getLogger(PolicyService.class.getName());
     private static final long TICK_MILLIS = 5;
-    private static final long WATCH_MILLIS = 100;
+    static final long WATCH_MILLIS = 100;
     private static final long PROGRESS_MILLIS = 200;
     private static final long CALLER_WAIT_MILLIS = 600_000;
 
@@ -61,6 +61,7 @@
     private final RulesView rules;
     private final PolicyMeters meters;
     private final Dispatcher dispatcher;
+    private Consumer<EndpointId> whenGone = id -> {};
     private final Map<EndpointId, EndpointInfo> known = new HashMap<>();
     private final Map<EndpointId, String> addresses = new ConcurrentHashMap<>();
     private final Map<GenerationId, SlotTicket> byGeneration = new ConcurrentHashMap<>();
@@ -263,11 +264,22 @@
             }
         }
         for (EndpointId id : gone) {
-            known.remove(id);
+            EndpointInfo info = known.remove(id);
             step(new PolicyInput.EndpointGone(id));
+            if (info.models().stream().anyMatch(m -> !directory.live(m).isEmpty())) {
+                whenGone.accept(id);
+            }
         }
     }
 
+    /**
+     * Sets who is told of an endpoint that no longer takes work while others of its models do; to
+     * be called before the start. When all are gone, this router may be the one that is cut off.
+     */
+    public void onGone(Consumer<EndpointId> listener) {
+        whenGone = listener;
+    }
+
     private void reportProgress() {
         for (SlotTicket t : List.copyOf(byTicket.values())) {
             if (t.endpoint != null && t.tokens.get() > 0) {
