Tell other routers' streams of a silent endpoint

Cause: a stripe that finds an endpoint silent told the other stripes of its router only; streams of other routers that waited there for a first token learnt it from the membership, up to 3 s later.

Change: a router that hears the report of a death moves its own attempts that wait at that endpoint.

--- a/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationService.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/generation/GenerationService.java
@@ -109,7 +109,7 @@
         postAll(new GenerationInput.RouterDown(host));
     }
 
-    /** Says that an endpoint takes no work any more; attempts that wait there are moved. */
+    /** Says that an endpoint is dead or silent; attempts that wait there are moved. */
     public void endpointGone(EndpointId endpoint) {
         postAll(new GenerationInput.EndpointSilent(endpoint));
     }
@@ -206,6 +206,9 @@
         }
         if (packet.message() instanceof BuddyMessage.OfRouter m) {
             quarantine.receive(sender, m);
+            if (m instanceof BuddyMessage.DeathReport report) {
+                endpointGone(report.endpoint());
+            }
             return;
         }
         GenerationInput input =
