--- a/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
+++ b/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
@@ -111,6 +111,15 @@
         assertThat(err.toString()).contains(code);
     }
 
+    @Test
+    void helpNamesTheUsageAndPurposeOfEveryCommand() {
+        assertThat(run("--help")).isEqualTo(0);
+        for (CommandSpec spec : CommandCatalog.ALL) {
+            assertThat(out.toString()).contains(spec.usage());
+            assertThat(out.toString()).contains(spec.purpose());
+        }
+    }
+
     @Test
     void refusesAnUnknownToken() {
         assertThat(runAs("wrong", "status")).isEqualTo(2);
