--- a/siskintrail.bench/src/io/siskintrail/bench/ledger/LedgerReplica.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/ledger/LedgerReplica.java
@@ -2,7 +2,6 @@
 
 import io.siskintrail.control.internal.replica.ControlReplica;
 import io.siskintrail.control.internal.replica.ReplicaPlan;
-import io.siskintrail.control.internal.replica.ThriftRecordCodec;
 import io.siskintrail.internal.control.ControlAnswer;
 import io.siskintrail.internal.control.ControlCommand;
 import io.siskintrail.internal.control.ControlImage;
@@ -16,6 +15,7 @@
 import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ControlStateCodec;
 import io.siskintrail.wire.ThriftPeerTransport;
+import io.siskintrail.wire.ThriftRecordCodec;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Random;
--- a/siskintrail.bench/src/io/siskintrail/bench/orders/FileLog.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/orders/FileLog.java
@@ -2,7 +2,6 @@
 
 import io.siskintrail.control.internal.replica.ControlReplica;
 import io.siskintrail.control.internal.replica.ReplicaPlan;
-import io.siskintrail.control.internal.replica.ThriftRecordCodec;
 import io.siskintrail.internal.control.ControlAnswer;
 import io.siskintrail.internal.control.ControlCommand;
 import io.siskintrail.internal.control.ControlImage;
@@ -16,6 +15,7 @@
 import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ControlStateCodec;
 import io.siskintrail.wire.ThriftPeerTransport;
+import io.siskintrail.wire.ThriftRecordCodec;
 import io.siskintrail.wire.control.ControlClient;
 import io.siskintrail.wire.control.RemoteControlClient;
 import java.io.IOException;
--- a/siskintrail.control.test/tst/io/siskintrail/control/internal/replica/TestHost.java
+++ b/siskintrail.control.test/tst/io/siskintrail/control/internal/replica/TestHost.java
@@ -10,6 +10,7 @@
 import io.siskintrail.storage.FileLogStore;
 import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ThriftPeerTransport;
+import io.siskintrail.wire.ThriftRecordCodec;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Random;
--- a/siskintrail.control/src/io/siskintrail/control/internal/replica/ControlReplica.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/replica/ControlReplica.java
@@ -1,6 +1,7 @@
 package io.siskintrail.control.internal.replica;
 
 import io.siskintrail.control.internal.configuration.LeaderLease;
+import io.siskintrail.internal.consensus.Formation;
 import io.siskintrail.internal.consensus.LogEntry;
 import io.siskintrail.internal.consensus.ReplacementPolicy;
 import io.siskintrail.internal.consensus.Replica;
@@ -16,6 +17,7 @@
 import io.siskintrail.service.ControlLoop;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
+import io.siskintrail.storage.DiskThread;
 import io.siskintrail.storage.LogStore;
 import io.siskintrail.storage.StorageException;
 import io.siskintrail.wire.ConsensusCodec;
--- a/siskintrail.control/src/io/siskintrail/control/internal/replica/ReplicatedControlLog.java
+++ b/siskintrail.control/src/io/siskintrail/control/internal/replica/ReplicatedControlLog.java
@@ -16,6 +16,7 @@
 import io.siskintrail.storage.MemoryLogStore;
 import io.siskintrail.wire.ControlStateCodec;
 import io.siskintrail.wire.PeerTransport;
+import io.siskintrail.wire.ThriftRecordCodec;
 import io.siskintrail.wire.control.ControlClient;
 import java.nio.file.Path;
 import java.security.SecureRandom;
--- /dev/null
+++ b/siskintrail.edge/src/io/siskintrail/edge/EdgeService.java
@@ -0,0 +1,32 @@
+package io.siskintrail.edge;
+
+import io.siskintrail.edge.internal.Edge;
+import io.siskintrail.net.EventLoop;
+import io.siskintrail.service.Service;
+
+/** An edge process: follows the registries and serves clients. */
+public final class EdgeService implements Service {
+    private final EventLoop loop = new EventLoop("edge");
+    private final Edge edge;
+
+    /**
+     * Prepares the service.
+     *
+     * @param settings the checked settings
+     * @param protocol reads and writes requests in the form of the platform
+     */
+    public EdgeService(EdgeSettings settings, TrafficProtocol protocol) {
+        edge = new Edge(loop, settings, protocol);
+    }
+
+    @Override
+    public void start() {
+        edge.start();
+    }
+
+    @Override
+    public void stop() {
+        edge.stop();
+        loop.stop();
+    }
+}
--- /dev/null
+++ b/siskintrail.edge/src/io/siskintrail/edge/ForwardTerms.java
@@ -0,0 +1,27 @@
+package io.siskintrail.edge;
+
+import io.siskintrail.lib.AccountId;
+import io.siskintrail.lib.EndpointId;
+
+/**
+ * The terms on which a request is sent to an endpoint.
+ *
+ * @param remainingMillis how long an answer is of use
+ * @param account the client account; null on an anonymous route
+ * @param rank how urgent it is, 0 first
+ * @param endpoint the endpoint that it is meant for; no other may run it
+ * @param lastEventId the last event that the client has; -1 when it has none
+ * @param copyAt {@code ip:port} of the endpoint that is to keep a copy of the memory; null for none
+ * @param resumeFrom {@code ip:port} of the endpoint that keeps such a copy of an earlier attempt
+ *     and is sent this one; null for none
+ * @param weightVersion the version that the answer was begun with; -1 when any will do
+ */
+public record ForwardTerms(
+        long remainingMillis,
+        AccountId account,
+        int rank,
+        EndpointId endpoint,
+        long lastEventId,
+        String copyAt,
+        String resumeFrom,
+        long weightVersion) {}
--- /dev/null
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -0,0 +1,214 @@
+package io.siskintrail.edge.internal;
+
+import io.siskintrail.edge.EdgeSettings;
+import io.siskintrail.edge.TrafficProtocol;
+import io.siskintrail.internal.traffic.EndpointRecord;
+import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.RouteTable;
+import io.siskintrail.internal.traffic.TrafficConfiguration;
+import io.siskintrail.lib.HostId;
+import io.siskintrail.lib.Result;
+import io.siskintrail.net.EventLoop;
+import io.siskintrail.net.HostAddress;
+import io.siskintrail.net.HttpService;
+import io.siskintrail.service.LogEvent;
+import io.siskintrail.service.Service;
+import io.siskintrail.wire.registry.RegistryMessage;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Puts the parts of an edge together. */
+public final class Edge implements Service, RegistryFollower.Listener {
+    private static final System.Logger LOG = System.getLogger(Edge.class.getName());
+    private static final int MAX_READINESS_BYTES = 1 << 10;
+    private static final long WATCH_MILLIS = 40;
+    private static final long CLEAN_MILLIS = 500;
+    private static final long STOP_POLL_MILLIS = 50;
+
+    /** Time before the end of the grace at which what still runs is given up. */
+    private static final long STOP_RESERVE_MILLIS = 400;
+
+    private final EventLoop loop;
+    private final EdgeSettings settings;
+    private final TrafficProtocol protocol;
+    private final RegistryFollower registries;
+    private final EndpointTable endpoints;
+    private final EndpointPool pool;
+    private final EdgeParts parts;
+    private final EdgeStats stats = new EdgeStats();
+    private final Front front;
+    private final HttpService readiness;
+    private final HttpService metrics;
+    private RouteTable table;
+    private boolean told;
+    private boolean stopping;
+
+    /** Prepares the parts. */
+    public Edge(EventLoop loop, EdgeSettings settings, TrafficProtocol protocol) {
+        this.loop = loop;
+        this.settings = settings;
+        this.protocol = protocol;
+        registries =
+                new RegistryFollower(
+                        loop,
+                        new HostId(settings.host()),
+                        settings.seeds(),
+                        settings.linkPort(),
+                        this);
+        endpoints = new EndpointTable(this::endpointGone);
+        pool = new EndpointPool(loop, protocol);
+        parts =
+                new EdgeParts(
+                        loop,
+                        protocol,
+                        pool,
+                        endpoints,
+                        stats,
+                        settings,
+                        registries,
+                        new SecureRandom().nextLong());
+        RequestFilters filters = new RequestFilters(protocol, () -> table);
+        front = new Front(loop, settings.frontAddress(), parts, filters, () -> table);
+        readiness =
+                new HttpService(
+                        loop,
+                        HostAddress.parse(settings.readinessAddress()),
+                        MAX_READINESS_BYTES,
+                        this::answerReadiness);
+        metrics =
+                new HttpService(
+                        loop,
+                        HostAddress.parse(settings.ip() + ":" + settings.metricsPort()),
+                        MAX_READINESS_BYTES,
+                        this::answerMetrics);
+    }
+
+    @Override
+    public void start() {
+        registries.start();
+        front.start();
+        readiness.start();
+        metrics.start();
+        loop.every(WATCH_MILLIS, parts::watchStreams);
+        loop.every(WATCH_MILLIS, parts::placeWaiting);
+        loop.every(CLEAN_MILLIS, pool::closeOld);
+        LogEvent.info(LOG, "edge.started")
+                .with("host", settings.host())
+                .with("front", settings.frontAddress())
+                .with("domain", settings.domain())
+                .write();
+    }
+
+    /**
+     * Says not ready, finishes what was read, and returns when that is done or the grace is over.
+     */
+    @Override
+    public void stop() {
+        LogEvent.info(LOG, "edge.stopping").with("host", settings.host()).write();
+        loop.execute(
+                () -> {
+                    stopping = true;
+                    front.stop();
+                });
+        long end = EventLoop.nowMillis() + settings.graceMillis() - STOP_RESERVE_MILLIS;
+        while (EventLoop.nowMillis() < end && !isQuiet()) {
+            pause();
+        }
+        LogEvent.info(LOG, "edge.stopped").with("host", settings.host()).write();
+    }
+
+    @Override
+    public void configuration(long version, byte[] content) {
+        Result<TrafficConfiguration> read = protocol.readConfiguration(content);
+        if (read instanceof Result.Ok<TrafficConfiguration> ok) {
+            table = new RouteTable(ok.value());
+            LogEvent.info(LOG, "configuration.in-force")
+                    .with("version", version)
+                    .with("routes", ok.value().routes().size())
+                    .with("accounts", ok.value().accounts().size())
+                    .write();
+            return;
+        }
+        LogEvent.warning(LOG, "configuration.unreadable")
+                .with("version", version)
+                .with("detail", ((Result.Err<TrafficConfiguration>) read).failure().detail())
+                .write();
+    }
+
+    @Override
+    public void endpoints(List<EndpointRecord> records) {
+        told = true;
+        if (endpoints.told(records)) {
+            parts.placeWaiting();
+        }
+    }
+
+    @Override
+    public void crashes(List<RegistryMessage.Crash> crashes) {
+        LogEvent.debug(LOG, "crashes.told").with("count", crashes.size()).write();
+    }
+
+    private void endpointGone(EndpointView endpoint) {
+        pool.forget(endpoint.record().address());
+        parts.engineLost(endpoint, "left");
+    }
+
+    private boolean isReady() {
+        return !stopping && table != null && told;
+    }
+
+    private void answerReadiness(HttpService.Call call, Consumer<HttpService.Answer> answer) {
+        answer.accept(new HttpService.Answer(isReady() ? 200 : 503, "", new byte[0]));
+    }
+
+    private void answerMetrics(HttpService.Call call, Consumer<HttpService.Answer> answer) {
+        String gauges =
+                """
+                siskintrail_edge_ready %d
+                siskintrail_edge_configuration_version %d
+                siskintrail_edge_configuration_confirmed %d
+                siskintrail_edge_registry_links %d
+                siskintrail_edge_endpoints %d
+                siskintrail_edge_running %d
+                siskintrail_edge_connections_opened_total %d
+                """
+                        .formatted(
+                                isReady() ? 1 : 0,
+                                table == null ? 0 : table.version(),
+                                registries.isConfirmed() ? 1 : 0,
+                                registries.links(),
+                                endpoints.size(),
+                                front.running(),
+                                pool.opened());
+        byte[] page = (gauges + stats.page()).getBytes(StandardCharsets.UTF_8);
+        answer.accept(new HttpService.Answer(200, "text/plain", page));
+    }
+
+    private boolean isQuiet() {
+        CountDownLatch asked = new CountDownLatch(1);
+        int[] running = {1};
+        loop.execute(
+                () -> {
+                    running[0] = front.running();
+                    asked.countDown();
+                });
+        try {
+            return asked.await(STOP_POLL_MILLIS, TimeUnit.MILLISECONDS) && running[0] == 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return true;
+        }
+    }
+
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeParts.java
@@ -0,0 +1,184 @@
+package io.siskintrail.edge.internal;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.siskintrail.edge.EdgeSettings;
+import io.siskintrail.edge.ForwardTerms;
+import io.siskintrail.edge.TrafficProtocol;
+import io.siskintrail.internal.traffic.CallPlacement;
+import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.ReleaseRate;
+import io.siskintrail.internal.traffic.RetryBudget;
+import io.siskintrail.internal.traffic.Route;
+import io.siskintrail.internal.traffic.StreamPlacement;
+import io.siskintrail.internal.traffic.WaitingRoom;
+import io.siskintrail.lib.FailureDomain;
+import io.siskintrail.lib.ServiceName;
+import io.siskintrail.net.EventLoop;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/** What the exchanges of an edge share. Used on the event loop. */
+final class EdgeParts {
+    /** Starts a second that a service is assumed to allow before any end was seen. */
+    private static final double INITIAL_STARTS_PER_SECOND = 4;
+
+    private final EventLoop loop;
+    private final TrafficProtocol protocol;
+    private final EndpointPool pool;
+    private final EndpointTable endpoints;
+    private final EdgeStats stats;
+    private final EdgeSettings settings;
+    private final RegistryFollower registries;
+    private final SplittableRandom random;
+    private final CallPlacement calls;
+    private final StreamPlacement streams;
+    private final Map<ServiceName, WaitingRoom<Exchange>> rooms = new HashMap<>();
+    private final Set<StreamExchange> open = new LinkedHashSet<>();
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+
+    EdgeParts(
+            EventLoop loop,
+            TrafficProtocol protocol,
+            EndpointPool pool,
+            EndpointTable endpoints,
+            EdgeStats stats,
+            EdgeSettings settings,
+            RegistryFollower registries,
+            long seed) {
+        this.loop = loop;
+        this.protocol = protocol;
+        this.pool = pool;
+        this.endpoints = endpoints;
+        this.stats = stats;
+        this.settings = settings;
+        this.registries = registries;
+        this.random = new SplittableRandom(seed);
+        FailureDomain home = new FailureDomain(settings.domain());
+        this.calls = new CallPlacement(home);
+        this.streams = new StreamPlacement(home, random::nextDouble);
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    TrafficProtocol protocol() {
+        return protocol;
+    }
+
+    EndpointPool pool() {
+        return pool;
+    }
+
+    EndpointTable endpoints() {
+        return endpoints;
+    }
+
+    EdgeStats stats() {
+        return stats;
+    }
+
+    RegistryFollower registries() {
+        return registries;
+    }
+
+    SplittableRandom random() {
+        return random;
+    }
+
+    CallPlacement calls() {
+        return calls;
+    }
+
+    StreamPlacement streams() {
+        return streams;
+    }
+
+    /** Returns where requests for a service wait. */
+    WaitingRoom<Exchange> room(ServiceName service) {
+        return rooms.computeIfAbsent(
+                service, s -> new WaitingRoom<>(new ReleaseRate(INITIAL_STARTS_PER_SECOND)));
+    }
+
+    /**
+     * Returns the budget for further attempts on a route; each edge has its share of the reserve.
+     */
+    RetryBudget budget(Route route) {
+        return budgets.computeIfAbsent(
+                route.name(),
+                n ->
+                        new RetryBudget(
+                                settings.retryRatio(),
+                                Math.max(1, settings.retryReserve() / registries.edges()),
+                                settings.retryWindowMillis()));
+    }
+
+    /** Places requests that wait, as far as there is room now, and turns away the hopeless. */
+    void placeWaiting() {
+        rooms.values().forEach(this::placeWaiting);
+    }
+
+    private void placeWaiting(WaitingRoom<Exchange> room) {
+        room.removeHopeless(EventLoop.nowMillis()).forEach(Exchange::timeUp);
+        while (room.first() != null) {
+            Exchange first = room.first();
+            if (!first.placeWaiting()) {
+                return;
+            }
+            room.removeFirst();
+        }
+    }
+
+    /** Remembers an exchange until it ends. */
+    void add(Exchange exchange) {
+        if (exchange instanceof StreamExchange s) {
+            open.add(s);
+        }
+    }
+
+    /** Forgets an exchange that ended. */
+    void remove(Exchange exchange) {
+        open.remove(exchange);
+    }
+
+    /** Looks after streams whose engines may be gone. */
+    void watchStreams() {
+        long now = EventLoop.nowMillis();
+        for (StreamExchange s : List.copyOf(open)) {
+            s.watch(now);
+        }
+    }
+
+    /** Moves all streams off an engine that cannot be reached or sends nothing. */
+    void engineSilent(EndpointView engine, String cause) {
+        engine.health().unreachable(EventLoop.nowMillis());
+        pool.forget(engine.record().address());
+        engineLost(engine, cause);
+    }
+
+    /** Moves all streams off an engine that has ended. */
+    void engineLost(EndpointView engine, String cause) {
+        for (StreamExchange s : List.copyOf(open)) {
+            s.engineLost(engine, cause);
+        }
+    }
+
+    /** Returns the request of {@code call} as it is sent on {@code terms}. */
+    EndpointRequest forward(CallContext call, ForwardTerms terms) {
+        HttpHeaders from = HopHeaders.without(call.headers());
+        from.remove(HttpHeaderNames.ACCEPT_ENCODING);
+        HttpHeaders to = new DefaultHttpHeaders();
+        protocol.writeForward(from, call.head(), terms, to);
+        boolean hasBody = call.body().length > 0 || !"GET".equals(call.method());
+        if (hasBody) {
+            to.set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+        }
+        return new EndpointRequest(call.method(), call.target(), to, call.body());
+    }
+}
--- /dev/null
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -0,0 +1,129 @@
+package io.siskintrail.edge.internal;
+
+import io.netty.util.concurrent.Future;
+import io.siskintrail.edge.ForwardTerms;
+import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.lib.Failure;
+import io.siskintrail.lib.ResultCode;
+import io.siskintrail.net.EventLoop;
+import io.siskintrail.service.LogEvent;
+import java.util.function.Consumer;
+
+/** The way of one request from its admission to its final answer. Used on the event loop. */
+abstract class Exchange {
+    private static final System.Logger LOG = System.getLogger(Exchange.class.getName());
+
+    /** The edge that the request came to. */
+    protected final EdgeParts edge;
+
+    /** The request. */
+    protected final CallContext call;
+
+    /** Where the answer goes. */
+    protected final CallerConnection caller;
+
+    private final Consumer<Exchange> ended;
+    private Future<?> timeout;
+    private boolean over;
+
+    /** Takes a request that passed the filters; {@code ended} is called once, at its end. */
+    Exchange(EdgeParts edge, CallContext call, CallerConnection caller, Consumer<Exchange> ended) {
+        this.edge = edge;
+        this.call = call;
+        this.caller = caller;
+        this.ended = ended;
+    }
+
+    /** Begins the work. */
+    final void start() {
+        long remaining = call.remainingMillis(EventLoop.nowMillis());
+        timeout = edge.loop().after(remaining, this::timeUp);
+        edge.budget(call.route()).requested();
+        begin();
+    }
+
+    /** Stops all work: the client has closed its connection. */
+    final void clientGone() {
+        if (over) {
+            return;
+        }
+        release();
+        end("client-gone", 0, "");
+    }
+
+    /** Begins the work of this kind of request. */
+    protected abstract void begin();
+
+    /** Cancels attempts and gives up places. */
+    protected abstract void release();
+
+    /** Answers when the time of the request is over. */
+    protected abstract void timeUp();
+
+    /** Tries to place a request that waits; returns whether it no longer waits. */
+    protected abstract boolean placeWaiting();
+
+    /** Returns whether the request has its final answer. */
+    protected final boolean isOver() {
+        return over;
+    }
+
+    /** Answers with a failure of this system. */
+    protected final void refuse(ResultCode code, String detail, long retryAfterMillis) {
+        release();
+        end("refused", code.number(), detail);
+        caller.refuse(new Failure(code, detail), retryAfterMillis);
+    }
+
+    /** Notes the end of the request. */
+    protected final void end(String outcome, int code, String detail) {
+        over = true;
+        if (timeout != null) {
+            timeout.cancel(false);
+        }
+        long millis = EventLoop.nowMillis() - call.arrivedAt();
+        edge.stats().ended(call, outcome, code, millis);
+        LogEvent.info(LOG, "request." + outcome)
+                .with("request", call.requestId())
+                .with("route", call.route().name())
+                .with("account", call.accountId())
+                .with("configuration", call.table().version())
+                .with("code", code)
+                .with("ms", millis)
+                .with("detail", detail)
+                .write();
+        ended.accept(this);
+    }
+
+    /** Returns the request as it is sent to {@code endpoint}. */
+    protected final EndpointRequest forward(
+            EndpointView endpoint,
+            long lastEventId,
+            String copyAt,
+            String resumeFrom,
+            long weightVersion) {
+        ForwardTerms terms =
+                new ForwardTerms(
+                        call.remainingMillis(EventLoop.nowMillis()),
+                        call.accountId(),
+                        call.rank(),
+                        endpoint.record().id(),
+                        lastEventId,
+                        copyAt,
+                        resumeFrom,
+                        weightVersion);
+        return edge.forward(call, terms);
+    }
+
+    /** Logs the sending of an attempt. */
+    protected final void logAttempt(String event, EndpointView endpoint, String detail) {
+        LogEvent.info(LOG, event)
+                .with("request", call.requestId())
+                .with("endpoint", endpoint.record().id())
+                .with("state", endpoint.record().state())
+                .with("sequence", endpoint.record().sequence())
+                .with("running", endpoint.running())
+                .with("detail", detail)
+                .write();
+    }
+}
--- /dev/null
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestFilters.java
@@ -0,0 +1,98 @@
+package io.siskintrail.edge.internal;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.siskintrail.edge.CallHead;
+import io.siskintrail.edge.TrafficProtocol;
+import io.siskintrail.internal.traffic.Account;
+import io.siskintrail.internal.traffic.Route;
+import io.siskintrail.internal.traffic.RouteTable;
+import io.siskintrail.lib.Failure;
+import io.siskintrail.lib.Result;
+import io.siskintrail.lib.ResultCode;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/** The filters of an edge, in their order. */
+final class RequestFilters {
+    private final TrafficProtocol protocol;
+    private final Supplier<RouteTable> table;
+    private final List<RequestFilter> chain;
+
+    /**
+     * Makes the chain.
+     *
+     * @param table gives the configuration in force, null before the first
+     */
+    RequestFilters(TrafficProtocol protocol, Supplier<RouteTable> table) {
+        this.protocol = protocol;
+        this.table = table;
+        this.chain = List.of(this::head, this::configuration, this::route, this::account);
+    }
+
+    /** Passes {@code call} through the chain; returns why it is turned away, if it is. */
+    Optional<Failure> apply(CallContext call) {
+        for (RequestFilter filter : chain) {
+            Optional<Failure> refusal = filter.apply(call);
+            if (refusal.isPresent()) {
+                return refusal;
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<Failure> head(CallContext call) {
+        if (!call.target().startsWith("/")) {
+            return refuse(ResultCode.BAD_HEADER, "the request target is no path");
+        }
+        if (call.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
+            return refuse(ResultCode.BAD_HEADER, "there is not exactly one Host header");
+        }
+        Result<CallHead> head = protocol.read(call.headers());
+        if (head instanceof Result.Err<CallHead> e) {
+            return Optional.of(e.failure());
+        }
+        call.head(((Result.Ok<CallHead>) head).value());
+        return Optional.empty();
+    }
+
+    private Optional<Failure> configuration(CallContext call) {
+        RouteTable current = table.get();
+        if (current == null) {
+            return refuse(ResultCode.NOT_RUN_RULES_STALE, "no configuration was received yet");
+        }
+        call.table(current);
+        return Optional.empty();
+    }
+
+    private Optional<Failure> route(CallContext call) {
+        String host = call.headers().get(HttpHeaderNames.HOST);
+        int colon = host.indexOf(':');
+        Route route = call.table().route(colon < 0 ? host : host.substring(0, colon), call.path());
+        if (route == null) {
+            return refuse(ResultCode.NOT_FOUND, "no route matches host and path");
+        }
+        call.route(route);
+        return Optional.empty();
+    }
+
+    private Optional<Failure> account(CallContext call) {
+        if (call.route().anonymous() || !call.table().hasAccounts()) {
+            return Optional.empty();
+        }
+        String key = call.head().key();
+        if (key == null) {
+            return refuse(ResultCode.MISSING_API_KEY, "the route needs a key");
+        }
+        Account account = call.table().account(key);
+        if (account == null) {
+            return refuse(ResultCode.UNKNOWN_API_KEY, "no account holds the key");
+        }
+        call.account(account);
+        return Optional.empty();
+    }
+
+    private static Optional<Failure> refuse(ResultCode code, String detail) {
+        return Optional.of(new Failure(code, detail));
+    }
+}
--- /dev/null
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -0,0 +1,184 @@
+package io.siskintrail.edge.internal;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.siskintrail.edge.EndpointAnswer;
+import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.EventSplitter;
+import io.siskintrail.internal.traffic.StreamEvent;
+import io.siskintrail.net.EventLoop;
+import java.io.ByteArrayOutputStream;
+
+/** One attempt of a stream at an engine, with its share in the engine's accounts. */
+final class StreamAttempt implements AttemptListener {
+    private static final int MAX_EVENT_BYTES = 256 << 10;
+    private static final int MAX_ERROR_BYTES = 1 << 20;
+
+    private final EdgeParts edge;
+    private final StreamExchange owner;
+    private final EndpointView engine;
+    private final EndpointView copy;
+    private final long tokens;
+    private final double expectedMillis;
+    private final Attempt attempt;
+    private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
+    private final ByteArrayOutputStream error = new ByteArrayOutputStream();
+    private final long sentAt = EventLoop.nowMillis();
+    private long eventAt = Long.MIN_VALUE;
+    private long probedAt = sentAt;
+    private boolean over;
+    private EndpointAnswer said;
+    private HttpHeaders headers;
+
+    /**
+     * Prepares an attempt.
+     *
+     * @param copy the engine that is to keep a copy; null for none
+     * @param tokens the memory that the request takes on both
+     * @param expectedMillis the expected time to the first event
+     */
+    StreamAttempt(
+            EdgeParts edge,
+            StreamExchange owner,
+            EndpointView engine,
+            EndpointView copy,
+            EndpointRequest request,
+            String requestId,
+            long tokens,
+            double expectedMillis) {
+        this.edge = edge;
+        this.owner = owner;
+        this.engine = engine;
+        this.copy = copy;
+        this.tokens = tokens;
+        this.expectedMillis = expectedMillis;
+        this.attempt = new Attempt(engine, request, requestId, this);
+    }
+
+    void start() {
+        engine.begin(tokens);
+        if (copy != null) {
+            copy.beginCopy(tokens);
+        }
+        edge.pool().send(attempt, false);
+    }
+
+    /** Stops the attempt; the engine sees a closed connection. */
+    void stop() {
+        if (!over) {
+            attempt.cancel();
+            leave();
+        }
+    }
+
+    EndpointView engine() {
+        return engine;
+    }
+
+    /** Returns the engine that keeps a copy; null for none. */
+    EndpointView copy() {
+        return copy;
+    }
+
+    /** Returns whether any byte may have reached the engine. */
+    boolean isWritten() {
+        return attempt.isWritten();
+    }
+
+    boolean hasEvents() {
+        return eventAt != Long.MIN_VALUE;
+    }
+
+    long sentAt() {
+        return sentAt;
+    }
+
+    long eventAt() {
+        return eventAt;
+    }
+
+    double expectedMillis() {
+        return expectedMillis;
+    }
+
+    /** Returns when the engine was last reached by a probe, or the request was sent. */
+    long probedAt() {
+        return probedAt;
+    }
+
+    void probed(long nowMillis) {
+        probedAt = nowMillis;
+    }
+
+    EndpointAnswer said() {
+        return said;
+    }
+
+    HttpHeaders headers() {
+        return headers;
+    }
+
+    /** Returns the body of an answer that is no stream. */
+    byte[] errorBody() {
+        return error.toByteArray();
+    }
+
+    @Override
+    public void notConnected(String cause) {
+        leave();
+        owner.notConnected(this, cause);
+    }
+
+    @Override
+    public void head(HttpResponse response) {
+        said = edge.protocol().readAnswer(response);
+        headers = HopHeaders.without(response.headers());
+        engine.health().heard(EventLoop.nowMillis());
+    }
+
+    @Override
+    public void body(byte[] bytes) {
+        engine.health().heard(EventLoop.nowMillis());
+        if (!said.isSuccess() || !said.signed()) {
+            if (error.size() + bytes.length <= MAX_ERROR_BYTES) {
+                error.writeBytes(bytes);
+            }
+            return;
+        }
+        for (StreamEvent event : splitter.add(bytes)) {
+            if (over) {
+                return;
+            }
+            eventAt = EventLoop.nowMillis();
+            owner.event(this, event);
+        }
+        if (splitter.isDamaged() && !over) {
+            attempt.cancel();
+            broken("event cannot be read");
+        }
+    }
+
+    @Override
+    public void complete() {
+        leave();
+        if (said.isSuccess() && said.signed() && splitter.isInsideEvent()) {
+            owner.broken(this, "ended inside an event");
+            return;
+        }
+        owner.complete(this);
+    }
+
+    @Override
+    public void broken(String cause) {
+        leave();
+        owner.broken(this, cause);
+    }
+
+    private void leave() {
+        over = true;
+        engine.end(tokens);
+        if (copy != null) {
+            copy.endCopy(tokens);
+        }
+    }
+}
--- /dev/null
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -0,0 +1,415 @@
+package io.siskintrail.edge.internal;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.siskintrail.edge.EndpointAnswer;
+import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.EngineSpec;
+import io.siskintrail.internal.traffic.ServiceSpec;
+import io.siskintrail.internal.traffic.SilenceRule;
+import io.siskintrail.internal.traffic.StreamEvent;
+import io.siskintrail.internal.traffic.StreamJournal;
+import io.siskintrail.internal.traffic.WaitingRoom;
+import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.ResultCode;
+import io.siskintrail.lib.ServiceName;
+import io.siskintrail.net.EventLoop;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * A stream of events from an engine. When its engine is lost the stream goes on at another one,
+ * from the copy of its memory where there is one, behind the last event that the client has.
+ */
+final class StreamExchange extends Exchange {
+    private static final int SERVER_ERROR = 500;
+
+    /** Prompt tokens that an engine reads in a millisecond, as long as it is not observed. */
+    private static final double PREFILL_TOKENS_PER_MILLI = 8;
+
+    /** Time from a read prompt to the first event, in milliseconds. */
+    private static final double FIRST_EVENT_MILLIS = 80;
+
+    /** Pause before a stream without an engine looks for one again. */
+    private static final long RETRY_MILLIS = 50;
+
+    /** Share of the target latency that a request waits for room at most. */
+    private static final double WAIT_SHARE = 0.5;
+
+    /** Retry-After when no engine is known or can be reached. */
+    private static final long ABSENT_RETRY_MILLIS = 1_000;
+
+    private final ServiceName service;
+    private final EngineSpec engine;
+    private final long tokens;
+    private final SilenceRule silence;
+    private final StreamJournal journal;
+    private final Set<EndpointId> failed = new HashSet<>();
+    private WaitingRoom.Waiting<Exchange> place;
+    private StreamAttempt attempt;
+    private EndpointView resumeAt;
+    private boolean begun;
+    private boolean written;
+    private boolean searching;
+    private int sent;
+    private long lostAt;
+    private long weightVersion = -1;
+
+    StreamExchange(
+            EdgeParts edge, CallContext call, CallerConnection caller, Consumer<Exchange> ended) {
+        super(edge, call, caller, ended);
+        service = call.route().pick(edge.random().nextDouble());
+        ServiceSpec spec = call.table().service(service);
+        engine = spec == null ? null : spec.engine();
+        tokens = (long) call.head().promptTokens() + call.head().outputTokens();
+        silence = new SilenceRule(call.route().targetGapMillis());
+        journal = new StreamJournal(call.head().lastEventId());
+    }
+
+    @Override
+    protected void begin() {
+        if (placeWaiting()) {
+            return;
+        }
+        long now = EventLoop.nowMillis();
+        if (edge.endpoints().of(service).isEmpty()) {
+            refuse(ResultCode.NO_ENDPOINT, "no engine of the service", ABSENT_RETRY_MILLIS);
+            return;
+        }
+        long latest = now + (long) (WAIT_SHARE * call.route().targetLatencyMillis());
+        WaitingRoom<Exchange> room = edge.room(service);
+        place = room.enter(now, this, call.rank(), latest);
+        if (place == null) {
+            long wait = (long) room.forecastMillis(now, call.rank());
+            refuse(ResultCode.NOT_RUN_NO_ROOM, "forecast %d ms".formatted(wait), wait);
+        }
+    }
+
+    @Override
+    protected void release() {
+        if (place != null) {
+            edge.room(service).leave(place);
+            place = null;
+        }
+        if (attempt != null) {
+            StreamAttempt last = attempt;
+            attempt = null;
+            last.stop();
+            freed();
+        }
+    }
+
+    @Override
+    protected void timeUp() {
+        if (isOver()) {
+            return;
+        }
+        if (begun) {
+            breakOff("time is over");
+        } else if (written) {
+            refuse(ResultCode.CALL_TIMED_OUT, "attempts=%d".formatted(sent), 0);
+        } else {
+            refuse(ResultCode.NOT_RUN_NO_ROOM, "waited for room", ABSENT_RETRY_MILLIS);
+        }
+    }
+
+    @Override
+    protected boolean placeWaiting() {
+        EndpointView best = choose();
+        if (best == null) {
+            return false;
+        }
+        place = null;
+        send(best, null);
+        return true;
+    }
+
+    /** Looks whether the engine is still there; to be called every few tens of milliseconds. */
+    void watch(long nowMillis) {
+        StreamAttempt a = attempt;
+        if (a == null) {
+            return;
+        }
+        SilenceRule.Verdict verdict =
+                a.hasEvents()
+                        ? silence.between(nowMillis - a.eventAt(), engineSilent(nowMillis, a))
+                        : silence.beforeFirst(
+                                nowMillis - a.sentAt(),
+                                Math.min(engineSilent(nowMillis, a), nowMillis - a.probedAt()),
+                                a.expectedMillis());
+        switch (verdict) {
+            case PROBE -> probe(a, nowMillis);
+            case ENGINE_SILENT -> edge.engineSilent(a.engine(), "silent beside others");
+            case STREAM_SILENT -> lost(a, "stream silent");
+            default -> {}
+        }
+    }
+
+    /** Goes on elsewhere if the stream is at {@code lostEngine}. */
+    void engineLost(EndpointView lostEngine, String cause) {
+        if (attempt != null && attempt.engine() == lostEngine) {
+            lost(attempt, cause);
+        }
+    }
+
+    /** Takes an event of an attempt. */
+    void event(StreamAttempt from, StreamEvent event) {
+        if (from != attempt) {
+            return;
+        }
+        if (event.id() >= 0) {
+            StreamJournal.Verdict verdict = journal.take(event.id());
+            if (verdict == StreamJournal.Verdict.REPEATED) {
+                return;
+            }
+            if (verdict == StreamJournal.Verdict.GAP) {
+                lost(from, "gap before event %d".formatted(event.id()));
+                return;
+            }
+        }
+        if (lostAt > 0) {
+            long pause = EventLoop.nowMillis() - lostAt;
+            lostAt = 0;
+            edge.stats()
+                    .latency(
+                            "siskintrail_edge_resume_millis",
+                            "rank=\"%d\"".formatted(call.rank()),
+                            pause);
+        }
+        beginAnswer(from);
+        caller.piece(event.bytes());
+    }
+
+    /** Takes the end of a whole answer. */
+    void complete(StreamAttempt from) {
+        if (from != attempt) {
+            return;
+        }
+        attempt = null;
+        freed();
+        EndpointAnswer said = from.said();
+        if (said.isSuccess() && said.signed()) {
+            from.engine().health().succeeded(EventLoop.nowMillis(), (long) from.expectedMillis());
+            beginAnswer(from);
+            end("answered", 0, "attempts=%d last=%d".formatted(sent, journal.lastId()));
+            caller.end();
+            return;
+        }
+        notStreamed(from, said);
+    }
+
+    /** Takes the end of an attempt whose answer is not whole. */
+    void broken(StreamAttempt from, String cause) {
+        if (from != attempt) {
+            return;
+        }
+        from.engine().health().failed(EventLoop.nowMillis());
+        resume(from, cause);
+    }
+
+    /** Takes note that an engine could not be reached. */
+    void notConnected(StreamAttempt from, String cause) {
+        if (from != attempt) {
+            return;
+        }
+        sent--;
+        edge.engineSilent(from.engine(), "not connected: " + cause);
+        if (attempt == from) {
+            resume(from, cause);
+        }
+    }
+
+    private EndpointView choose() {
+        return edge.streams()
+                .choose(
+                        EventLoop.nowMillis(),
+                        edge.endpoints().of(service),
+                        engine,
+                        tokens,
+                        e -> !failed.contains(e.record().id()));
+    }
+
+    /**
+     * Sends the request.
+     *
+     * @param copyOf the engine where a copy of an earlier attempt is, which is {@code target}; null
+     *     when there is none
+     */
+    private void send(EndpointView target, EndpointView copyOf) {
+        long now = EventLoop.nowMillis();
+        EndpointView copy = engine != null && engine.copies() ? chooseCopy(now, target) : null;
+        double read = copyOf == null ? call.head().promptTokens() / PREFILL_TOKENS_PER_MILLI : 0;
+        double expected = target.prefillMillis(now) + read + FIRST_EVENT_MILLIS;
+        target.addPrefill(now, (long) read);
+        String copyAt = copy == null ? null : copy.record().address();
+        String resumeFrom = copyOf == null ? null : copyOf.record().address();
+        EndpointRequest request =
+                forward(target, journal.lastId(), copyAt, resumeFrom, weightVersion);
+        sent++;
+        logAttempt(
+                "stream.sent",
+                target,
+                "attempt=%d after=%d copy=%s resume=%s expected_ms=%.0f"
+                        .formatted(sent, journal.lastId(), copyAt, resumeFrom, expected));
+        attempt =
+                new StreamAttempt(
+                        edge, this, target, copy, request, call.requestId(), tokens, expected);
+        attempt.start();
+    }
+
+    private EndpointView chooseCopy(long now, EndpointView target) {
+        return edge.streams().chooseCopy(now, edge.endpoints().of(service), engine, tokens, target);
+    }
+
+    private void beginAnswer(StreamAttempt from) {
+        if (begun) {
+            return;
+        }
+        begun = true;
+        weightVersion = from.said().weightVersion();
+        HttpHeaders headers = from.headers();
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        long millis = EventLoop.nowMillis() - call.arrivedAt();
+        edge.stats()
+                .latency(
+                        "siskintrail_edge_first_event_millis",
+                        "rank=\"%d\"".formatted(call.rank()),
+                        millis);
+        caller.begin(from.said().status(), headers);
+    }
+
+    private void notStreamed(StreamAttempt from, EndpointAnswer said) {
+        String cause =
+                "status=%d signed=%s not_run=%s"
+                        .formatted(said.status(), said.signed(), said.notRun());
+        if (said.notRun() && resumeAt == from.engine()) {
+            // The copy was not there; the engine itself may be sound.
+            resumeAt = null;
+            resume(from, "no copy: " + cause);
+            return;
+        }
+        from.engine().health().failed(EventLoop.nowMillis());
+        boolean final4xx = said.signed() && !said.notRun() && said.status() < SERVER_ERROR;
+        if (final4xx && !begun) {
+            end("answered", 0, cause);
+            caller.answer(said.status(), from.headers(), from.errorBody());
+            return;
+        }
+        if (!said.notRun()) {
+            written = true;
+        }
+        resume(from, cause);
+    }
+
+    private void lost(StreamAttempt from, String cause) {
+        from.engine().health().failed(EventLoop.nowMillis());
+        from.stop();
+        resume(from, cause);
+    }
+
+    /** Goes on at another engine, at the one with a copy first. */
+    private void resume(StreamAttempt from, String cause) {
+        attempt = null;
+        freed();
+        if (lostAt == 0) {
+            lostAt = EventLoop.nowMillis();
+        }
+        boolean notRun = from.said() != null && from.said().notRun();
+        written |= from.isWritten() && !notRun;
+        logAttempt("stream.lost", from.engine(), cause);
+        if (from.copy() != null && from.isWritten() && !notRun) {
+            resumeAt = from.copy();
+        }
+        failed.add(from.engine().record().id());
+        if (!call.route().resumable() && written) {
+            giveUp("the route does not allow to go on");
+            return;
+        }
+        goOn();
+    }
+
+    private void goOn() {
+        searching = false;
+        if (isOver() || attempt != null) {
+            return;
+        }
+        if (sent >= call.route().maxAttempts()) {
+            giveUp("no attempts left");
+            return;
+        }
+        long now = EventLoop.nowMillis();
+        EndpointView copy = usableCopy(now);
+        EndpointView target = copy != null ? copy : choose();
+        if (target == null) {
+            search();
+            return;
+        }
+        if (sent > 0 && !edge.budget(call.route()).tryTake(now)) {
+            giveUp("no retries left");
+            return;
+        }
+        send(target, copy);
+    }
+
+    private EndpointView usableCopy(long now) {
+        if (resumeAt == null) {
+            return null;
+        }
+        boolean there = edge.endpoints().of(service).contains(resumeAt);
+        if (there && !resumeAt.health().isPaused(now)) {
+            return resumeAt;
+        }
+        resumeAt = null;
+        return null;
+    }
+
+    /** Looks for an engine again after a pause; engines that failed may be tried again then. */
+    private void search() {
+        if (!searching) {
+            searching = true;
+            failed.clear();
+            edge.loop().after(RETRY_MILLIS, this::goOn);
+        }
+    }
+
+    private void giveUp(String detail) {
+        if (begun) {
+            breakOff(detail);
+        } else if (written) {
+            refuse(ResultCode.ATTEMPTS_EXHAUSTED, detail, 0);
+        } else {
+            refuse(ResultCode.NOT_RUN_UNREACHABLE, detail, ABSENT_RETRY_MILLIS);
+        }
+    }
+
+    private void breakOff(String detail) {
+        release();
+        end("broken-off", ResultCode.ATTEMPTS_EXHAUSTED.number(), detail);
+        caller.abort();
+    }
+
+    private void probe(StreamAttempt a, long now) {
+        a.probed(now);
+        edge.pool()
+                .probe(
+                        a.engine().record().address(),
+                        reached -> {
+                            if (reached) {
+                                a.probed(EventLoop.nowMillis());
+                            } else {
+                                edge.engineSilent(a.engine(), "probe failed");
+                            }
+                        });
+    }
+
+    private static long engineSilent(long nowMillis, StreamAttempt a) {
+        long heard = a.engine().health().lastHeardAt();
+        return nowMillis - Math.max(heard, a.sentAt());
+    }
+
+    private void freed() {
+        edge.room(service).released(EventLoop.nowMillis());
+        edge.loop().execute(edge::placeWaiting);
+    }
+}
--- /dev/null
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The parts of an edge. All state lives on the event loop. */
+package io.siskintrail.edge.internal;
--- /dev/null
+++ b/siskintrail.registry/src/io/siskintrail/registry/RegistryCall.java
@@ -0,0 +1,31 @@
+package io.siskintrail.registry;
+
+import io.siskintrail.internal.traffic.EndpointRecord;
+import io.siskintrail.internal.traffic.TrafficConfiguration;
+import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.Result;
+
+/** What an operator or an endpoint asks of a registry. */
+public sealed interface RegistryCall {
+
+    /**
+     * Sends a configuration.
+     *
+     * @param configuration what was read from the content, or why it is refused
+     * @param content the configuration as sent
+     */
+    record PutConfiguration(Result<TrafficConfiguration> configuration, byte[] content)
+            implements RegistryCall {}
+
+    /** Asks for the newest configuration. */
+    record ReadConfiguration() implements RegistryCall {}
+
+    /** Reports the state of an endpoint; a report that cannot be read names no endpoint to use. */
+    record Report(Result<EndpointRecord> endpoint) implements RegistryCall {}
+
+    /** Tells that an endpoint leaves. */
+    record Leave(EndpointId endpoint) implements RegistryCall {}
+
+    /** Anything else. */
+    record Unknown() implements RegistryCall {}
+}
--- /dev/null
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -0,0 +1,220 @@
+package io.siskintrail.registry.internal;
+
+import io.siskintrail.internal.traffic.EndpointRecord;
+import io.siskintrail.lib.FailureDomain;
+import io.siskintrail.lib.HostId;
+import io.siskintrail.net.EventLoop;
+import io.siskintrail.net.HostAddress;
+import io.siskintrail.net.HttpService;
+import io.siskintrail.net.Identity;
+import io.siskintrail.net.Link;
+import io.siskintrail.net.LinkListener;
+import io.siskintrail.net.PeerRole;
+import io.siskintrail.registry.RegistryProtocol;
+import io.siskintrail.registry.RegistrySettings;
+import io.siskintrail.service.LogEvent;
+import io.siskintrail.service.Service;
+import io.siskintrail.wire.MessageKind;
+import io.siskintrail.wire.registry.RegistryCodec;
+import io.siskintrail.wire.registry.RegistryMessage;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/** Puts the parts of a registry together and hands messages to them. */
+public final class Registry implements Service, LinkListener {
+    private static final System.Logger LOG = System.getLogger(Registry.class.getName());
+
+    /** A configuration may be as large as what clients may send. */
+    private static final int MAX_CALL_BYTES = 8 << 20;
+
+    private static final long STATUS_MILLIS = 150;
+    private static final long RENEWALS_MILLIS = 400;
+    private static final long EXPIRE_MILLIS = 500;
+
+    /** Time after which a host that was a registry once is no longer dialed. */
+    private static final long FORGET_HOST_MILLIS = 60_000;
+
+    private final EventLoop loop;
+    private final RegistrySettings settings;
+    private final HostId self;
+    private final List<HostId> seeds;
+    private final RegistryPeers peers;
+    private final RegistryReplica replica;
+    private final LogAccess log;
+    private final EdgeFeed feed = new EdgeFeed();
+    private final Endpoints endpoints;
+    private final HttpService calls;
+    private final HttpService metrics;
+
+    /** Opens the disk and prepares the parts. */
+    public Registry(EventLoop loop, RegistrySettings settings, RegistryProtocol protocol) {
+        this.loop = loop;
+        this.settings = settings;
+        self = linkHost(settings.ip());
+        seeds = settings.seeds().stream().map(this::seedHost).toList();
+        peers = new RegistryPeers(loop, new Identity(PeerRole.REGISTRY, self), this);
+        replica =
+                new RegistryReplica(
+                        loop,
+                        ReplicaDisk.of(Path.of(settings.dataFolder())),
+                        new FailureDomain(settings.domain()),
+                        self,
+                        settings.founding() ? seeds : List.of(),
+                        settings.voters(),
+                        peers,
+                        this::tellStatus,
+                        new SecureRandom().nextLong());
+        log = new LogAccess(loop, replica, peers);
+        endpoints = new Endpoints(settings.heartbeatMillis(), peers, feed);
+        calls =
+                new HttpService(
+                        loop,
+                        HostAddress.parse(settings.callAddress()),
+                        MAX_CALL_BYTES,
+                        new CallDesk(protocol, replica, log, endpoints));
+        metrics =
+                new HttpService(
+                        loop,
+                        HostAddress.parse(settings.ip() + ":" + settings.metricsPort()),
+                        0,
+                        this::answerMetrics);
+    }
+
+    @Override
+    public void start() {
+        peers.start();
+        loop.execute(this::startOnLoop);
+        calls.start();
+        metrics.start();
+        LogEvent.info(LOG, "registry.started")
+                .with("host", settings.host())
+                .with("links", self)
+                .with("calls", settings.callAddress())
+                .with("founding", settings.founding())
+                .write();
+    }
+
+    @Override
+    public void stop() {
+        LogEvent.info(LOG, "registry.stopping").with("host", settings.host()).write();
+        loop.execute(replica::stop);
+    }
+
+    @Override
+    public void opened(Link link) {
+        if (link.role() == PeerRole.EDGE) {
+            feed.opened(link, status(), List.copyOf(endpoints.records()));
+        } else {
+            List<EndpointRecord> all = List.copyOf(endpoints.records());
+            if (!all.isEmpty()) {
+                link.send(
+                        MessageKind.REGISTRY,
+                        RegistryCodec.encode(new RegistryMessage.Endpoints(all)));
+            }
+        }
+    }
+
+    @Override
+    public void received(Link link, MessageKind kind, byte[] body) {
+        if (kind == MessageKind.CONSENSUS) {
+            replica.receive(body);
+        } else if (kind == MessageKind.REGISTRY) {
+            receive(link, RegistryCodec.decode(body));
+        }
+    }
+
+    @Override
+    public void closed(Link link) {
+        feed.closed(link);
+    }
+
+    private void startOnLoop() {
+        peers.add(seeds);
+        peers.add(replica.hosts());
+        replica.start();
+        loop.every(STATUS_MILLIS, this::tellStatus);
+        loop.every(RENEWALS_MILLIS, endpoints::passRenewals);
+        loop.every(EXPIRE_MILLIS, () -> endpoints.expire(replica.isCurrent()));
+    }
+
+    private void receive(Link link, RegistryMessage message) {
+        if (log.receive(link, message)) {
+            return;
+        }
+        if (message instanceof RegistryMessage.Endpoints e) {
+            endpoints.passedOn(e.records());
+        } else if (message instanceof RegistryMessage.FetchAbove f) {
+            sendContent(link, f.version());
+        } else if (message instanceof RegistryMessage.Crashes c) {
+            if (link.role() == PeerRole.EDGE) {
+                peers.broadcast(c);
+            }
+            feed.broadcast(c);
+        } else if (message instanceof RegistryMessage.Status s) {
+            peers.add(s.registries());
+        }
+    }
+
+    private void sendContent(Link link, long above) {
+        NewestConfiguration held = replica.configuration();
+        if (held.version() > above) {
+            RegistryMessage content = new RegistryMessage.Content(held.version(), held.content());
+            link.send(MessageKind.REGISTRY, RegistryCodec.encode(content));
+        }
+    }
+
+    private void tellStatus() {
+        if (replica == null) {
+            return;
+        }
+        peers.add(replica.hosts());
+        peers.retain(replica.hosts(), EventLoop.nowMillis(), FORGET_HOST_MILLIS);
+        feed.status(status());
+    }
+
+    private RegistryMessage.Status status() {
+        TreeSet<HostId> hosts = new TreeSet<>(replica.hosts());
+        hosts.addAll(peers.reachable());
+        return new RegistryMessage.Status(
+                replica.configuration().version(),
+                replica.isCurrent(),
+                new ArrayList<>(hosts),
+                feed.count());
+    }
+
+    private void answerMetrics(HttpService.Call call, Consumer<HttpService.Answer> answer) {
+        String text =
+                """
+                siskintrail_registry_term %d
+                siskintrail_registry_leader %d
+                siskintrail_registry_applied_index %d
+                siskintrail_registry_configuration_version %d
+                siskintrail_registry_current %d
+                siskintrail_registry_edges %d
+                siskintrail_registry_endpoints %d
+                """
+                        .formatted(
+                                replica.term(),
+                                replica.isLeader() ? 1 : 0,
+                                replica.applied(),
+                                replica.configuration().version(),
+                                replica.isCurrent() ? 1 : 0,
+                                feed.count(),
+                                endpoints.records().size());
+        answer.accept(
+                new HttpService.Answer(200, "text/plain", text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private HostId seedHost(String callAddress) {
+        return linkHost(HostAddress.parse(callAddress).getHostString());
+    }
+
+    private HostId linkHost(String ip) {
+        return new HostId(ip + ":" + settings.linkPort());
+    }
+}
--- a/siskintrail.service/src/io/siskintrail/service/CommandFrame.java
+++ b/siskintrail.service/src/io/siskintrail/service/CommandFrame.java
@@ -32,6 +32,7 @@
 
     private final String name;
     private final String purpose;
+    private boolean boundedLogs;
 
     /**
      * Describes a binary.
@@ -44,6 +45,12 @@
         this.purpose = purpose;
     }
 
+    /** Makes the program log to standard output, bounded in number and without ever blocking. */
+    public CommandFrame withBoundedLogs() {
+        boundedLogs = true;
+        return this;
+    }
+
     /**
      * Reads the settings that the arguments name, builds the service from them, runs it until the
      * process is asked to end, and stops it.
@@ -55,7 +62,11 @@
      * @return the exit status
      */
     public <T> int run(String[] args, Class<T> type, Function<T, ? extends Service> factory) {
-        LogSetup.install();
+        if (boundedLogs) {
+            LogSetup.installBounded();
+        } else {
+            LogSetup.install();
+        }
         Options options = options();
         CommandLine line;
         try {
--- a/siskintrail.service/src/io/siskintrail/service/LogSetup.java
+++ b/siskintrail.service/src/io/siskintrail/service/LogSetup.java
@@ -1,6 +1,5 @@
 package io.siskintrail.service;
 
-import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
@@ -30,6 +29,17 @@
         root.addHandler(new FlushingHandler());
     }
 
+    /** Sends log events to standard output, bounded in number, on a thread of its own. */
+    public static void installBounded() {
+        Logger root = Logger.getLogger("");
+        for (Handler h : root.getHandlers()) {
+            root.removeHandler(h);
+        }
+        root.setLevel(Level.WARNING);
+        OWN.setLevel(Level.INFO);
+        root.addHandler(new BoundedLogHandler(System.out));
+    }
+
     private static final class FlushingHandler extends StreamHandler {
         FlushingHandler() {
             super(System.err, new LineFormatter());
@@ -42,25 +52,4 @@
             flush();
         }
     }
-
-    private static final class LineFormatter extends Formatter {
-        @Override
-        public String format(LogRecord event) {
-            String name = event.getLoggerName();
-            String logger = name == null ? "-" : name.substring(name.lastIndexOf('.') + 1);
-            StringBuilder line = new StringBuilder();
-            line.append("time=").append(event.getInstant());
-            line.append(" level=").append(event.getLevel().getName());
-            line.append(" logger=").append(logger).append(' ');
-            line.append(asPairs(formatMessage(event)));
-            if (event.getThrown() != null) {
-                line.append(" cause=").append(LogEvent.quote(event.getThrown().toString()));
-            }
-            return line.append('\n').toString();
-        }
-
-        private static String asPairs(String message) {
-            return message.startsWith("event=") ? message : "message=" + LogEvent.quote(message);
-        }
-    }
 }
--- a/siskintrail.storage.test/tst/io/siskintrail/storage/PlainCodec.java
+++ b/siskintrail.storage.test/tst/io/siskintrail/storage/PlainCodec.java
@@ -4,6 +4,7 @@
 import io.siskintrail.internal.consensus.HardState;
 import io.siskintrail.internal.consensus.LogEntry;
 import io.siskintrail.internal.consensus.Payload;
+import io.siskintrail.internal.consensus.RecordCodec;
 import io.siskintrail.internal.consensus.ReplicaSet;
 import io.siskintrail.internal.consensus.Snapshot;
 import io.siskintrail.internal.replicated.LogPosition;
--- a/siskintrail.control/src/io/siskintrail/control/internal/replica/DiskThread.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/DiskThread.java
@@ -1,8 +1,6 @@
-package io.siskintrail.control.internal.replica;
+package io.siskintrail.storage;
 
 import io.siskintrail.internal.consensus.ReplicaEffect;
-import io.siskintrail.storage.LogStore;
-import io.siskintrail.storage.StorageException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -14,7 +12,7 @@
  * Owns the thread that writes to a store. Everything that waits when the thread gets to it is made
  * durable with one sync.
  */
-final class DiskThread {
+public final class DiskThread {
     private static final long JOIN_MILLIS = 5_000;
 
     private final LogStore store;
@@ -34,18 +32,20 @@
      * @param synced called on the thread with the number up to which all is durable
      * @param failed called on the thread, once, when the store fails
      */
-    DiskThread(LogStore store, LongConsumer synced, Consumer<StorageException> failed) {
+    public DiskThread(LogStore store, LongConsumer synced, Consumer<StorageException> failed) {
         this.store = store;
         this.synced = synced;
         this.failed = failed;
         thread.setDaemon(true);
     }
 
-    void start() {
+    /** Starts to write. */
+    public void start() {
         thread.start();
     }
 
-    void submit(List<ReplicaEffect.Persist> changes, long number) {
+    /** Queues changes that are to be durable together; {@code number} names them. */
+    public void submit(List<ReplicaEffect.Persist> changes, long number) {
         queue.add(new Job(changes, number));
     }
 
@@ -53,7 +53,7 @@
      * Stops after what is being written; what is queued behind is dropped. The thread is not
      * interrupted, because that would close the file that it writes to.
      */
-    void stop() {
+    public void stop() {
         stopping = true;
         queue.add(new Job(List.of(), 0));
         try {
--- a/siskintrail.storage/src/io/siskintrail/storage/FileLogStore.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/FileLogStore.java
@@ -2,6 +2,7 @@
 
 import io.siskintrail.internal.consensus.HardState;
 import io.siskintrail.internal.consensus.LogEntry;
+import io.siskintrail.internal.consensus.RecordCodec;
 import io.siskintrail.internal.consensus.Snapshot;
 import io.siskintrail.internal.consensus.StoredState;
 import io.siskintrail.lib.ResultCode;
--- a/siskintrail.storage/src/io/siskintrail/storage/LogReplay.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/LogReplay.java
@@ -2,6 +2,7 @@
 
 import io.siskintrail.internal.consensus.HardState;
 import io.siskintrail.internal.consensus.LogEntry;
+import io.siskintrail.internal.consensus.RecordCodec;
 import io.siskintrail.lib.ResultCode;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
--- a/siskintrail.storage/src/io/siskintrail/storage/SnapshotFiles.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/SnapshotFiles.java
@@ -1,5 +1,6 @@
 package io.siskintrail.storage;
 
+import io.siskintrail.internal.consensus.RecordCodec;
 import io.siskintrail.internal.consensus.Snapshot;
 import io.siskintrail.lib.ResultCode;
 import java.io.IOException;
--- /dev/null
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/Records.java
@@ -0,0 +1,36 @@
+package io.siskintrail.internal.traffic;
+
+import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.FailureDomain;
+import io.siskintrail.lib.ServiceName;
+
+/** Endpoint records for tests. */
+final class Records {
+    static final ServiceName MODEL = new ServiceName("model");
+
+    private Records() {}
+
+    /** Returns a ready engine with 12 slots. */
+    static EndpointRecord engine(String id, String domain) {
+        return at(id, 1, 1, id + ":80", domain, EndpointState.READY);
+    }
+
+    static EndpointRecord at(
+            String id,
+            long incarnation,
+            long sequence,
+            String address,
+            String domain,
+            EndpointState state) {
+        return new EndpointRecord(
+                new EndpointId(id),
+                incarnation,
+                sequence,
+                MODEL,
+                address,
+                new FailureDomain(domain),
+                12,
+                0,
+                state);
+    }
+}
--- /dev/null
+++ b/siskintrail.wire/idl/registry.thrift
@@ -0,0 +1,65 @@
+/** Messages among registries, and between them and the edges that follow them. */
+namespace java io.siskintrail.wire.gen.registry
+
+struct EndpointRecordData {
+  1: required string id,
+  /** Unix milliseconds of the start; 0 when unknown. */
+  2: required i64 incarnation,
+  3: required i64 sequence,
+  4: required string serviceName,
+  5: required string address,
+  6: required string domain,
+  7: required i32 slots,
+  8: required i64 coldMillis,
+  /** Index of the state. */
+  9: required i32 state
+}
+
+struct EndpointRecordsData {
+  1: required list<EndpointRecordData> records
+}
+
+struct StatusData {
+  1: required i64 version,
+  2: required bool current,
+  3: required list<string> registries,
+  4: required i32 edges
+}
+
+struct ContentData {
+  1: required i64 version,
+  2: required binary content
+}
+
+/** An answer to a call with a token; index is -1 when it was refused. */
+struct ReplyData {
+  1: required i64 token,
+  2: required i64 index
+}
+
+struct CommandData {
+  1: required i64 token,
+  2: required binary command
+}
+
+struct CrashData {
+  1: required i64 fingerprint,
+  2: required string endpoint,
+  3: required i64 incarnation
+}
+
+struct CrashesData {
+  1: required list<CrashData> crashes
+}
+
+union RegistryBody {
+  1: EndpointRecordsData endpoints,
+  2: StatusData status,
+  3: i64 fetchAbove,
+  4: ContentData content,
+  5: CommandData propose,
+  6: ReplyData proposed,
+  7: i64 read,
+  8: ReplyData readAt,
+  9: CrashesData crashes
+}
--- a/siskintrail.wire/src/io/siskintrail/wire/DeflatedText.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/DeflatedText.java
@@ -8,13 +8,14 @@
 import java.util.zip.Inflater;
 
 /** Packs text files for the wire. Rules files shrink to about a tenth. */
-final class DeflatedText {
+public final class DeflatedText {
     private static final int MAX_BYTES = 8 << 20;
     private static final int BUFFER_BYTES = 8_192;
 
     private DeflatedText() {}
 
-    static ByteBuffer pack(String text) {
+    /** Returns {@code text}, compressed. */
+    public static ByteBuffer pack(String text) {
         Deflater deflater = new Deflater(Deflater.BEST_SPEED);
         try {
             deflater.setInput(text.getBytes(StandardCharsets.UTF_8));
@@ -30,7 +31,8 @@
         }
     }
 
-    static String unpack(byte[] packed) {
+    /** Returns the text in {@code packed}. */
+    public static String unpack(byte[] packed) {
         Inflater inflater = new Inflater();
         try {
             inflater.setInput(packed);
--- a/siskintrail.wire/src/io/siskintrail/wire/MessageKind.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/MessageKind.java
@@ -13,7 +13,11 @@
     /** Usage exchange and slot leases between routers. */
     POLICY(5),
     /** Currency of the configuration between hosts and control. */
-    CURRENCY(6);
+    CURRENCY(6),
+    /** Messages among registries and to the edges that follow them. */
+    REGISTRY(7),
+    /** Greetings and probes of a link itself. */
+    LINK(8);
 
     private final short number;
 
--- a/siskintrail.control/src/io/siskintrail/control/internal/replica/ThriftRecordCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/ThriftRecordCodec.java
@@ -1,10 +1,9 @@
-package io.siskintrail.control.internal.replica;
+package io.siskintrail.wire;
 
 import io.siskintrail.internal.consensus.HardState;
 import io.siskintrail.internal.consensus.LogEntry;
+import io.siskintrail.internal.consensus.RecordCodec;
 import io.siskintrail.internal.consensus.Snapshot;
-import io.siskintrail.storage.RecordCodec;
-import io.siskintrail.wire.ConsensusCodec;
 
 /** Stores records in the form that they have on the wire. */
 public final class ThriftRecordCodec implements RecordCodec {
--- /dev/null
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
@@ -0,0 +1,163 @@
+package io.siskintrail.wire.registry;
+
+import io.siskintrail.internal.traffic.EndpointRecord;
+import io.siskintrail.internal.traffic.EndpointState;
+import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.FailureDomain;
+import io.siskintrail.lib.HostId;
+import io.siskintrail.lib.ServiceName;
+import io.siskintrail.wire.DeflatedText;
+import io.siskintrail.wire.ThriftCodec;
+import io.siskintrail.wire.gen.registry.CommandData;
+import io.siskintrail.wire.gen.registry.ContentData;
+import io.siskintrail.wire.gen.registry.CrashData;
+import io.siskintrail.wire.gen.registry.CrashesData;
+import io.siskintrail.wire.gen.registry.EndpointRecordData;
+import io.siskintrail.wire.gen.registry.EndpointRecordsData;
+import io.siskintrail.wire.gen.registry.RegistryBody;
+import io.siskintrail.wire.gen.registry.ReplyData;
+import io.siskintrail.wire.gen.registry.StatusData;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.apache.thrift.TException;
+
+/** Converts {@link RegistryMessage}s to bytes and back. */
+public final class RegistryCodec {
+
+    private RegistryCodec() {}
+
+    /** Returns the bytes of {@code message}. */
+    public static byte[] encode(RegistryMessage message) {
+        return ThriftCodec.encode(body(message));
+    }
+
+    /**
+     * Returns the message in {@code bytes}.
+     *
+     * @throws IllegalArgumentException when there is none
+     */
+    public static RegistryMessage decode(byte[] bytes) {
+        try {
+            return message(ThriftCodec.decode(bytes, new RegistryBody()));
+        } catch (TException e) {
+            throw new IllegalArgumentException("not a registry message", e);
+        }
+    }
+
+    private static RegistryBody body(RegistryMessage message) {
+        if (message instanceof RegistryMessage.Endpoints e) {
+            return RegistryBody.endpoints(
+                    new EndpointRecordsData(
+                            e.records().stream().map(RegistryCodec::data).toList()));
+        }
+        if (message instanceof RegistryMessage.Status s) {
+            List<String> hosts = s.registries().stream().map(HostId::value).toList();
+            return RegistryBody.status(new StatusData(s.version(), s.current(), hosts, s.edges()));
+        }
+        if (message instanceof RegistryMessage.FetchAbove f) {
+            return RegistryBody.fetchAbove(f.version());
+        }
+        if (message instanceof RegistryMessage.Content c) {
+            String text = new String(c.content(), StandardCharsets.UTF_8);
+            return RegistryBody.content(new ContentData(c.version(), DeflatedText.pack(text)));
+        }
+        if (message instanceof RegistryMessage.Propose p) {
+            return RegistryBody.propose(new CommandData(p.token(), ByteBuffer.wrap(p.command())));
+        }
+        if (message instanceof RegistryMessage.Proposed p) {
+            return RegistryBody.proposed(new ReplyData(p.token(), p.index()));
+        }
+        if (message instanceof RegistryMessage.Read r) {
+            return RegistryBody.read(r.token());
+        }
+        if (message instanceof RegistryMessage.ReadAt r) {
+            return RegistryBody.readAt(new ReplyData(r.token(), r.index()));
+        }
+        RegistryMessage.Crashes crashes = (RegistryMessage.Crashes) message;
+        return RegistryBody.crashes(
+                new CrashesData(crashes.crashes().stream().map(RegistryCodec::data).toList()));
+    }
+
+    private static RegistryMessage message(RegistryBody body) {
+        if (body.getSetField() == null) {
+            throw new IllegalArgumentException("empty registry message");
+        }
+        return switch (body.getSetField()) {
+            case ENDPOINTS ->
+                    new RegistryMessage.Endpoints(
+                            body.getEndpoints().getRecords().stream()
+                                    .map(RegistryCodec::record)
+                                    .toList());
+            case STATUS -> status(body.getStatus());
+            case FETCH_ABOVE -> new RegistryMessage.FetchAbove(body.getFetchAbove());
+            case CONTENT ->
+                    new RegistryMessage.Content(
+                            body.getContent().getVersion(),
+                            DeflatedText.unpack(body.getContent().getContent())
+                                    .getBytes(StandardCharsets.UTF_8));
+            case PROPOSE ->
+                    new RegistryMessage.Propose(
+                            body.getPropose().getToken(), body.getPropose().getCommand());
+            case PROPOSED ->
+                    new RegistryMessage.Proposed(
+                            body.getProposed().getToken(), body.getProposed().getIndex());
+            case READ -> new RegistryMessage.Read(body.getRead());
+            case READ_AT ->
+                    new RegistryMessage.ReadAt(
+                            body.getReadAt().getToken(), body.getReadAt().getIndex());
+            case CRASHES ->
+                    new RegistryMessage.Crashes(
+                            body.getCrashes().getCrashes().stream()
+                                    .map(RegistryCodec::crash)
+                                    .toList());
+        };
+    }
+
+    private static RegistryMessage.Status status(StatusData data) {
+        return new RegistryMessage.Status(
+                data.getVersion(),
+                data.isCurrent(),
+                data.getRegistries().stream().map(HostId::new).toList(),
+                data.getEdges());
+    }
+
+    private static EndpointRecordData data(EndpointRecord r) {
+        return new EndpointRecordData(
+                r.id().value(),
+                r.incarnation(),
+                r.sequence(),
+                r.service().value(),
+                r.address(),
+                r.domain().value(),
+                r.slots(),
+                r.coldMillis(),
+                r.state().ordinal());
+    }
+
+    private static EndpointRecord record(EndpointRecordData d) {
+        EndpointState[] states = EndpointState.values();
+        if (d.getState() < 0 || d.getState() >= states.length) {
+            throw new IllegalArgumentException("unknown endpoint state " + d.getState());
+        }
+        return new EndpointRecord(
+                new EndpointId(d.getId()),
+                d.getIncarnation(),
+                d.getSequence(),
+                new ServiceName(d.getServiceName()),
+                d.getAddress(),
+                new FailureDomain(d.getDomain()),
+                d.getSlots(),
+                d.getColdMillis(),
+                states[d.getState()]);
+    }
+
+    private static CrashData data(RegistryMessage.Crash c) {
+        return new CrashData(c.fingerprint(), c.endpoint().value(), c.incarnation());
+    }
+
+    private static RegistryMessage.Crash crash(CrashData d) {
+        return new RegistryMessage.Crash(
+                d.getFingerprint(), new EndpointId(d.getEndpoint()), d.getIncarnation());
+    }
+}
--- a/siskintrail.control/src/io/siskintrail/control/internal/replica/Formation.java
+++ b/siskintrail/src/io/siskintrail/internal/consensus/Formation.java
@@ -1,7 +1,5 @@
-package io.siskintrail.control.internal.replica;
+package io.siskintrail.internal.consensus;
 
-import io.siskintrail.internal.consensus.ReplicaId;
-import io.siskintrail.internal.consensus.ReplicaSet;
 import io.siskintrail.lib.HostId;
 import java.util.Collections;
 import java.util.HashMap;
@@ -15,7 +13,7 @@
  * the same time and none knows of a log. The lowest of them begins it for all. Used on the control
  * thread.
  */
-final class Formation {
+public final class Formation {
     private static final long FRESH_MILLIS = 3_000;
 
     private final ReplicaId self;
@@ -24,18 +22,24 @@
 
     private record Seen(ReplicaId id, long atMillis) {}
 
-    Formation(ReplicaId self, List<HostId> first) {
+    /**
+     * Waits for the first hosts.
+     *
+     * @param self this replica
+     * @param first the hosts that begin a log together; empty when this host must not
+     */
+    public Formation(ReplicaId self, List<HostId> first) {
         this.self = self;
         this.first = first;
     }
 
     /** Notes that a replica knows of no log. */
-    void waits(long nowMillis, ReplicaId id) {
+    public void waits(long nowMillis, ReplicaId id) {
         seen.put(id.host(), new Seen(id, nowMillis));
     }
 
     /** Returns the replica set to begin with, null while this is not the time or the host. */
-    ReplicaSet decide(long nowMillis) {
+    public ReplicaSet decide(long nowMillis) {
         if (first.isEmpty() || !self.host().equals(Collections.min(first))) {
             return null;
         }
--- a/siskintrail.storage/src/io/siskintrail/storage/RecordCodec.java
+++ b/siskintrail/src/io/siskintrail/internal/consensus/RecordCodec.java
@@ -1,8 +1,4 @@
-package io.siskintrail.storage;
-
-import io.siskintrail.internal.consensus.HardState;
-import io.siskintrail.internal.consensus.LogEntry;
-import io.siskintrail.internal.consensus.Snapshot;
+package io.siskintrail.internal.consensus;
 
 /** Converts what a replica stores to bytes and back. */
 public interface RecordCodec {
--- /dev/null
+++ b/siskintrail/src/io/siskintrail/internal/traffic/SilenceRule.java
@@ -0,0 +1,88 @@
+package io.siskintrail.internal.traffic;
+
+/**
+ * Tells an engine that has gone silent from one that is only slow, by what else comes from it.
+ * Answers engines that end without closing their connections: the longest pause that is on time for
+ * a client leaves a few hundred milliseconds to notice and go on elsewhere.
+ */
+public final class SilenceRule {
+    /** Share of the longest allowed pause after which a silent engine is given up. */
+    private static final double GAP_SHARE = 0.5;
+
+    /**
+     * Shortest silence that says anything, in milliseconds; prompts of others are read meanwhile.
+     */
+    private static final long SHORTEST_MILLIS = 300;
+
+    /** Allowed pause when the route names none, in milliseconds. */
+    private static final long DEFAULT_GAP_MILLIS = 1_000;
+
+    /** How many times longer one stream may pause on an engine that sends events of others. */
+    private static final double OTHERS_FACTOR = 4;
+
+    /** Time after which an engine that owes a first event is dialed to see whether it is there. */
+    private static final long PROBE_AFTER_MILLIS = 500;
+
+    /** How many times the expected time to the first event may be exceeded. */
+    private static final double FIRST_EVENT_FACTOR = 3;
+
+    /** Time that is added to that, in milliseconds, for figures that are not known yet. */
+    private static final long FIRST_EVENT_SLACK_MILLIS = 1_500;
+
+    private final long gapMillis;
+
+    /** What is to be done about a stream. */
+    public enum Verdict {
+        /** All seems well. */
+        WAIT,
+        /** Look whether the engine can be reached. */
+        PROBE,
+        /** The engine is silent as a whole: all its streams go on elsewhere. */
+        ENGINE_SILENT,
+        /** Only this stream is silent: it goes on elsewhere. */
+        STREAM_SILENT
+    }
+
+    /**
+     * Makes the rule of a route.
+     *
+     * @param targetGapMillis the longest pause between events that is on time; 0 when not set
+     */
+    public SilenceRule(long targetGapMillis) {
+        long gap = targetGapMillis > 0 ? targetGapMillis : DEFAULT_GAP_MILLIS;
+        gapMillis = Math.max(SHORTEST_MILLIS, (long) (GAP_SHARE * gap));
+    }
+
+    /**
+     * Judges a stream that has begun.
+     *
+     * @param streamSilentMillis time since its last event
+     * @param engineSilentMillis time since anything came from its engine
+     */
+    public Verdict between(long streamSilentMillis, long engineSilentMillis) {
+        if (engineSilentMillis >= gapMillis) {
+            return Verdict.ENGINE_SILENT;
+        }
+        return streamSilentMillis >= OTHERS_FACTOR * gapMillis
+                ? Verdict.STREAM_SILENT
+                : Verdict.WAIT;
+    }
+
+    /**
+     * Judges a stream without an event.
+     *
+     * @param sinceSentMillis time since it was sent
+     * @param engineSilentMillis time since anything came from its engine, or since the last probe
+     *     that reached it
+     * @param expectedMillis the expected time to its first event
+     */
+    public Verdict beforeFirst(
+            long sinceSentMillis, long engineSilentMillis, double expectedMillis) {
+        if (sinceSentMillis > FIRST_EVENT_FACTOR * expectedMillis + FIRST_EVENT_SLACK_MILLIS) {
+            return Verdict.STREAM_SILENT;
+        }
+        return Math.min(sinceSentMillis, engineSilentMillis) >= PROBE_AFTER_MILLIS
+                ? Verdict.PROBE
+                : Verdict.WAIT;
+    }
+}
--- a/siskintrail/src/io/siskintrail/lib/ResultCode.java
+++ b/siskintrail/src/io/siskintrail/lib/ResultCode.java
@@ -57,6 +57,10 @@
     HOSTS_REFUSED(3018, 409, "The hosts cannot be changed so."),
     RULES_STALE(3019, 503, "The host cannot confirm its rules; an earlier sending may have run."),
 
+    CONFIGURATION_REFUSED(3020, 400, "The configuration is invalid; nothing of it was applied."),
+    CONFIGURATION_UNCONFIRMED(
+            3021, 503, "The host cannot confirm which configuration is the newest."),
+
     // 4xxx: control and storage.
     CONTROL_UNAVAILABLE(4001, 503, "No control leader took the command; it was not proposed."),
     CONTROL_OUTCOME_UNKNOWN(
@@ -87,10 +91,16 @@
     ORDER_KEY_REQUIRED(5008, 400, "The rules want an idempotency key on this call."),
     SERVICE_UNAVAILABLE(
             5009, 503, "No endpoint of the service answered a call that may be repeated."),
+    CALL_OUTCOME_UNKNOWN(5010, 502, "The call was sent and not answered; it may have run."),
+    CALL_TIMED_OUT(5011, 504, "No answer came within the time that the call has."),
+    NOT_RUN_ENDPOINT_FULL(5012, 503, "The endpoint refused the call; it was not run."),
 
     // 6xxx: membership and endpoints.
     NO_ENDPOINT(6001, 503, "No endpoint that can run the request is known."),
 
+    NOT_RUN_NO_ROOM(6002, 503, "No endpoint has room for the request in time; it was not run."),
+    NOT_RUN_UNREACHABLE(6003, 503, "No endpoint could be connected to; the request was not run."),
+
     // 7xxx: generations.
     ATTEMPTS_EXHAUSTED(7001, 502, "Every allowed attempt of the generation failed."),
     VERSION_LOST(7002, 502, "No endpoint runs the version that the answer was begun with."),
