Reload settings on SIGHUP and on a changed file

The settings file is read again on the signal and when its content changes; seeds are the only settings that can change in a running process.

--- a/siskintrail.edge/src/io/siskintrail/edge/EdgeService.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/EdgeService.java
@@ -2,10 +2,11 @@
 
 import io.siskintrail.edge.internal.Edge;
 import io.siskintrail.net.EventLoop;
+import io.siskintrail.service.Reloadable;
 import io.siskintrail.service.Service;
 
 /** An edge process: follows the registries and serves clients. */
-public final class EdgeService implements Service {
+public final class EdgeService implements Service, Reloadable<EdgeSettings> {
     private final EventLoop loop = new EventLoop("edge");
     private final Edge edge;
 
@@ -24,6 +25,11 @@
         edge.start();
     }
 
+    @Override
+    public void reload(EdgeSettings settings) {
+        edge.reload(settings);
+    }
+
     @Override
     public void stop() {
         edge.stop();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -30,7 +30,7 @@
     private static final long STOP_POLL_MILLIS = 50;
 
     /** Time before the end of the grace at which what still runs is given up. */
-    private static final long STOP_RESERVE_MILLIS = 400;
+    private static final long STOP_RESERVE_MILLIS = 900;
 
     private final EventLoop loop;
     private final EdgeSettings settings;
@@ -103,6 +103,11 @@
                 .write();
     }
 
+    /** Takes changed settings: only the seeds can change while the process runs. */
+    public void reload(EdgeSettings next) {
+        registries.addSeeds(next.seeds());
+    }
+
     /**
      * Says not ready, finishes what was read, and returns when that is done or the grace is over.
      */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
@@ -32,7 +32,8 @@
 
     private final EventLoop loop;
     private final Identity self;
-    private final List<HostId> seeds;
+    private final List<String> seeds;
+    private final int linkPort;
     private final Listener listener;
     private final Map<HostId, LinkDialer> dialers = new LinkedHashMap<>();
     private final Map<HostId, RegistryMessage.Status> statuses = new HashMap<>();
@@ -57,17 +58,24 @@
             EventLoop loop, HostId host, List<String> seeds, int linkPort, Listener listener) {
         this.loop = loop;
         this.self = new Identity(PeerRole.EDGE, host);
-        this.seeds =
-                seeds.stream()
-                        .map(s -> HostAddress.parse(s).getHostString() + ":" + linkPort)
-                        .map(HostId::new)
-                        .toList();
+        this.seeds = seeds;
+        this.linkPort = linkPort;
         this.listener = listener;
     }
 
     @Override
     public void start() {
-        loop.execute(() -> dial(seeds));
+        addSeeds(seeds);
+    }
+
+    /** Begins to follow the registries at {@code callAddresses}; may be called on any thread. */
+    void addSeeds(List<String> callAddresses) {
+        List<HostId> hosts =
+                callAddresses.stream()
+                        .map(s -> HostAddress.parse(s).getHostString() + ":" + linkPort)
+                        .map(HostId::new)
+                        .toList();
+        loop.execute(() -> dial(hosts));
     }
 
     @Override
--- a/siskintrail.registry/src/io/siskintrail/registry/RegistryService.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/RegistryService.java
@@ -2,10 +2,11 @@
 
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.registry.internal.Registry;
+import io.siskintrail.service.Reloadable;
 import io.siskintrail.service.Service;
 
 /** A registry process: opens its disk, its links and its calls. */
-public final class RegistryService implements Service {
+public final class RegistryService implements Service, Reloadable<RegistrySettings> {
     private final EventLoop loop = new EventLoop("registry");
     private final Registry registry;
 
@@ -24,6 +25,11 @@
         registry.start();
     }
 
+    @Override
+    public void reload(RegistrySettings settings) {
+        registry.reload(settings);
+    }
+
     @Override
     public void stop() {
         registry.stop();
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -99,6 +99,12 @@
                 .write();
     }
 
+    /** Takes changed settings: only the seeds can change while the process runs. */
+    public void reload(RegistrySettings next) {
+        List<HostId> hosts = next.seeds().stream().map(this::seedHost).toList();
+        loop.execute(() -> peers.add(hosts));
+    }
+
     @Override
     public void stop() {
         LogEvent.info(LOG, "registry.stopping").with("host", settings.host()).write();
--- /dev/null
+++ b/siskintrail.service.test/tst/io/siskintrail/service/SettingsWatchTest.java
@@ -0,0 +1,68 @@
+package io.siskintrail.service;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import sun.misc.Signal;
+
+/** A process survives SIGHUP and takes changed settings, with and without it. */
+class SettingsWatchTest {
+    private static final long LIMIT_SECONDS = 60;
+
+    enum Cause {
+        SIGNAL,
+        CHANGED_FILE
+    }
+
+    record Settings(int size) {}
+
+    @TempDir Path folder;
+    private final BlockingQueue<Settings> taken = new LinkedBlockingQueue<>();
+
+    @ParameterizedTest
+    @EnumSource(Cause.class)
+    void settingsAreReadAgain(Cause cause) throws Exception {
+        Path file = write("{\"size\": 1}");
+        new SettingsWatch<>(file, Settings.class, (Reloadable<Settings>) taken::add).start();
+
+        if (cause == Cause.SIGNAL) {
+            Signal.raise(new Signal("HUP"));
+            assertThat(next().size()).isEqualTo(1);
+        } else {
+            write("{\"size\": 22}");
+            assertThat(next().size()).isEqualTo(22);
+        }
+    }
+
+    @Test
+    void settingsThatCannotBeReadAreLeftOut() throws Exception {
+        Path file = write("{\"size\": 1}");
+        new SettingsWatch<>(file, Settings.class, (Reloadable<Settings>) taken::add).start();
+
+        write("{\"size\": ");
+        Signal.raise(new Signal("HUP"));
+        write("{\"size\": 3}");
+
+        assertThat(next().size()).isEqualTo(3);
+    }
+
+    private Settings next() throws InterruptedException {
+        return taken.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private Path write(String text) throws Exception {
+        Path file = folder.resolve("settings.json");
+        Path part = folder.resolve("settings.part");
+        Files.writeString(part, text);
+        Files.move(part, file, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+        return file;
+    }
+}
--- a/siskintrail.service/src/io/siskintrail/service/CommandFrame.java
+++ b/siskintrail.service/src/io/siskintrail/service/CommandFrame.java
@@ -91,10 +91,19 @@
         }
         Service service = factory.apply(((Result.Ok<T>) settings).value());
         service.start();
+        if (service instanceof Reloadable<?>) {
+            watch(Path.of(line.getOptionValue("settings")), type, service);
+        }
         ShutdownSignal.await(service);
         return EXIT_OK;
     }
 
+    /** A service that can be reloaded takes the type of settings that it was made from. */
+    @SuppressWarnings("unchecked")
+    private static <T> void watch(Path file, Class<T> type, Service service) {
+        new SettingsWatch<>(file, type, (Reloadable<T>) service).start();
+    }
+
     private int fail(Failure failure) {
         System.err.println(name + ": " + failure);
         return EXIT_USAGE;
