--- a/siskintrail.edge/src/io/siskintrail/edge/internal/CallContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/CallContext.java
@@ -2,13 +2,16 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.siskintrail.edge.CallHead;
+import io.siskintrail.internal.generation.Fingerprint;
 import io.siskintrail.internal.traffic.Account;
 import io.siskintrail.internal.traffic.Route;
 import io.siskintrail.internal.traffic.RouteTable;
 import io.siskintrail.lib.AccountId;
+import java.nio.charset.StandardCharsets;
 
 /** A request of a client, and what the filters found out about it. Used on the event loop. */
 final class CallContext {
+    private static final AccountId ANONYMOUS = new AccountId("-");
     private static final long NO_DEADLINE_MILLIS = 60_000;
 
     private final String method;
@@ -20,6 +23,7 @@
     private RouteTable table;
     private Route route;
     private Account account;
+    private Fingerprint fingerprint;
 
     /** Takes a request that arrived at {@code arrivedAt}, in monotonic milliseconds. */
     CallContext(String method, String target, HttpHeaders headers, byte[] body, long arrivedAt) {
@@ -106,6 +110,16 @@
         return Math.max(1, deadlineAt() - nowMillis);
     }
 
+    /** Returns what names account and content, whatever the id of the request. */
+    Fingerprint fingerprint() {
+        if (fingerprint == null) {
+            AccountId owner = account == null ? ANONYMOUS : account.id();
+            String text = new String(body, StandardCharsets.ISO_8859_1);
+            fingerprint = Fingerprint.of(owner, method + ' ' + target + '\n' + text);
+        }
+        return fingerprint;
+    }
+
     /** Returns the request id, {@code -} before it is known. */
     String requestId() {
         return head == null || head.requestId() == null ? "-" : head.requestId();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/CallExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/CallExchange.java
@@ -193,6 +193,7 @@
             return;
         }
         t.attempt.endpoint().health().succeeded(now, now - t.startedAt);
+        edge.quarantine().succeeded(call.fingerprint());
         deliver(answer, t);
     }
 
@@ -259,6 +260,7 @@
 
         void start() {
             attempt.endpoint().begin(0);
+            edge.quarantine().sent(attempt.endpoint(), call.fingerprint());
             edge.pool().send(attempt, isIdempotent());
         }
 
@@ -299,6 +301,7 @@
         @Override
         public void broken(String cause) {
             over();
+            edge.quarantine().broken(attempt.endpoint(), call.fingerprint());
             unknown = true;
             failed(this, cause);
         }
@@ -310,6 +313,7 @@
 
         private void leave() {
             attempt.endpoint().end(0);
+            edge.quarantine().left(attempt.endpoint(), call.fingerprint());
             edge.room(service).released(EventLoop.nowMillis());
             edge.loop().execute(edge::placeWaiting);
         }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -27,6 +27,11 @@
     private static final int MAX_READINESS_BYTES = 1 << 10;
     private static final long WATCH_MILLIS = 40;
     private static final long CLEAN_MILLIS = 500;
+
+    /** Time in which every endpoint that is there has reported, some intervals of reports. */
+    private static final long REPORT_MILLIS = 4_000;
+
+    private static final long REPEAT_MILLIS = 1_000;
     private static final long STOP_POLL_MILLIS = 50;
 
     /** Time before the end of the grace at which what still runs is given up. */
@@ -44,7 +49,7 @@
     private final HttpService readiness;
     private final HttpService metrics;
     private RouteTable table;
-    private boolean told;
+    private long configuredAt;
     private boolean stopping;
 
     /** Prepares the parts. */
@@ -71,7 +76,7 @@
                         settings,
                         registries,
                         new SecureRandom().nextLong());
-        RequestFilters filters = new RequestFilters(protocol, () -> table);
+        RequestFilters filters = new RequestFilters(protocol, () -> table, parts.quarantine());
         front = new Front(loop, settings.frontAddress(), parts, filters, () -> table);
         readiness =
                 new HttpService(
@@ -96,6 +101,8 @@
         loop.every(WATCH_MILLIS, parts::watchStreams);
         loop.every(WATCH_MILLIS, parts::placeWaiting);
         loop.every(CLEAN_MILLIS, pool::closeOld);
+        loop.every(REPEAT_MILLIS, parts.loads()::repeat);
+        loop.every(CLEAN_MILLIS, parts.quarantine()::tick);
         LogEvent.info(LOG, "edge.started")
                 .with("host", settings.host())
                 .with("front", settings.frontAddress())
@@ -130,6 +137,9 @@
     public void configuration(long version, byte[] content) {
         Result<TrafficConfiguration> read = protocol.readConfiguration(content);
         if (read instanceof Result.Ok<TrafficConfiguration> ok) {
+            if (table == null) {
+                configuredAt = EventLoop.nowMillis();
+            }
             table = new RouteTable(ok.value());
             LogEvent.info(LOG, "configuration.in-force")
                     .with("version", version)
@@ -146,15 +156,20 @@
 
     @Override
     public void endpoints(List<EndpointRecord> records) {
-        told = true;
         if (endpoints.told(records)) {
             parts.placeWaiting();
         }
     }
 
     @Override
-    public void crashes(List<RegistryMessage.Crash> crashes) {
-        LogEvent.debug(LOG, "crashes.told").with("count", crashes.size()).write();
+    public void passedOn(RegistryMessage message) {
+        if (message instanceof RegistryMessage.Loads l) {
+            parts.loads().told(l, endpoints);
+        } else if (message instanceof RegistryMessage.Death d) {
+            parts.quarantine().told(d);
+        } else if (message instanceof RegistryMessage.Refusal r) {
+            parts.quarantine().told(r);
+        }
     }
 
     private void endpointGone(EndpointView endpoint) {
@@ -163,7 +178,17 @@
     }
 
     private boolean isReady() {
-        return !stopping && table != null && told;
+        return !stopping && table != null && (hasEndpoints() || knownLong());
+    }
+
+    /** Returns whether each service with a route has an endpoint. */
+    private boolean hasEndpoints() {
+        return table.routedServices().stream().noneMatch(s -> endpoints.of(s).isEmpty());
+    }
+
+    /** Returns whether endpoints had the time to report since the first configuration came. */
+    private boolean knownLong() {
+        return EventLoop.nowMillis() - configuredAt > REPORT_MILLIS;
     }
 
     private void answerReadiness(HttpService.Call call, Consumer<HttpService.Answer> answer) {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeParts.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeParts.java
@@ -8,12 +8,14 @@
 import io.siskintrail.edge.TrafficProtocol;
 import io.siskintrail.internal.traffic.CallPlacement;
 import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.PrefillRate;
 import io.siskintrail.internal.traffic.ReleaseRate;
 import io.siskintrail.internal.traffic.RetryBudget;
 import io.siskintrail.internal.traffic.Route;
 import io.siskintrail.internal.traffic.StreamPlacement;
 import io.siskintrail.internal.traffic.WaitingRoom;
 import io.siskintrail.lib.FailureDomain;
+import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
 import java.util.HashMap;
@@ -35,10 +37,13 @@
     private final EdgeStats stats;
     private final EdgeSettings settings;
     private final RegistryFollower registries;
+    private final LoadExchange loads;
+    private final QuarantineDesk quarantine;
     private final SplittableRandom random;
     private final CallPlacement calls;
     private final StreamPlacement streams;
     private final Map<ServiceName, WaitingRoom<Exchange>> rooms = new HashMap<>();
+    private final Map<ServiceName, PrefillRate> prefill = new HashMap<>();
     private final Set<StreamExchange> open = new LinkedHashSet<>();
     private final Map<String, RetryBudget> budgets = new HashMap<>();
 
@@ -58,6 +63,9 @@
         this.stats = stats;
         this.settings = settings;
         this.registries = registries;
+        HostId self = new HostId(settings.host());
+        this.loads = new LoadExchange(loop, self, registries);
+        this.quarantine = new QuarantineDesk(self, pool, registries);
         this.random = new SplittableRandom(seed);
         FailureDomain home = new FailureDomain(settings.domain());
         this.calls = new CallPlacement(home);
@@ -88,6 +96,19 @@
         return registries;
     }
 
+    LoadExchange loads() {
+        return loads;
+    }
+
+    QuarantineDesk quarantine() {
+        return quarantine;
+    }
+
+    /** Returns what was learned of how fast engines of a service read. */
+    PrefillRate prefill(ServiceName service) {
+        return prefill.computeIfAbsent(service, s -> new PrefillRate());
+    }
+
     SplittableRandom random() {
         return random;
     }
@@ -158,6 +179,7 @@
     /** Moves all streams off an engine that cannot be reached or sends nothing. */
     void engineSilent(EndpointView engine, String cause) {
         engine.health().unreachable(EventLoop.nowMillis());
+        quarantine.died(engine);
         pool.forget(engine.record().address());
         engineLost(engine, cause);
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
@@ -54,6 +54,14 @@
         return views == null ? List.of() : views.values();
     }
 
+    /** Returns the endpoint {@code id}, null when unknown. */
+    EndpointView get(EndpointId id) {
+        EndpointRecord record = directory.get(id);
+        Map<EndpointId, EndpointView> views =
+                record == null ? null : byService.get(record.service());
+        return views == null ? null : views.get(id);
+    }
+
     /** Returns how many endpoints are known. */
     int size() {
         return byService.values().stream().mapToInt(Map::size).sum();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Front.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Front.java
@@ -38,6 +38,9 @@
     /** Retry-After while this edge has no configuration. */
     private static final long NO_CONFIGURATION_RETRY_MILLIS = 500;
 
+    /** Retry-After for content that ends endpoints: as late as clients will take. */
+    private static final long QUARANTINED_RETRY_MILLIS = 60_000;
+
     private final EventLoop loop;
     private final String address;
     private final EdgeParts parts;
@@ -110,7 +113,11 @@
 
     /** Returns when a request that a filter turned away is to come back; 0 for never. */
     long retryAfterMillis(ResultCode code) {
-        return code == ResultCode.NOT_RUN_RULES_STALE ? NO_CONFIGURATION_RETRY_MILLIS : 0;
+        return switch (code) {
+            case NOT_RUN_RULES_STALE -> NO_CONFIGURATION_RETRY_MILLIS;
+            case NOT_RUN_QUARANTINED -> QUARANTINED_RETRY_MILLIS;
+            default -> 0;
+        };
     }
 
     /** Returns the exchange of a request that passed the filters. */
--- /dev/null
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
@@ -0,0 +1,77 @@
+package io.siskintrail.edge.internal;
+
+import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.PlacedLoad;
+import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.HostId;
+import io.siskintrail.net.EventLoop;
+import io.siskintrail.wire.registry.RegistryMessage;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Tells other edges what this one has placed on engines, and takes their word. One registry passes
+ * the word on, so that edges need no links among each other. Only changes are told, gathered for a
+ * moment; what is still placed is repeated, since messages can be lost and edges can end.
+ */
+final class LoadExchange {
+    /** Time for which changes are gathered; short beside the reading of a prompt. */
+    private static final long GATHER_MILLIS = 20;
+
+    private final EventLoop loop;
+    private final HostId self;
+    private final RegistryFollower registries;
+    private final Map<EndpointId, EndpointView> changed = new LinkedHashMap<>();
+    private final Map<EndpointId, EndpointView> placed = new LinkedHashMap<>();
+    private boolean scheduled;
+
+    LoadExchange(EventLoop loop, HostId self, RegistryFollower registries) {
+        this.loop = loop;
+        this.self = self;
+        this.registries = registries;
+    }
+
+    /** Notes that what this edge has placed on {@code engine} changed. */
+    void changed(EndpointView engine) {
+        changed.put(engine.record().id(), engine);
+        placed.put(engine.record().id(), engine);
+        if (!scheduled) {
+            scheduled = true;
+            loop.after(GATHER_MILLIS, this::tell);
+        }
+    }
+
+    /** Tells again what is placed. */
+    void repeat() {
+        placed.values().removeIf(e -> e.own(EventLoop.nowMillis()).tokens() == 0);
+        placed.values().forEach(this::changed);
+    }
+
+    /** Takes the word of other edges. */
+    void told(RegistryMessage.Loads loads, EndpointTable endpoints) {
+        long now = EventLoop.nowMillis();
+        for (RegistryMessage.HostLoads host : loads.hosts()) {
+            if (host.host().equals(self)) {
+                continue;
+            }
+            for (PlacedLoad load : host.loads()) {
+                EndpointView view = endpoints.get(load.endpoint());
+                if (view != null) {
+                    view.placedElsewhere(host.host(), load, now);
+                }
+            }
+        }
+    }
+
+    private void tell() {
+        scheduled = false;
+        long now = EventLoop.nowMillis();
+        List<PlacedLoad> loads = new ArrayList<>(changed.size());
+        changed.values().forEach(e -> loads.add(e.own(now)));
+        changed.clear();
+        registries.sendToOne(
+                new RegistryMessage.Loads(List.of(new RegistryMessage.HostLoads(self, loads))));
+    }
+}
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
@@ -50,8 +50,8 @@
         /** Takes reports of endpoints. */
         void endpoints(List<EndpointRecord> records);
 
-        /** Takes reports of endpoints that ended during a request. */
-        void crashes(List<RegistryMessage.Crash> crashes);
+        /** Takes the word of other edges, or another message that a registry passes on. */
+        void passedOn(RegistryMessage message);
     }
 
     RegistryFollower(
@@ -102,13 +102,12 @@
         return statuses.size();
     }
 
-    /** Tells all registries of ended endpoints. */
-    void tellCrashes(List<RegistryMessage.Crash> crashes) {
-        byte[] body = RegistryCodec.encode(new RegistryMessage.Crashes(crashes));
-        for (LinkDialer dialer : dialers.values()) {
-            if (dialer.link() != null && dialer.link().send(MessageKind.REGISTRY, body)) {
-                return;
-            }
+    /** Sends a message that one registry is to pass on to all edges; lost when there is none. */
+    void sendToOne(RegistryMessage message) {
+        List<LinkDialer> open = dialers.values().stream().filter(d -> d.link() != null).toList();
+        if (!open.isEmpty()) {
+            int turn = Math.floorMod(self.host().hashCode(), open.size());
+            open.get(turn).link().send(MessageKind.REGISTRY, RegistryCodec.encode(message));
         }
     }
 
@@ -130,8 +129,8 @@
             content(link, c);
         } else if (message instanceof RegistryMessage.Endpoints e) {
             listener.endpoints(e.records());
-        } else if (message instanceof RegistryMessage.Crashes c) {
-            listener.crashes(c.crashes());
+        } else {
+            listener.passedOn(message);
         }
     }
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RequestFilters.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestFilters.java
@@ -17,6 +17,7 @@
 final class RequestFilters {
     private final TrafficProtocol protocol;
     private final Supplier<RouteTable> table;
+    private final QuarantineDesk quarantine;
     private final List<RequestFilter> chain;
 
     /**
@@ -24,10 +25,13 @@
      *
      * @param table gives the configuration in force, null before the first
      */
-    RequestFilters(TrafficProtocol protocol, Supplier<RouteTable> table) {
+    RequestFilters(
+            TrafficProtocol protocol, Supplier<RouteTable> table, QuarantineDesk quarantine) {
         this.protocol = protocol;
         this.table = table;
-        this.chain = List.of(this::head, this::configuration, this::route, this::account);
+        this.quarantine = quarantine;
+        this.chain =
+                List.of(this::head, this::configuration, this::route, this::account, this::content);
     }
 
     /** Passes {@code call} through the chain; returns why it is turned away, if it is. */
@@ -92,6 +96,12 @@
         return Optional.empty();
     }
 
+    private Optional<Failure> content(CallContext call) {
+        return quarantine.refuses(call.fingerprint())
+                ? refuse(ResultCode.NOT_RUN_QUARANTINED, "the content ended endpoints")
+                : Optional.empty();
+    }
+
     private static Optional<Failure> refuse(ResultCode code, String detail) {
         return Optional.of(new Failure(code, detail));
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -19,7 +19,9 @@
     private final EndpointView engine;
     private final EndpointView copy;
     private final long tokens;
+    private final long readMillis;
     private final double expectedMillis;
+    private final boolean alone;
     private final Attempt attempt;
     private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
     private final ByteArrayOutputStream error = new ByteArrayOutputStream();
@@ -35,6 +37,7 @@
      *
      * @param copy the engine that is to keep a copy; null for none
      * @param tokens the memory that the request takes on both
+     * @param readMillis the expected time to read the prompt
      * @param expectedMillis the expected time to the first event
      */
     StreamAttempt(
@@ -45,20 +48,27 @@
             EndpointRequest request,
             String requestId,
             long tokens,
+            long readMillis,
             double expectedMillis) {
         this.edge = edge;
         this.owner = owner;
         this.engine = engine;
         this.copy = copy;
         this.tokens = tokens;
+        this.readMillis = readMillis;
         this.expectedMillis = expectedMillis;
+        this.alone = engine.total(sentAt).running() == 0;
         this.attempt = new Attempt(engine, request, requestId, this);
     }
 
     void start() {
         engine.begin(tokens);
+        engine.beginPrefill(sentAt, readMillis);
+        edge.loads().changed(engine);
+        edge.quarantine().sent(engine, owner.fingerprint());
         if (copy != null) {
             copy.beginCopy(tokens);
+            edge.loads().changed(copy);
         }
         edge.pool().send(attempt, false);
     }
@@ -149,6 +159,7 @@
             if (over) {
                 return;
             }
+            firstEvent();
             eventAt = EventLoop.nowMillis();
             owner.event(this, event);
         }
@@ -174,11 +185,29 @@
         owner.broken(this, cause);
     }
 
+    private void firstEvent() {
+        if (hasEvents()) {
+            return;
+        }
+        long now = EventLoop.nowMillis();
+        engine.endPrefill(now, readMillis);
+        edge.loads().changed(engine);
+        if (alone && readMillis > 0) {
+            owner.readAlone(now - sentAt);
+        }
+    }
+
     private void leave() {
         over = true;
         engine.end(tokens);
+        if (!hasEvents()) {
+            engine.endPrefill(EventLoop.nowMillis(), readMillis);
+        }
+        edge.loads().changed(engine);
+        edge.quarantine().left(engine, owner.fingerprint());
         if (copy != null) {
             copy.endCopy(tokens);
+            edge.loads().changed(copy);
         }
     }
 }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -3,8 +3,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.siskintrail.edge.EndpointAnswer;
+import io.siskintrail.internal.generation.Fingerprint;
 import io.siskintrail.internal.traffic.EndpointView;
 import io.siskintrail.internal.traffic.EngineSpec;
+import io.siskintrail.internal.traffic.PrefillRate;
 import io.siskintrail.internal.traffic.ServiceSpec;
 import io.siskintrail.internal.traffic.SilenceRule;
 import io.siskintrail.internal.traffic.StreamEvent;
@@ -25,11 +27,8 @@
 final class StreamExchange extends Exchange {
     private static final int SERVER_ERROR = 500;
 
-    /** Prompt tokens that an engine reads in a millisecond, as long as it is not observed. */
-    private static final double PREFILL_TOKENS_PER_MILLI = 8;
-
-    /** Time from a read prompt to the first event, in milliseconds. */
-    private static final double FIRST_EVENT_MILLIS = 80;
+    /** Share of the target latency that a request waits for an engine to appear. */
+    private static final double ABSENT_SHARE = 0.12;
 
     /** Pause before a stream without an engine looks for one again. */
     private static final long RETRY_MILLIS = 50;
@@ -73,11 +72,9 @@
             return;
         }
         long now = EventLoop.nowMillis();
-        if (edge.endpoints().of(service).isEmpty()) {
-            refuse(ResultCode.NO_ENDPOINT, "no engine of the service", ABSENT_RETRY_MILLIS);
-            return;
-        }
-        long latest = now + (long) (WAIT_SHARE * call.route().targetLatencyMillis());
+        boolean none = edge.endpoints().of(service).isEmpty();
+        double share = none ? ABSENT_SHARE : WAIT_SHARE;
+        long latest = now + (long) (share * call.route().targetLatencyMillis());
         WaitingRoom<Exchange> room = edge.room(service);
         place = room.enter(now, this, call.rank(), latest);
         if (place == null) {
@@ -191,6 +188,7 @@
         EndpointAnswer said = from.said();
         if (said.isSuccess() && said.signed()) {
             from.engine().health().succeeded(EventLoop.nowMillis(), (long) from.expectedMillis());
+            edge.quarantine().succeeded(call.fingerprint());
             beginAnswer(from);
             end("answered", 0, "attempts=%d last=%d".formatted(sent, journal.lastId()));
             caller.end();
@@ -205,6 +203,7 @@
             return;
         }
         from.engine().health().failed(EventLoop.nowMillis());
+        edge.quarantine().broken(from.engine(), call.fingerprint());
         resume(from, cause);
     }
 
@@ -220,6 +219,16 @@
         }
     }
 
+    /** Takes the time that an engine took for the prompt while it had no other work. */
+    void readAlone(long millis) {
+        edge.prefill(service).observe(call.head().promptTokens(), millis);
+    }
+
+    /** Returns what names account and content. */
+    Fingerprint fingerprint() {
+        return call.fingerprint();
+    }
+
     private EndpointView choose() {
         return edge.streams()
                 .choose(
@@ -239,9 +248,9 @@
     private void send(EndpointView target, EndpointView copyOf) {
         long now = EventLoop.nowMillis();
         EndpointView copy = engine != null && engine.copies() ? chooseCopy(now, target) : null;
-        double read = copyOf == null ? call.head().promptTokens() / PREFILL_TOKENS_PER_MILLI : 0;
-        double expected = target.prefillMillis(now) + read + FIRST_EVENT_MILLIS;
-        target.addPrefill(now, (long) read);
+        int unread = copyOf == null ? call.head().promptTokens() : 0;
+        PrefillRate rate = edge.prefill(service);
+        double expected = target.total(now).prefillMillis() + rate.firstEventMillis(unread);
         String copyAt = copy == null ? null : copy.record().address();
         String resumeFrom = copyOf == null ? null : copyOf.record().address();
         EndpointRequest request =
@@ -254,7 +263,15 @@
                         .formatted(sent, journal.lastId(), copyAt, resumeFrom, expected));
         attempt =
                 new StreamAttempt(
-                        edge, this, target, copy, request, call.requestId(), tokens, expected);
+                        edge,
+                        this,
+                        target,
+                        copy,
+                        request,
+                        call.requestId(),
+                        tokens,
+                        (long) rate.readMillis(unread),
+                        expected);
         attempt.start();
     }
 
@@ -334,6 +351,10 @@
         if (isOver() || attempt != null) {
             return;
         }
+        if (edge.quarantine().refuses(call.fingerprint())) {
+            giveUp("the content ended endpoints");
+            return;
+        }
         if (sent >= call.route().maxAttempts()) {
             giveUp("no attempts left");
             return;
--- /dev/null
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/LoadRelay.java
@@ -0,0 +1,38 @@
+package io.siskintrail.registry.internal;
+
+import io.siskintrail.net.EventLoop;
+import io.siskintrail.wire.registry.RegistryMessage;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Passes on what edges say of their loads, gathered for a moment, so that the messages to an edge
+ * do not grow with the number of edges.
+ */
+final class LoadRelay {
+    /** Time for which the words of edges are gathered; short beside the reading of a prompt. */
+    private static final long GATHER_MILLIS = 25;
+
+    private final EventLoop loop;
+    private final EdgeFeed feed;
+    private List<RegistryMessage.HostLoads> gathered = new ArrayList<>();
+
+    LoadRelay(EventLoop loop, EdgeFeed feed) {
+        this.loop = loop;
+        this.feed = feed;
+    }
+
+    /** Takes the word of an edge. */
+    void gather(RegistryMessage.Loads loads) {
+        if (gathered.isEmpty()) {
+            loop.after(GATHER_MILLIS, this::pass);
+        }
+        gathered.addAll(loads.hosts());
+    }
+
+    private void pass() {
+        List<RegistryMessage.HostLoads> hosts = gathered;
+        gathered = new ArrayList<>();
+        feed.broadcast(new RegistryMessage.Loads(hosts));
+    }
+}
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -47,6 +47,7 @@
     private final RegistryReplica replica;
     private final LogAccess log;
     private final EdgeFeed feed = new EdgeFeed();
+    private final LoadRelay relay;
     private final Endpoints endpoints;
     private final HttpService calls;
     private final HttpService metrics;
@@ -70,6 +71,7 @@
                         this::tellStatus,
                         new SecureRandom().nextLong());
         log = new LogAccess(loop, replica, peers);
+        relay = new LoadRelay(loop, feed);
         endpoints = new Endpoints(settings.heartbeatMillis(), peers, feed);
         calls =
                 new HttpService(
@@ -156,11 +158,11 @@
             endpoints.passedOn(e.records());
         } else if (message instanceof RegistryMessage.FetchAbove f) {
             sendContent(link, f.version());
-        } else if (message instanceof RegistryMessage.Crashes c) {
-            if (link.role() == PeerRole.EDGE) {
-                peers.broadcast(c);
-            }
-            feed.broadcast(c);
+        } else if (message instanceof RegistryMessage.Loads l) {
+            relay.gather(l);
+        } else if (message instanceof RegistryMessage.Death
+                || message instanceof RegistryMessage.Refusal) {
+            feed.broadcast(message);
         } else if (message instanceof RegistryMessage.Status s) {
             peers.add(s.registries());
         }
--- /dev/null
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/EventSplitterTest.java
@@ -0,0 +1,59 @@
+package io.siskintrail.internal.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Events come out whole and unchanged, however the bytes are cut. */
+class EventSplitterTest {
+    private static final int MAX_BYTES = 1_000;
+    private static final String STREAM =
+            "id: 1\ndata: a\n\n" + "id:2\r\ndata: b\r\n\r\n" + "data: without id\n\n";
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 7, 1_000})
+    void eventsAreCutAtEmptyLines(int pieceBytes) {
+        EventSplitter splitter = new EventSplitter(MAX_BYTES);
+        List<StreamEvent> events = feed(splitter, STREAM, pieceBytes);
+
+        assertThat(events.stream().map(StreamEvent::id)).containsExactly(1L, 2L, -1L).inOrder();
+        StringBuilder joined = new StringBuilder();
+        events.forEach(e -> joined.append(new String(e.bytes(), StandardCharsets.UTF_8)));
+        assertThat(joined.toString()).isEqualTo(STREAM);
+        assertThat(splitter.isInsideEvent()).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"id: 1", "id: 1\n", "id: 1\ndata: a\n"})
+    void unfinishedEventIsHeldBack(String start) {
+        EventSplitter splitter = new EventSplitter(MAX_BYTES);
+
+        assertThat(feed(splitter, start, start.length())).isEmpty();
+        assertThat(splitter.isInsideEvent()).isTrue();
+    }
+
+    @Test
+    void longEventDamagesTheStream() {
+        EventSplitter splitter = new EventSplitter(MAX_BYTES);
+
+        feed(splitter, "data: " + "x".repeat(MAX_BYTES) + "\n\n", 100);
+
+        assertThat(splitter.isDamaged()).isTrue();
+    }
+
+    private static List<StreamEvent> feed(EventSplitter splitter, String text, int pieceBytes) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        List<StreamEvent> events = new ArrayList<>();
+        for (int i = 0; i < bytes.length; i += pieceBytes) {
+            int end = Math.min(bytes.length, i + pieceBytes);
+            events.addAll(splitter.add(Arrays.copyOfRange(bytes, i, end)));
+        }
+        return events;
+    }
+}
--- a/siskintrail.wire/idl/registry.thrift
+++ b/siskintrail.wire/idl/registry.thrift
@@ -42,14 +42,39 @@
   2: required binary command
 }
 
-struct CrashData {
-  1: required i64 fingerprint,
+/** The hash of a client account and the content of a request. */
+struct ContentHashData {
+  1: required i64 high,
+  2: required i64 low
+}
+
+/** What an edge had running on an endpoint that died. */
+struct DeathData {
+  1: required string host,
   2: required string endpoint,
-  3: required i64 incarnation
+  3: required list<ContentHashData> running
+}
+
+struct RefusalData {
+  1: required ContentHashData content,
+  2: required i64 millis
+}
+
+/** What an edge has placed on one endpoint. */
+struct LoadData {
+  1: required string endpoint,
+  2: required i32 running,
+  3: required i64 tokens,
+  4: required i32 prefillMillis
+}
+
+struct LoadsData {
+  1: required string host,
+  2: required list<LoadData> loads
 }
 
-struct CrashesData {
-  1: required list<CrashData> crashes
+struct AllLoadsData {
+  1: required list<LoadsData> hosts
 }
 
 union RegistryBody {
@@ -61,5 +86,7 @@
   6: ReplyData proposed,
   7: i64 read,
   8: ReplyData readAt,
-  9: CrashesData crashes
+  9: DeathData death,
+  10: RefusalData refusal,
+  11: AllLoadsData loads
 }
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/CrashesData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/AllLoadsData.java
@@ -7,19 +7,19 @@
 package io.siskintrail.wire.gen.registry;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class CrashesData implements org.apache.thrift.TBase<CrashesData, CrashesData._Fields>, java.io.Serializable, Cloneable, Comparable<CrashesData> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("CrashesData");
+public class AllLoadsData implements org.apache.thrift.TBase<AllLoadsData, AllLoadsData._Fields>, java.io.Serializable, Cloneable, Comparable<AllLoadsData> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("AllLoadsData");
 
-  private static final org.apache.thrift.protocol.TField CRASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("crashes", org.apache.thrift.protocol.TType.LIST, (short)1);
+  private static final org.apache.thrift.protocol.TField HOSTS_FIELD_DESC = new org.apache.thrift.protocol.TField("hosts", org.apache.thrift.protocol.TType.LIST, (short)1);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new CrashesDataStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new CrashesDataTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new AllLoadsDataStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new AllLoadsDataTupleSchemeFactory();
 
-  public @org.apache.thrift.annotation.Nullable java.util.List<CrashData> crashes; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<LoadsData> hosts; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    CRASHES((short)1, "crashes");
+    HOSTS((short)1, "hosts");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -35,8 +35,8 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // CRASHES
-          return CRASHES;
+        case 1: // HOSTS
+          return HOSTS;
         default:
           return null;
       }
@@ -83,95 +83,95 @@
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.CRASHES, new org.apache.thrift.meta_data.FieldMetaData("crashes", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.HOSTS, new org.apache.thrift.meta_data.FieldMetaData("hosts", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CrashData.class))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LoadsData.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CrashesData.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AllLoadsData.class, metaDataMap);
   }
 
-  public CrashesData() {
+  public AllLoadsData() {
   }
 
-  public CrashesData(
-    java.util.List<CrashData> crashes)
+  public AllLoadsData(
+    java.util.List<LoadsData> hosts)
   {
     this();
-    this.crashes = crashes;
+    this.hosts = hosts;
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public CrashesData(CrashesData other) {
-    if (other.isSetCrashes()) {
-      java.util.List<CrashData> __this__crashes = new java.util.ArrayList<CrashData>(other.crashes.size());
-      for (CrashData other_element : other.crashes) {
-        __this__crashes.add(new CrashData(other_element));
+  public AllLoadsData(AllLoadsData other) {
+    if (other.isSetHosts()) {
+      java.util.List<LoadsData> __this__hosts = new java.util.ArrayList<LoadsData>(other.hosts.size());
+      for (LoadsData other_element : other.hosts) {
+        __this__hosts.add(new LoadsData(other_element));
       }
-      this.crashes = __this__crashes;
+      this.hosts = __this__hosts;
     }
   }
 
   @Override
-  public CrashesData deepCopy() {
-    return new CrashesData(this);
+  public AllLoadsData deepCopy() {
+    return new AllLoadsData(this);
   }
 
   @Override
   public void clear() {
-    this.crashes = null;
+    this.hosts = null;
   }
 
-  public int getCrashesSize() {
-    return (this.crashes == null) ? 0 : this.crashes.size();
+  public int getHostsSize() {
+    return (this.hosts == null) ? 0 : this.hosts.size();
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<CrashData> getCrashesIterator() {
-    return (this.crashes == null) ? null : this.crashes.iterator();
+  public java.util.Iterator<LoadsData> getHostsIterator() {
+    return (this.hosts == null) ? null : this.hosts.iterator();
   }
 
-  public void addToCrashes(CrashData elem) {
-    if (this.crashes == null) {
-      this.crashes = new java.util.ArrayList<CrashData>();
+  public void addToHosts(LoadsData elem) {
+    if (this.hosts == null) {
+      this.hosts = new java.util.ArrayList<LoadsData>();
     }
-    this.crashes.add(elem);
+    this.hosts.add(elem);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<CrashData> getCrashes() {
-    return this.crashes;
+  public java.util.List<LoadsData> getHosts() {
+    return this.hosts;
   }
 
-  public CrashesData setCrashes(@org.apache.thrift.annotation.Nullable java.util.List<CrashData> crashes) {
-    this.crashes = crashes;
+  public AllLoadsData setHosts(@org.apache.thrift.annotation.Nullable java.util.List<LoadsData> hosts) {
+    this.hosts = hosts;
     return this;
   }
 
-  public void unsetCrashes() {
-    this.crashes = null;
+  public void unsetHosts() {
+    this.hosts = null;
   }
 
-  /** Returns true if field crashes is set (has been assigned a value) and false otherwise */
-  public boolean isSetCrashes() {
-    return this.crashes != null;
+  /** Returns true if field hosts is set (has been assigned a value) and false otherwise */
+  public boolean isSetHosts() {
+    return this.hosts != null;
   }
 
-  public void setCrashesIsSet(boolean value) {
+  public void setHostsIsSet(boolean value) {
     if (!value) {
-      this.crashes = null;
+      this.hosts = null;
     }
   }
 
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
-    case CRASHES:
+    case HOSTS:
       if (value == null) {
-        unsetCrashes();
+        unsetHosts();
       } else {
-        setCrashes((java.util.List<CrashData>)value);
+        setHosts((java.util.List<LoadsData>)value);
       }
       break;
 
@@ -182,8 +182,8 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
-    case CRASHES:
-      return getCrashes();
+    case HOSTS:
+      return getHosts();
 
     }
     throw new java.lang.IllegalStateException();
@@ -197,31 +197,31 @@
     }
 
     switch (field) {
-    case CRASHES:
-      return isSetCrashes();
+    case HOSTS:
+      return isSetHosts();
     }
     throw new java.lang.IllegalStateException();
   }
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof CrashesData)
-      return this.equals((CrashesData)that);
+    if (that instanceof AllLoadsData)
+      return this.equals((AllLoadsData)that);
     return false;
   }
 
-  public boolean equals(CrashesData that) {
+  public boolean equals(AllLoadsData that) {
     if (that == null)
       return false;
     if (this == that)
       return true;
 
-    boolean this_present_crashes = true && this.isSetCrashes();
-    boolean that_present_crashes = true && that.isSetCrashes();
-    if (this_present_crashes || that_present_crashes) {
-      if (!(this_present_crashes && that_present_crashes))
+    boolean this_present_hosts = true && this.isSetHosts();
+    boolean that_present_hosts = true && that.isSetHosts();
+    if (this_present_hosts || that_present_hosts) {
+      if (!(this_present_hosts && that_present_hosts))
         return false;
-      if (!this.crashes.equals(that.crashes))
+      if (!this.hosts.equals(that.hosts))
         return false;
     }
 
@@ -232,27 +232,27 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + ((isSetCrashes()) ? 131071 : 524287);
-    if (isSetCrashes())
-      hashCode = hashCode * 8191 + crashes.hashCode();
+    hashCode = hashCode * 8191 + ((isSetHosts()) ? 131071 : 524287);
+    if (isSetHosts())
+      hashCode = hashCode * 8191 + hosts.hashCode();
 
     return hashCode;
   }
 
   @Override
-  public int compareTo(CrashesData other) {
+  public int compareTo(AllLoadsData other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
 
     int lastComparison = 0;
 
-    lastComparison = java.lang.Boolean.compare(isSetCrashes(), other.isSetCrashes());
+    lastComparison = java.lang.Boolean.compare(isSetHosts(), other.isSetHosts());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetCrashes()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.crashes, other.crashes);
+    if (isSetHosts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.hosts, other.hosts);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -278,14 +278,14 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("CrashesData(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("AllLoadsData(");
     boolean first = true;
 
-    sb.append("crashes:");
-    if (this.crashes == null) {
+    sb.append("hosts:");
+    if (this.hosts == null) {
       sb.append("null");
     } else {
-      sb.append(this.crashes);
+      sb.append(this.hosts);
     }
     first = false;
     sb.append(")");
@@ -294,8 +294,8 @@
 
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
-    if (crashes == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'crashes' was not present! Struct: " + toString());
+    if (hosts == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'hosts' was not present! Struct: " + toString());
     }
     // check for sub-struct validity
   }
@@ -316,17 +316,17 @@
     }
   }
 
-  private static class CrashesDataStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class AllLoadsDataStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public CrashesDataStandardScheme getScheme() {
-      return new CrashesDataStandardScheme();
+    public AllLoadsDataStandardScheme getScheme() {
+      return new AllLoadsDataStandardScheme();
     }
   }
 
-  private static class CrashesDataStandardScheme extends org.apache.thrift.scheme.StandardScheme<CrashesData> {
+  private static class AllLoadsDataStandardScheme extends org.apache.thrift.scheme.StandardScheme<AllLoadsData> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, CrashesData struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, AllLoadsData struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -336,21 +336,21 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // CRASHES
+          case 1: // HOSTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.crashes = new java.util.ArrayList<CrashData>(_list16.size);
-                @org.apache.thrift.annotation.Nullable CrashData _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
+                struct.hosts = new java.util.ArrayList<LoadsData>(_list32.size);
+                @org.apache.thrift.annotation.Nullable LoadsData _elem33;
+                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
                 {
-                  _elem17 = new CrashData();
-                  _elem17.read(iprot);
-                  struct.crashes.add(_elem17);
+                  _elem33 = new LoadsData();
+                  _elem33.read(iprot);
+                  struct.hosts.add(_elem33);
                 }
                 iprot.readListEnd();
               }
-              struct.setCrashesIsSet(true);
+              struct.setHostsIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -367,17 +367,17 @@
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, CrashesData struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, AllLoadsData struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      if (struct.crashes != null) {
-        oprot.writeFieldBegin(CRASHES_FIELD_DESC);
+      if (struct.hosts != null) {
+        oprot.writeFieldBegin(HOSTS_FIELD_DESC);
         {
-          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.crashes.size()));
-          for (CrashData _iter19 : struct.crashes)
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.hosts.size()));
+          for (LoadsData _iter35 : struct.hosts)
           {
-            _iter19.write(oprot);
+            _iter35.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -389,42 +389,42 @@
 
   }
 
-  private static class CrashesDataTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class AllLoadsDataTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public CrashesDataTupleScheme getScheme() {
-      return new CrashesDataTupleScheme();
+    public AllLoadsDataTupleScheme getScheme() {
+      return new AllLoadsDataTupleScheme();
     }
   }
 
-  private static class CrashesDataTupleScheme extends org.apache.thrift.scheme.TupleScheme<CrashesData> {
+  private static class AllLoadsDataTupleScheme extends org.apache.thrift.scheme.TupleScheme<AllLoadsData> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, CrashesData struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, AllLoadsData struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        oprot.writeI32(struct.crashes.size());
-        for (CrashData _iter20 : struct.crashes)
+        oprot.writeI32(struct.hosts.size());
+        for (LoadsData _iter36 : struct.hosts)
         {
-          _iter20.write(oprot);
+          _iter36.write(oprot);
         }
       }
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, CrashesData struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, AllLoadsData struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.crashes = new java.util.ArrayList<CrashData>(_list21.size);
-        @org.apache.thrift.annotation.Nullable CrashData _elem22;
-        for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+        org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.hosts = new java.util.ArrayList<LoadsData>(_list37.size);
+        @org.apache.thrift.annotation.Nullable LoadsData _elem38;
+        for (int _i39 = 0; _i39 < _list37.size; ++_i39)
         {
-          _elem22 = new CrashData();
-          _elem22.read(iprot);
-          struct.crashes.add(_elem22);
+          _elem38 = new LoadsData();
+          _elem38.read(iprot);
+          struct.hosts.add(_elem38);
         }
       }
-      struct.setCrashesIsSet(true);
+      struct.setHostsIsSet(true);
     }
   }
 
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/CrashData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/DeathData.java
@@ -6,26 +6,29 @@
  */
 package io.siskintrail.wire.gen.registry;
 
+/**
+ * What an edge had running on an endpoint that died.
+ */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class CrashData implements org.apache.thrift.TBase<CrashData, CrashData._Fields>, java.io.Serializable, Cloneable, Comparable<CrashData> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("CrashData");
+public class DeathData implements org.apache.thrift.TBase<DeathData, DeathData._Fields>, java.io.Serializable, Cloneable, Comparable<DeathData> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("DeathData");
 
-  private static final org.apache.thrift.protocol.TField FINGERPRINT_FIELD_DESC = new org.apache.thrift.protocol.TField("fingerprint", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField ENDPOINT_FIELD_DESC = new org.apache.thrift.protocol.TField("endpoint", org.apache.thrift.protocol.TType.STRING, (short)2);
-  private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.LIST, (short)3);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new CrashDataStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new CrashDataTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DeathDataStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DeathDataTupleSchemeFactory();
 
-  public long fingerprint; // required
+  public @org.apache.thrift.annotation.Nullable java.lang.String host; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String endpoint; // required
-  public long incarnation; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<ContentHashData> running; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    FINGERPRINT((short)1, "fingerprint"),
+    HOST((short)1, "host"),
     ENDPOINT((short)2, "endpoint"),
-    INCARNATION((short)3, "incarnation");
+    RUNNING((short)3, "running");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -41,12 +44,12 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // FINGERPRINT
-          return FINGERPRINT;
+        case 1: // HOST
+          return HOST;
         case 2: // ENDPOINT
           return ENDPOINT;
-        case 3: // INCARNATION
-          return INCARNATION;
+        case 3: // RUNNING
+          return RUNNING;
         default:
           return null;
       }
@@ -90,85 +93,88 @@
   }
 
   // isset id assignments
-  private static final int __FINGERPRINT_ISSET_ID = 0;
-  private static final int __INCARNATION_ISSET_ID = 1;
-  private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.FINGERPRINT, new org.apache.thrift.meta_data.FieldMetaData("fingerprint", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.HOST, new org.apache.thrift.meta_data.FieldMetaData("host", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.ENDPOINT, new org.apache.thrift.meta_data.FieldMetaData("endpoint", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RUNNING, new org.apache.thrift.meta_data.FieldMetaData("running", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ContentHashData.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CrashData.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DeathData.class, metaDataMap);
   }
 
-  public CrashData() {
+  public DeathData() {
   }
 
-  public CrashData(
-    long fingerprint,
+  public DeathData(
+    java.lang.String host,
     java.lang.String endpoint,
-    long incarnation)
+    java.util.List<ContentHashData> running)
   {
     this();
-    this.fingerprint = fingerprint;
-    setFingerprintIsSet(true);
+    this.host = host;
     this.endpoint = endpoint;
-    this.incarnation = incarnation;
-    setIncarnationIsSet(true);
+    this.running = running;
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public CrashData(CrashData other) {
-    __isset_bitfield = other.__isset_bitfield;
-    this.fingerprint = other.fingerprint;
+  public DeathData(DeathData other) {
+    if (other.isSetHost()) {
+      this.host = other.host;
+    }
     if (other.isSetEndpoint()) {
       this.endpoint = other.endpoint;
     }
-    this.incarnation = other.incarnation;
+    if (other.isSetRunning()) {
+      java.util.List<ContentHashData> __this__running = new java.util.ArrayList<ContentHashData>(other.running.size());
+      for (ContentHashData other_element : other.running) {
+        __this__running.add(new ContentHashData(other_element));
+      }
+      this.running = __this__running;
+    }
   }
 
   @Override
-  public CrashData deepCopy() {
-    return new CrashData(this);
+  public DeathData deepCopy() {
+    return new DeathData(this);
   }
 
   @Override
   public void clear() {
-    setFingerprintIsSet(false);
-    this.fingerprint = 0;
+    this.host = null;
     this.endpoint = null;
-    setIncarnationIsSet(false);
-    this.incarnation = 0;
+    this.running = null;
   }
 
-  public long getFingerprint() {
-    return this.fingerprint;
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getHost() {
+    return this.host;
   }
 
-  public CrashData setFingerprint(long fingerprint) {
-    this.fingerprint = fingerprint;
-    setFingerprintIsSet(true);
+  public DeathData setHost(@org.apache.thrift.annotation.Nullable java.lang.String host) {
+    this.host = host;
     return this;
   }
 
-  public void unsetFingerprint() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FINGERPRINT_ISSET_ID);
+  public void unsetHost() {
+    this.host = null;
   }
 
-  /** Returns true if field fingerprint is set (has been assigned a value) and false otherwise */
-  public boolean isSetFingerprint() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FINGERPRINT_ISSET_ID);
+  /** Returns true if field host is set (has been assigned a value) and false otherwise */
+  public boolean isSetHost() {
+    return this.host != null;
   }
 
-  public void setFingerprintIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FINGERPRINT_ISSET_ID, value);
+  public void setHostIsSet(boolean value) {
+    if (!value) {
+      this.host = null;
+    }
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -176,7 +182,7 @@
     return this.endpoint;
   }
 
-  public CrashData setEndpoint(@org.apache.thrift.annotation.Nullable java.lang.String endpoint) {
+  public DeathData setEndpoint(@org.apache.thrift.annotation.Nullable java.lang.String endpoint) {
     this.endpoint = endpoint;
     return this;
   }
@@ -196,37 +202,55 @@
     }
   }
 
-  public long getIncarnation() {
-    return this.incarnation;
+  public int getRunningSize() {
+    return (this.running == null) ? 0 : this.running.size();
   }
 
-  public CrashData setIncarnation(long incarnation) {
-    this.incarnation = incarnation;
-    setIncarnationIsSet(true);
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<ContentHashData> getRunningIterator() {
+    return (this.running == null) ? null : this.running.iterator();
+  }
+
+  public void addToRunning(ContentHashData elem) {
+    if (this.running == null) {
+      this.running = new java.util.ArrayList<ContentHashData>();
+    }
+    this.running.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<ContentHashData> getRunning() {
+    return this.running;
+  }
+
+  public DeathData setRunning(@org.apache.thrift.annotation.Nullable java.util.List<ContentHashData> running) {
+    this.running = running;
     return this;
   }
 
-  public void unsetIncarnation() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  public void unsetRunning() {
+    this.running = null;
   }
 
-  /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
-  public boolean isSetIncarnation() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  /** Returns true if field running is set (has been assigned a value) and false otherwise */
+  public boolean isSetRunning() {
+    return this.running != null;
   }
 
-  public void setIncarnationIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
+  public void setRunningIsSet(boolean value) {
+    if (!value) {
+      this.running = null;
+    }
   }
 
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
-    case FINGERPRINT:
+    case HOST:
       if (value == null) {
-        unsetFingerprint();
+        unsetHost();
       } else {
-        setFingerprint((java.lang.Long)value);
+        setHost((java.lang.String)value);
       }
       break;
 
@@ -238,11 +262,11 @@
       }
       break;
 
-    case INCARNATION:
+    case RUNNING:
       if (value == null) {
-        unsetIncarnation();
+        unsetRunning();
       } else {
-        setIncarnation((java.lang.Long)value);
+        setRunning((java.util.List<ContentHashData>)value);
       }
       break;
 
@@ -253,14 +277,14 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
-    case FINGERPRINT:
-      return getFingerprint();
+    case HOST:
+      return getHost();
 
     case ENDPOINT:
       return getEndpoint();
 
-    case INCARNATION:
-      return getIncarnation();
+    case RUNNING:
+      return getRunning();
 
     }
     throw new java.lang.IllegalStateException();
@@ -274,35 +298,35 @@
     }
 
     switch (field) {
-    case FINGERPRINT:
-      return isSetFingerprint();
+    case HOST:
+      return isSetHost();
     case ENDPOINT:
       return isSetEndpoint();
-    case INCARNATION:
-      return isSetIncarnation();
+    case RUNNING:
+      return isSetRunning();
     }
     throw new java.lang.IllegalStateException();
   }
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof CrashData)
-      return this.equals((CrashData)that);
+    if (that instanceof DeathData)
+      return this.equals((DeathData)that);
     return false;
   }
 
-  public boolean equals(CrashData that) {
+  public boolean equals(DeathData that) {
     if (that == null)
       return false;
     if (this == that)
       return true;
 
-    boolean this_present_fingerprint = true;
-    boolean that_present_fingerprint = true;
-    if (this_present_fingerprint || that_present_fingerprint) {
-      if (!(this_present_fingerprint && that_present_fingerprint))
+    boolean this_present_host = true && this.isSetHost();
+    boolean that_present_host = true && that.isSetHost();
+    if (this_present_host || that_present_host) {
+      if (!(this_present_host && that_present_host))
         return false;
-      if (this.fingerprint != that.fingerprint)
+      if (!this.host.equals(that.host))
         return false;
     }
 
@@ -315,12 +339,12 @@
         return false;
     }
 
-    boolean this_present_incarnation = true;
-    boolean that_present_incarnation = true;
-    if (this_present_incarnation || that_present_incarnation) {
-      if (!(this_present_incarnation && that_present_incarnation))
+    boolean this_present_running = true && this.isSetRunning();
+    boolean that_present_running = true && that.isSetRunning();
+    if (this_present_running || that_present_running) {
+      if (!(this_present_running && that_present_running))
         return false;
-      if (this.incarnation != that.incarnation)
+      if (!this.running.equals(that.running))
         return false;
     }
 
@@ -331,31 +355,35 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(fingerprint);
+    hashCode = hashCode * 8191 + ((isSetHost()) ? 131071 : 524287);
+    if (isSetHost())
+      hashCode = hashCode * 8191 + host.hashCode();
 
     hashCode = hashCode * 8191 + ((isSetEndpoint()) ? 131071 : 524287);
     if (isSetEndpoint())
       hashCode = hashCode * 8191 + endpoint.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
+    hashCode = hashCode * 8191 + ((isSetRunning()) ? 131071 : 524287);
+    if (isSetRunning())
+      hashCode = hashCode * 8191 + running.hashCode();
 
     return hashCode;
   }
 
   @Override
-  public int compareTo(CrashData other) {
+  public int compareTo(DeathData other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
 
     int lastComparison = 0;
 
-    lastComparison = java.lang.Boolean.compare(isSetFingerprint(), other.isSetFingerprint());
+    lastComparison = java.lang.Boolean.compare(isSetHost(), other.isSetHost());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetFingerprint()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fingerprint, other.fingerprint);
+    if (isSetHost()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.host, other.host);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -370,12 +398,12 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
+    lastComparison = java.lang.Boolean.compare(isSetRunning(), other.isSetRunning());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetIncarnation()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
+    if (isSetRunning()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.running, other.running);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -401,11 +429,15 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("CrashData(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("DeathData(");
     boolean first = true;
 
-    sb.append("fingerprint:");
-    sb.append(this.fingerprint);
+    sb.append("host:");
+    if (this.host == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.host);
+    }
     first = false;
     if (!first) sb.append(", ");
     sb.append("endpoint:");
@@ -416,8 +448,12 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("incarnation:");
-    sb.append(this.incarnation);
+    sb.append("running:");
+    if (this.running == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.running);
+    }
     first = false;
     sb.append(")");
     return sb.toString();
@@ -425,11 +461,15 @@
 
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
-    // alas, we cannot check 'fingerprint' because it's a primitive and you chose the non-beans generator.
+    if (host == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'host' was not present! Struct: " + toString());
+    }
     if (endpoint == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'endpoint' was not present! Struct: " + toString());
     }
-    // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
+    if (running == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'running' was not present! Struct: " + toString());
+    }
     // check for sub-struct validity
   }
 
@@ -443,25 +483,23 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
-      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
-      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
     }
   }
 
-  private static class CrashDataStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class DeathDataStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public CrashDataStandardScheme getScheme() {
-      return new CrashDataStandardScheme();
+    public DeathDataStandardScheme getScheme() {
+      return new DeathDataStandardScheme();
     }
   }
 
-  private static class CrashDataStandardScheme extends org.apache.thrift.scheme.StandardScheme<CrashData> {
+  private static class DeathDataStandardScheme extends org.apache.thrift.scheme.StandardScheme<DeathData> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, CrashData struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, DeathData struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -471,10 +509,10 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // FINGERPRINT
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.fingerprint = iprot.readI64();
-              struct.setFingerprintIsSet(true);
+          case 1: // HOST
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.host = iprot.readString();
+              struct.setHostIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -487,10 +525,21 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // INCARNATION
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.incarnation = iprot.readI64();
-              struct.setIncarnationIsSet(true);
+          case 3: // RUNNING
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
+                struct.running = new java.util.ArrayList<ContentHashData>(_list16.size);
+                @org.apache.thrift.annotation.Nullable ContentHashData _elem17;
+                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                {
+                  _elem17 = new ContentHashData();
+                  _elem17.read(iprot);
+                  struct.running.add(_elem17);
+                }
+                iprot.readListEnd();
+              }
+              struct.setRunningIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -503,63 +552,84 @@
       iprot.readStructEnd();
 
       // check for required fields of primitive type, which can't be checked in the validate method
-      if (!struct.isSetFingerprint()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'fingerprint' was not found in serialized data! Struct: " + toString());
-      }
-      if (!struct.isSetIncarnation()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'incarnation' was not found in serialized data! Struct: " + toString());
-      }
       struct.validate();
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, CrashData struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, DeathData struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      oprot.writeFieldBegin(FINGERPRINT_FIELD_DESC);
-      oprot.writeI64(struct.fingerprint);
-      oprot.writeFieldEnd();
+      if (struct.host != null) {
+        oprot.writeFieldBegin(HOST_FIELD_DESC);
+        oprot.writeString(struct.host);
+        oprot.writeFieldEnd();
+      }
       if (struct.endpoint != null) {
         oprot.writeFieldBegin(ENDPOINT_FIELD_DESC);
         oprot.writeString(struct.endpoint);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
-      oprot.writeI64(struct.incarnation);
-      oprot.writeFieldEnd();
+      if (struct.running != null) {
+        oprot.writeFieldBegin(RUNNING_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.running.size()));
+          for (ContentHashData _iter19 : struct.running)
+          {
+            _iter19.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
 
   }
 
-  private static class CrashDataTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class DeathDataTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public CrashDataTupleScheme getScheme() {
-      return new CrashDataTupleScheme();
+    public DeathDataTupleScheme getScheme() {
+      return new DeathDataTupleScheme();
     }
   }
 
-  private static class CrashDataTupleScheme extends org.apache.thrift.scheme.TupleScheme<CrashData> {
+  private static class DeathDataTupleScheme extends org.apache.thrift.scheme.TupleScheme<DeathData> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, CrashData struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, DeathData struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      oprot.writeI64(struct.fingerprint);
+      oprot.writeString(struct.host);
       oprot.writeString(struct.endpoint);
-      oprot.writeI64(struct.incarnation);
+      {
+        oprot.writeI32(struct.running.size());
+        for (ContentHashData _iter20 : struct.running)
+        {
+          _iter20.write(oprot);
+        }
+      }
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, CrashData struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, DeathData struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      struct.fingerprint = iprot.readI64();
-      struct.setFingerprintIsSet(true);
+      struct.host = iprot.readString();
+      struct.setHostIsSet(true);
       struct.endpoint = iprot.readString();
       struct.setEndpointIsSet(true);
-      struct.incarnation = iprot.readI64();
-      struct.setIncarnationIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.running = new java.util.ArrayList<ContentHashData>(_list21.size);
+        @org.apache.thrift.annotation.Nullable ContentHashData _elem22;
+        for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+        {
+          _elem22 = new ContentHashData();
+          _elem22.read(iprot);
+          struct.running.add(_elem22);
+        }
+      }
+      struct.setRunningIsSet(true);
     }
   }
 
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/RegistryBody.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/RegistryBody.java
@@ -17,7 +17,9 @@
   private static final org.apache.thrift.protocol.TField PROPOSED_FIELD_DESC = new org.apache.thrift.protocol.TField("proposed", org.apache.thrift.protocol.TType.STRUCT, (short)6);
   private static final org.apache.thrift.protocol.TField READ_FIELD_DESC = new org.apache.thrift.protocol.TField("read", org.apache.thrift.protocol.TType.I64, (short)7);
   private static final org.apache.thrift.protocol.TField READ_AT_FIELD_DESC = new org.apache.thrift.protocol.TField("readAt", org.apache.thrift.protocol.TType.STRUCT, (short)8);
-  private static final org.apache.thrift.protocol.TField CRASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("crashes", org.apache.thrift.protocol.TType.STRUCT, (short)9);
+  private static final org.apache.thrift.protocol.TField DEATH_FIELD_DESC = new org.apache.thrift.protocol.TField("death", org.apache.thrift.protocol.TType.STRUCT, (short)9);
+  private static final org.apache.thrift.protocol.TField REFUSAL_FIELD_DESC = new org.apache.thrift.protocol.TField("refusal", org.apache.thrift.protocol.TType.STRUCT, (short)10);
+  private static final org.apache.thrift.protocol.TField LOADS_FIELD_DESC = new org.apache.thrift.protocol.TField("loads", org.apache.thrift.protocol.TType.STRUCT, (short)11);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -29,7 +31,9 @@
     PROPOSED((short)6, "proposed"),
     READ((short)7, "read"),
     READ_AT((short)8, "readAt"),
-    CRASHES((short)9, "crashes");
+    DEATH((short)9, "death"),
+    REFUSAL((short)10, "refusal"),
+    LOADS((short)11, "loads");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -61,8 +65,12 @@
           return READ;
         case 8: // READ_AT
           return READ_AT;
-        case 9: // CRASHES
-          return CRASHES;
+        case 9: // DEATH
+          return DEATH;
+        case 10: // REFUSAL
+          return REFUSAL;
+        case 11: // LOADS
+          return LOADS;
         default:
           return null;
       }
@@ -124,8 +132,12 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.READ_AT, new org.apache.thrift.meta_data.FieldMetaData("readAt", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ReplyData.class)));
-    tmpMap.put(_Fields.CRASHES, new org.apache.thrift.meta_data.FieldMetaData("crashes", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CrashesData.class)));
+    tmpMap.put(_Fields.DEATH, new org.apache.thrift.meta_data.FieldMetaData("death", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, DeathData.class)));
+    tmpMap.put(_Fields.REFUSAL, new org.apache.thrift.meta_data.FieldMetaData("refusal", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RefusalData.class)));
+    tmpMap.put(_Fields.LOADS, new org.apache.thrift.meta_data.FieldMetaData("loads", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AllLoadsData.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RegistryBody.class, metaDataMap);
   }
@@ -194,9 +206,21 @@
     return x;
   }
 
-  public static RegistryBody crashes(CrashesData value) {
+  public static RegistryBody death(DeathData value) {
     RegistryBody x = new RegistryBody();
-    x.setCrashes(value);
+    x.setDeath(value);
+    return x;
+  }
+
+  public static RegistryBody refusal(RefusalData value) {
+    RegistryBody x = new RegistryBody();
+    x.setRefusal(value);
+    return x;
+  }
+
+  public static RegistryBody loads(AllLoadsData value) {
+    RegistryBody x = new RegistryBody();
+    x.setLoads(value);
     return x;
   }
 
@@ -244,11 +268,21 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type ReplyData for field 'readAt', but got " + value.getClass().getSimpleName());
-      case CRASHES:
-        if (value instanceof CrashesData) {
+      case DEATH:
+        if (value instanceof DeathData) {
           break;
         }
-        throw new java.lang.ClassCastException("Was expecting value of type CrashesData for field 'crashes', but got " + value.getClass().getSimpleName());
+        throw new java.lang.ClassCastException("Was expecting value of type DeathData for field 'death', but got " + value.getClass().getSimpleName());
+      case REFUSAL:
+        if (value instanceof RefusalData) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type RefusalData for field 'refusal', but got " + value.getClass().getSimpleName());
+      case LOADS:
+        if (value instanceof AllLoadsData) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type AllLoadsData for field 'loads', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -337,12 +371,32 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
-        case CRASHES:
-          if (field.type == CRASHES_FIELD_DESC.type) {
-            CrashesData crashes;
-            crashes = new CrashesData();
-            crashes.read(iprot);
-            return crashes;
+        case DEATH:
+          if (field.type == DEATH_FIELD_DESC.type) {
+            DeathData death;
+            death = new DeathData();
+            death.read(iprot);
+            return death;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case REFUSAL:
+          if (field.type == REFUSAL_FIELD_DESC.type) {
+            RefusalData refusal;
+            refusal = new RefusalData();
+            refusal.read(iprot);
+            return refusal;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case LOADS:
+          if (field.type == LOADS_FIELD_DESC.type) {
+            AllLoadsData loads;
+            loads = new AllLoadsData();
+            loads.read(iprot);
+            return loads;
           } else {
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
@@ -391,9 +445,17 @@
         ReplyData readAt = (ReplyData)value_;
         readAt.write(oprot);
         return;
-      case CRASHES:
-        CrashesData crashes = (CrashesData)value_;
-        crashes.write(oprot);
+      case DEATH:
+        DeathData death = (DeathData)value_;
+        death.write(oprot);
+        return;
+      case REFUSAL:
+        RefusalData refusal = (RefusalData)value_;
+        refusal.write(oprot);
+        return;
+      case LOADS:
+        AllLoadsData loads = (AllLoadsData)value_;
+        loads.write(oprot);
         return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
@@ -443,11 +505,21 @@
           readAt = new ReplyData();
           readAt.read(iprot);
           return readAt;
-        case CRASHES:
-          CrashesData crashes;
-          crashes = new CrashesData();
-          crashes.read(iprot);
-          return crashes;
+        case DEATH:
+          DeathData death;
+          death = new DeathData();
+          death.read(iprot);
+          return death;
+        case REFUSAL:
+          RefusalData refusal;
+          refusal = new RefusalData();
+          refusal.read(iprot);
+          return refusal;
+        case LOADS:
+          AllLoadsData loads;
+          loads = new AllLoadsData();
+          loads.read(iprot);
+          return loads;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -491,9 +563,17 @@
         ReplyData readAt = (ReplyData)value_;
         readAt.write(oprot);
         return;
-      case CRASHES:
-        CrashesData crashes = (CrashesData)value_;
-        crashes.write(oprot);
+      case DEATH:
+        DeathData death = (DeathData)value_;
+        death.write(oprot);
+        return;
+      case REFUSAL:
+        RefusalData refusal = (RefusalData)value_;
+        refusal.write(oprot);
+        return;
+      case LOADS:
+        AllLoadsData loads = (AllLoadsData)value_;
+        loads.write(oprot);
         return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
@@ -519,8 +599,12 @@
         return READ_FIELD_DESC;
       case READ_AT:
         return READ_AT_FIELD_DESC;
-      case CRASHES:
-        return CRASHES_FIELD_DESC;
+      case DEATH:
+        return DEATH_FIELD_DESC;
+      case REFUSAL:
+        return REFUSAL_FIELD_DESC;
+      case LOADS:
+        return LOADS_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -647,17 +731,43 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.READ_AT");
   }
 
-  public CrashesData getCrashes() {
-    if (getSetField() == _Fields.CRASHES) {
-      return (CrashesData)getFieldValue();
+  public DeathData getDeath() {
+    if (getSetField() == _Fields.DEATH) {
+      return (DeathData)getFieldValue();
     } else {
-      throw new java.lang.RuntimeException("Cannot get field 'crashes' because union is currently set to " + getFieldDesc(getSetField()).name);
+      throw new java.lang.RuntimeException("Cannot get field 'death' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
   }
 
-  public void setCrashes(CrashesData value) {
-    setField_ = _Fields.CRASHES;
-    value_ = java.util.Objects.requireNonNull(value,"_Fields.CRASHES");
+  public void setDeath(DeathData value) {
+    setField_ = _Fields.DEATH;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.DEATH");
+  }
+
+  public RefusalData getRefusal() {
+    if (getSetField() == _Fields.REFUSAL) {
+      return (RefusalData)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'refusal' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setRefusal(RefusalData value) {
+    setField_ = _Fields.REFUSAL;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.REFUSAL");
+  }
+
+  public AllLoadsData getLoads() {
+    if (getSetField() == _Fields.LOADS) {
+      return (AllLoadsData)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'loads' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setLoads(AllLoadsData value) {
+    setField_ = _Fields.LOADS;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.LOADS");
   }
 
   public boolean isSetEndpoints() {
@@ -700,8 +810,18 @@
   }
 
 
-  public boolean isSetCrashes() {
-    return setField_ == _Fields.CRASHES;
+  public boolean isSetDeath() {
+    return setField_ == _Fields.DEATH;
+  }
+
+
+  public boolean isSetRefusal() {
+    return setField_ == _Fields.REFUSAL;
+  }
+
+
+  public boolean isSetLoads() {
+    return setField_ == _Fields.LOADS;
   }
 
 
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
@@ -1,25 +1,32 @@
 package io.siskintrail.wire.registry;
 
+import io.siskintrail.internal.generation.Fingerprint;
 import io.siskintrail.internal.traffic.EndpointRecord;
 import io.siskintrail.internal.traffic.EndpointState;
+import io.siskintrail.internal.traffic.PlacedLoad;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.ServiceName;
 import io.siskintrail.wire.DeflatedText;
 import io.siskintrail.wire.ThriftCodec;
+import io.siskintrail.wire.gen.registry.AllLoadsData;
 import io.siskintrail.wire.gen.registry.CommandData;
 import io.siskintrail.wire.gen.registry.ContentData;
-import io.siskintrail.wire.gen.registry.CrashData;
-import io.siskintrail.wire.gen.registry.CrashesData;
+import io.siskintrail.wire.gen.registry.ContentHashData;
+import io.siskintrail.wire.gen.registry.DeathData;
 import io.siskintrail.wire.gen.registry.EndpointRecordData;
 import io.siskintrail.wire.gen.registry.EndpointRecordsData;
+import io.siskintrail.wire.gen.registry.LoadData;
+import io.siskintrail.wire.gen.registry.LoadsData;
+import io.siskintrail.wire.gen.registry.RefusalData;
 import io.siskintrail.wire.gen.registry.RegistryBody;
 import io.siskintrail.wire.gen.registry.ReplyData;
 import io.siskintrail.wire.gen.registry.StatusData;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.stream.Collectors;
 import org.apache.thrift.TException;
 
 /** Converts {@link RegistryMessage}s to bytes and back. */
@@ -74,9 +81,19 @@
         if (message instanceof RegistryMessage.ReadAt r) {
             return RegistryBody.readAt(new ReplyData(r.token(), r.index()));
         }
-        RegistryMessage.Crashes crashes = (RegistryMessage.Crashes) message;
-        return RegistryBody.crashes(
-                new CrashesData(crashes.crashes().stream().map(RegistryCodec::data).toList()));
+        if (message instanceof RegistryMessage.Death d) {
+            return RegistryBody.death(
+                    new DeathData(
+                            d.host().value(),
+                            d.endpoint().value(),
+                            d.running().stream().map(RegistryCodec::data).toList()));
+        }
+        if (message instanceof RegistryMessage.Refusal r) {
+            return RegistryBody.refusal(new RefusalData(data(r.content()), r.millis()));
+        }
+        RegistryMessage.Loads loads = (RegistryMessage.Loads) message;
+        return RegistryBody.loads(
+                new AllLoadsData(loads.hosts().stream().map(RegistryCodec::data).toList()));
     }
 
     private static RegistryMessage message(RegistryBody body) {
@@ -106,10 +123,15 @@
             case READ_AT ->
                     new RegistryMessage.ReadAt(
                             body.getReadAt().getToken(), body.getReadAt().getIndex());
-            case CRASHES ->
-                    new RegistryMessage.Crashes(
-                            body.getCrashes().getCrashes().stream()
-                                    .map(RegistryCodec::crash)
+            case DEATH -> death(body.getDeath());
+            case REFUSAL ->
+                    new RegistryMessage.Refusal(
+                            fingerprint(body.getRefusal().getContent()),
+                            body.getRefusal().getMillis());
+            case LOADS ->
+                    new RegistryMessage.Loads(
+                            body.getLoads().getHosts().stream()
+                                    .map(RegistryCodec::hostLoads)
                                     .toList());
         };
     }
@@ -152,12 +174,48 @@
                 states[d.getState()]);
     }
 
-    private static CrashData data(RegistryMessage.Crash c) {
-        return new CrashData(c.fingerprint(), c.endpoint().value(), c.incarnation());
+    private static RegistryMessage.Death death(DeathData d) {
+        return new RegistryMessage.Death(
+                new HostId(d.getHost()),
+                new EndpointId(d.getEndpoint()),
+                d.getRunning().stream()
+                        .map(RegistryCodec::fingerprint)
+                        .collect(Collectors.toUnmodifiableSet()));
+    }
+
+    private static ContentHashData data(Fingerprint f) {
+        return new ContentHashData(f.high(), f.low());
+    }
+
+    private static Fingerprint fingerprint(ContentHashData d) {
+        return new Fingerprint(d.getHigh(), d.getLow());
+    }
+
+    private static LoadsData data(RegistryMessage.HostLoads h) {
+        List<LoadData> loads =
+                h.loads().stream()
+                        .map(
+                                l ->
+                                        new LoadData(
+                                                l.endpoint().value(),
+                                                l.running(),
+                                                l.tokens(),
+                                                (int) l.prefillMillis()))
+                        .toList();
+        return new LoadsData(h.host().value(), loads);
     }
 
-    private static RegistryMessage.Crash crash(CrashData d) {
-        return new RegistryMessage.Crash(
-                d.getFingerprint(), new EndpointId(d.getEndpoint()), d.getIncarnation());
+    private static RegistryMessage.HostLoads hostLoads(LoadsData d) {
+        List<PlacedLoad> loads =
+                d.getLoads().stream()
+                        .map(
+                                l ->
+                                        new PlacedLoad(
+                                                new EndpointId(l.getEndpoint()),
+                                                l.getRunning(),
+                                                l.getTokens(),
+                                                l.getPrefillMillis()))
+                        .toList();
+        return new RegistryMessage.HostLoads(new HostId(d.getHost()), loads);
     }
 }
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
@@ -1,9 +1,12 @@
 package io.siskintrail.wire.registry;
 
+import io.siskintrail.internal.generation.Fingerprint;
 import io.siskintrail.internal.traffic.EndpointRecord;
+import io.siskintrail.internal.traffic.PlacedLoad;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
 import java.util.List;
+import java.util.Set;
 
 /** A message among registries, or between a registry and an edge. */
 public sealed interface RegistryMessage {
@@ -40,15 +43,27 @@
     /** Answers {@link Read}; the index is -1 when the receiver cannot tell. */
     record ReadAt(long token, long index) implements RegistryMessage {}
 
-    /** Tells of endpoints that ended while they ran a request. */
-    record Crashes(List<Crash> crashes) implements RegistryMessage {}
+    /** Tells what an edge had running on an endpoint that died. */
+    record Death(HostId host, EndpointId endpoint, Set<Fingerprint> running)
+            implements RegistryMessage {
+
+        /** Copies the set. */
+        public Death {
+            running = Set.copyOf(running);
+        }
+    }
+
+    /** Tells that requests with this content are refused for a while. */
+    record Refusal(Fingerprint content, long millis) implements RegistryMessage {}
+
+    /** Tells what edges have placed on endpoints; only the endpoints where that changed. */
+    record Loads(List<HostLoads> hosts) implements RegistryMessage {}
 
     /**
-     * The end of an endpoint during a request.
+     * What one edge has placed.
      *
-     * @param fingerprint a hash of the content of the request
-     * @param endpoint the endpoint that ended
-     * @param incarnation which start of it
+     * @param host the edge
+     * @param loads its loads
      */
-    record Crash(long fingerprint, EndpointId endpoint, long incarnation) {}
+    record HostLoads(HostId host, List<PlacedLoad> loads) {}
 }
--- a/siskintrail/src/io/siskintrail/internal/generation/Quarantine.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/Quarantine.java
@@ -47,6 +47,8 @@
             add(nowMillis, in.endpoint(), in.running());
         } else if (input instanceof QuarantineInput.Announced in) {
             impose(in.fingerprint(), nowMillis + in.millis());
+        } else if (input instanceof QuarantineInput.Succeeded in) {
+            deaths.forEach(death -> death.running.remove(in.fingerprint()));
         } else {
             tick(nowMillis);
         }
--- a/siskintrail/src/io/siskintrail/internal/generation/QuarantineInput.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/QuarantineInput.java
@@ -17,6 +17,9 @@
     /** Another router put a fingerprint under quarantine. */
     record Announced(Fingerprint fingerprint, long millis) implements QuarantineInput {}
 
+    /** A request with this content got a whole answer: it crashes nothing. */
+    record Succeeded(Fingerprint fingerprint) implements QuarantineInput {}
+
     /** Time passed. */
     record Tick() implements QuarantineInput {}
 }
--- a/siskintrail/src/io/siskintrail/internal/traffic/EventSplitter.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/EventSplitter.java
@@ -1,17 +1,20 @@
 package io.siskintrail.internal.traffic;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /** Cuts the bytes of an event stream into whole events. Not safe for use by several threads. */
 public final class EventSplitter {
     private static final String ID_FIELD = "id:";
 
+    private static final int INITIAL_BYTES = 256;
+
     private final int maxEventBytes;
-    private final ByteArrayOutputStream event = new ByteArrayOutputStream();
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private byte[] event = new byte[INITIAL_BYTES];
+    private int length;
+    private int lineStart;
     private long id = -1;
     private boolean damaged;
 
@@ -27,20 +30,18 @@
             if (damaged) {
                 return whole;
             }
-            event.write(b);
+            append(b);
             if (b == '\n') {
                 endLine(whole);
-            } else if (b != '\r') {
-                line.write(b);
             }
-            damaged |= event.size() > maxEventBytes;
+            damaged |= length > maxEventBytes;
         }
         return whole;
     }
 
     /** Returns whether bytes of an unfinished event are held. */
     public boolean isInsideEvent() {
-        return event.size() > 0;
+        return length > 0;
     }
 
     /** Returns whether an event was too long or had a malformed number; nothing follows then. */
@@ -48,14 +49,26 @@
         return damaged;
     }
 
+    private void append(byte b) {
+        if (length == event.length) {
+            event = Arrays.copyOf(event, 2 * length);
+        }
+        event[length++] = b;
+    }
+
     private void endLine(List<StreamEvent> whole) {
-        if (line.size() > 0) {
-            readField(line.toString(StandardCharsets.UTF_8));
-            line.reset();
+        int end = length - 1;
+        if (end > lineStart && event[end - 1] == '\r') {
+            end--;
+        }
+        if (end > lineStart) {
+            readField(new String(event, lineStart, end - lineStart, StandardCharsets.UTF_8));
+            lineStart = length;
             return;
         }
-        whole.add(new StreamEvent(id, event.toByteArray()));
-        event.reset();
+        whole.add(new StreamEvent(id, Arrays.copyOf(event, length)));
+        length = 0;
+        lineStart = 0;
         id = -1;
     }
 
--- a/siskintrail/src/io/siskintrail/internal/traffic/RouteTable.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/RouteTable.java
@@ -2,8 +2,10 @@
 
 import io.siskintrail.lib.ServiceName;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Finds routes, accounts and services of one configuration. Immutable; a lookup costs one hash for
@@ -13,12 +15,14 @@
     private final TrafficConfiguration configuration;
     private final Map<String, Map<String, Route>> byHost = new HashMap<>();
     private final Map<String, Account> byKey = new HashMap<>();
+    private final Set<ServiceName> routed = new HashSet<>();
     private final Map<ServiceName, ServiceSpec> services = new HashMap<>();
 
     /** Indexes a checked configuration. */
     public RouteTable(TrafficConfiguration configuration) {
         this.configuration = configuration;
         for (Route r : configuration.routes()) {
+            r.services().stream().filter(s -> s.weight() > 0).forEach(s -> routed.add(s.service()));
             byHost.computeIfAbsent(r.host(), h -> new HashMap<>()).put(r.pathPrefix(), r);
         }
         for (Account a : configuration.accounts()) {
@@ -69,6 +73,11 @@
         return byKey.get(key);
     }
 
+    /** Returns the services that a route leads to. */
+    public Set<ServiceName> routedServices() {
+        return routed;
+    }
+
     /** Returns the service {@code name}, null when the configuration has none. */
     public ServiceSpec service(ServiceName name) {
         return services.get(name);
--- a/siskintrail/src/io/siskintrail/internal/traffic/StreamPlacement.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/StreamPlacement.java
@@ -13,10 +13,10 @@
  * read.
  */
 public final class StreamPlacement {
-    /** Share of the memory of an engine that this host fills, so that nothing is preempted. */
+    /** Share of the memory of an engine that is filled, so that nothing is preempted. */
     private static final double MEMORY_SHARE = 0.85;
 
-    /** Time that each stream of this host on an engine counts for, in milliseconds. */
+    /** Time that each stream on an engine counts for, in milliseconds. */
     private static final double RUNNING_MILLIS = 60;
 
     /** Time that a stream may lose by staying in its failure domain, in milliseconds. */
@@ -62,12 +62,12 @@
         EndpointView best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (EndpointView e : endpoints) {
-            if (!usable(nowMillis, e) || !allowed.test(e) || !hasRoom(e, engine, tokens)) {
+            PlacedLoad load = e.total(nowMillis);
+            if (!usable(nowMillis, e) || !allowed.test(e) || !hasRoom(load, engine, tokens)) {
                 continue;
             }
-            double cost =
-                    cost(nowMillis, e)
-                            + (e.record().domain().equals(home) ? 0 : FOREIGN_DOMAIN_MILLIS);
+            boolean atHome = e.record().domain().equals(home);
+            double cost = cost(nowMillis, e, load) + (atHome ? 0 : FOREIGN_DOMAIN_MILLIS);
             if (cost < bestCost) {
                 best = e;
                 bestCost = cost;
@@ -89,11 +89,12 @@
         EndpointView best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (EndpointView e : endpoints) {
+            PlacedLoad load = e.total(nowMillis);
             boolean apart = !e.record().domain().equals(primary.record().domain());
-            if (!apart || !usable(nowMillis, e) || !hasRoom(e, engine, tokens)) {
+            if (!apart || !usable(nowMillis, e) || !hasRoom(load, engine, tokens)) {
                 continue;
             }
-            double cost = cost(nowMillis, e) + e.tokens() / TOKENS_PER_MILLI;
+            double cost = cost(nowMillis, e, load) + load.tokens() / TOKENS_PER_MILLI;
             if (cost < bestCost) {
                 best = e;
                 bestCost = cost;
@@ -108,14 +109,14 @@
         return alive && !e.health().isPaused(nowMillis);
     }
 
-    private static boolean hasRoom(EndpointView e, EngineSpec engine, long tokens) {
+    private static boolean hasRoom(PlacedLoad load, EngineSpec engine, long tokens) {
         return engine == null
-                || e.running() < engine.slots()
-                        && e.tokens() + tokens <= MEMORY_SHARE * engine.memoryTokens();
+                || load.running() < engine.slots()
+                        && load.tokens() + tokens <= MEMORY_SHARE * engine.memoryTokens();
     }
 
-    private double cost(long nowMillis, EndpointView e) {
-        double cost = e.prefillMillis(nowMillis) + RUNNING_MILLIS * e.running();
+    private double cost(long nowMillis, EndpointView e, PlacedLoad load) {
+        double cost = load.prefillMillis() + RUNNING_MILLIS * load.running();
         cost += FAILURE_MILLIS * e.health().failureShare(nowMillis);
         cost += JITTER_MILLIS * random.getAsDouble();
         boolean silent = e.record().state() == EndpointState.SILENT;
--- a/siskintrail/src/io/siskintrail/lib/ResultCode.java
+++ b/siskintrail/src/io/siskintrail/lib/ResultCode.java
@@ -108,6 +108,7 @@
     POSITION_LOST(7004, 409, "The rest of the very answer that the caller has a part of is lost."),
     REQUEST_QUARANTINED(7005, 422, "Requests with this content are refused for a while."),
     GENERATION_MOVED(7006, 503, "The answer goes on at another host; reconnect to get the rest."),
+    NOT_RUN_QUARANTINED(7007, 503, "Requests with this content end endpoints; it was not run."),
 
     // 8xxx: admission.
     NOT_RUN_SHUTTING_DOWN(8001, 503, "The host is stopping; the request was not run."),
