--- a/siskintrail.edge/src/io/siskintrail/edge/ForwardTerms.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/ForwardTerms.java
@@ -12,8 +12,7 @@
  * @param endpoint the endpoint that it is meant for; no other may run it
  * @param lastEventId the last event that the client has; -1 when it has none
  * @param copyAt {@code ip:port} of the endpoint that is to keep a copy of the memory; null for none
- * @param resumeFrom {@code ip:port} of the endpoint that keeps such a copy of an earlier attempt
- *     and is sent this one; null for none
+ * @param resumeFrom a copy of the memory of an earlier attempt to begin from; null for none
  * @param weightVersion the version that the answer was begun with; -1 when any will do
  */
 public record ForwardTerms(
@@ -23,5 +22,5 @@
         EndpointId endpoint,
         long lastEventId,
         String copyAt,
-        String resumeFrom,
+        CopySource resumeFrom,
         long weightVersion) {}
--- a/siskintrail.edge/src/io/siskintrail/edge/TrafficProtocol.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/TrafficProtocol.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.siskintrail.internal.traffic.TrafficConfiguration;
 import io.siskintrail.lib.Result;
+import java.util.Optional;
 
 /** Reads and writes requests and answers in the form of one platform. Thread-safe. */
 public interface TrafficProtocol {
@@ -27,4 +28,19 @@
 
     /** Returns the configuration in {@code content}, or why it cannot be used. */
     Result<TrafficConfiguration> readConfiguration(byte[] content);
+
+    /**
+     * Returns the order to copy the memory of a running request, as it grows, to another endpoint.
+     *
+     * @param address {@code ip:port} of the endpoint that runs it
+     * @param requestId the request
+     * @param to {@code ip:port} of the endpoint that is to keep the copy
+     */
+    EngineOrder copyRun(String address, String requestId, String to);
+
+    /** Returns the name of a copy from the answer to such an order, empty when it has none. */
+    Optional<String> readCopyName(byte[] body);
+
+    /** Returns the order to free a copy, for the endpoint at {@code address} that it came from. */
+    EngineOrder freeCopy(String address, String name);
 }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeParts.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeParts.java
@@ -190,6 +190,7 @@
         EndpointView view = endpoints.get(id);
         if (view != null && !view.health().isPaused(EventLoop.nowMillis())) {
             view.health().unreachable(EventLoop.nowMillis());
+            List.copyOf(open).forEach(s -> s.copyLost(view));
         }
     }
 
@@ -197,6 +198,7 @@
     void engineLost(EndpointView engine, String cause) {
         for (StreamExchange s : List.copyOf(open)) {
             s.engineLost(engine, cause);
+            s.copyLost(engine);
         }
     }
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -1,6 +1,7 @@
 package io.siskintrail.edge.internal;
 
 import io.netty.util.concurrent.Future;
+import io.siskintrail.edge.CopySource;
 import io.siskintrail.edge.ForwardTerms;
 import io.siskintrail.internal.traffic.EndpointView;
 import io.siskintrail.lib.Failure;
@@ -100,7 +101,7 @@
             EndpointView endpoint,
             long lastEventId,
             String copyAt,
-            String resumeFrom,
+            CopySource resumeFrom,
             long weightVersion) {
         ForwardTerms terms =
                 new ForwardTerms(
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.siskintrail.edge.CopySource;
 import io.siskintrail.edge.EndpointAnswer;
 import io.siskintrail.internal.generation.Fingerprint;
 import io.siskintrail.internal.traffic.EndpointView;
@@ -52,12 +53,17 @@
     private final Set<EndpointId> failed = new HashSet<>();
     private WaitingRoom.Waiting<Exchange> place;
     private StreamAttempt attempt;
+    private FollowUpCopy followUp;
+    private CopySource copied;
     private EndpointView resumeAt;
     private boolean begun;
     private boolean written;
     private boolean searching;
     private int sent;
     private int eventless;
+    private long deliveredAt;
+    private long firstMillis;
+    private long longestGap;
     private long lostAt;
     private long weightVersion = -1;
 
@@ -95,6 +101,7 @@
             edge.room(service).leave(place);
             place = null;
         }
+        stopFollowUp(true);
         if (attempt != null) {
             StreamAttempt last = attempt;
             attempt = null;
@@ -157,6 +164,23 @@
         }
     }
 
+    /** Begins another copy if the one of the stream was at {@code lostEngine}. */
+    void copyLost(EndpointView lostEngine) {
+        StreamAttempt a = attempt;
+        boolean followed = followUp != null && followUp.target() != lostEngine;
+        if (a == null || followed || a.engine() == lostEngine) {
+            return;
+        }
+        if (followUp != null || a.copy() == lostEngine) {
+            stopFollowUp(false);
+            EndpointView target = chooseCopy(EventLoop.nowMillis(), a.engine());
+            if (target != null) {
+                followUp = new FollowUpCopy(edge, call.requestId(), a.engine(), target, tokens);
+                followUp.start();
+            }
+        }
+    }
+
     /** Takes an event of an attempt. */
     void event(StreamAttempt from, StreamEvent event) {
         if (from != attempt) {
@@ -185,6 +209,7 @@
                             "rank=\"%d\"".formatted(call.rank()),
                             pause);
         }
+        noteGap();
         beginAnswer(from);
         caller.piece(event.bytes());
     }
@@ -195,13 +220,18 @@
             return;
         }
         attempt = null;
+        stopFollowUp(true);
         freed();
         EndpointAnswer said = from.said();
         if (said.isSuccess() && said.signed()) {
             from.engine().health().succeeded(EventLoop.nowMillis(), (long) from.expectedMillis());
             edge.quarantine().succeeded(call.fingerprint());
             beginAnswer(from);
-            end("answered", 0, "attempts=%d last=%d".formatted(sent, journal.lastId()));
+            end(
+                    "answered",
+                    0,
+                    "attempts=%d last=%d first_ms=%d gap_ms=%d"
+                            .formatted(sent, journal.lastId(), firstMillis, longestGap));
             caller.end();
             return;
         }
@@ -240,6 +270,17 @@
         return call.fingerprint();
     }
 
+    /** Notes the pause before an event, by which an answer is late. */
+    private void noteGap() {
+        long now = EventLoop.nowMillis();
+        if (begun) {
+            longestGap = Math.max(longestGap, now - deliveredAt);
+        } else {
+            firstMillis = now - call.arrivedAt();
+        }
+        deliveredAt = now;
+    }
+
     private EndpointView choose() {
         return edge.streams()
                 .choose(
@@ -263,7 +304,7 @@
         PrefillRate rate = edge.prefill(service);
         double expected = target.total(now).prefillMillis() + rate.firstEventMillis(unread);
         String copyAt = copy == null ? null : copy.record().address();
-        String resumeFrom = copyOf == null ? null : copyOf.record().address();
+        CopySource resumeFrom = copyOf == null ? null : copied;
         EndpointRequest request =
                 forward(target, journal.lastId(), copyAt, resumeFrom, weightVersion);
         sent++;
@@ -346,9 +387,10 @@
         boolean notRun = from.said() != null && from.said().notRun();
         written |= from.isWritten() && !notRun;
         logAttempt("stream.lost", from.engine(), cause);
-        if (from.copy() != null && from.isWritten() && !notRun) {
-            resumeAt = from.copy();
+        if (from.isWritten() && !notRun) {
+            rememberCopy(from);
         }
+        stopFollowUp(false);
         failed.add(from.engine().record().id());
         if (from.isWritten() && !from.hasEvents() && !notRun) {
             eventless++;
@@ -364,6 +406,24 @@
         goOn();
     }
 
+    /** Remembers where the memory of a lost attempt is kept. */
+    private void rememberCopy(StreamAttempt from) {
+        if (followUp != null && followUp.copied().isPresent()) {
+            resumeAt = followUp.target();
+            copied = followUp.copied().get();
+        } else if (from.copy() != null) {
+            resumeAt = from.copy();
+            copied = new CopySource(from.copy().record().address(), call.requestId());
+        }
+    }
+
+    private void stopFollowUp(boolean frees) {
+        if (followUp != null) {
+            followUp.stop(frees);
+            followUp = null;
+        }
+    }
+
     private void goOn() {
         searching = false;
         if (isOver() || attempt != null) {
