--- /dev/null
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/ConfigurationCheckTest.java
@@ -0,0 +1,95 @@
+package io.siskintrail.internal.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.siskintrail.lib.AccountId;
+import io.siskintrail.lib.Result;
+import io.siskintrail.lib.ServiceName;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** A configuration is accepted whole or not at all. */
+class ConfigurationCheckTest {
+    private static final ServiceName MODEL = new ServiceName("model");
+    private static final ServiceName OTHER = new ServiceName("other");
+
+    record Case(String name, TrafficConfiguration configuration, String fault) {}
+
+    static Stream<Case> cases() {
+        Route good = route("r1", "/a/", 1_000, new WeightedService(MODEL, 1));
+        return Stream.of(
+                new Case("sound", with(5, List.of(good)), null),
+                new Case("no version", with(0, List.of(good)), "version"),
+                new Case(
+                        "unknown service",
+                        with(5, List.of(route("r", "/a/", 1, new WeightedService(OTHER, 1)))),
+                        "unknown service"),
+                new Case(
+                        "no weight",
+                        with(5, List.of(route("r", "/a/", 1, new WeightedService(MODEL, 0)))),
+                        "weight"),
+                new Case(
+                        "no timeout",
+                        with(5, List.of(route("r", "/a/", 0, new WeightedService(MODEL, 1)))),
+                        "timeout"),
+                new Case(
+                        "same place",
+                        with(
+                                5,
+                                List.of(
+                                        good,
+                                        route("r2", "/a/", 1, new WeightedService(MODEL, 1)))),
+                        "two routes"),
+                new Case("shared key", shared(), "share a key"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("cases")
+    void faultIsFound(Case c) {
+        Result<TrafficConfiguration> checked = ConfigurationCheck.check(c.configuration());
+
+        if (c.fault() == null) {
+            assertThat(checked).isInstanceOf(Result.Ok.class);
+        } else {
+            assertThat(((Result.Err<?>) checked).failure().detail()).contains(c.fault());
+        }
+    }
+
+    private static TrafficConfiguration shared() {
+        return new TrafficConfiguration(
+                5,
+                List.of(),
+                List.of(),
+                ClientLimits.DEFAULT,
+                List.of(
+                        new Account(new AccountId("a"), List.of("k1", "k2"), null),
+                        new Account(new AccountId("b"), List.of("k2"), null)));
+    }
+
+    private static TrafficConfiguration with(long version, List<Route> routes) {
+        return new TrafficConfiguration(
+                version,
+                routes,
+                List.of(new ServiceSpec(MODEL, "/health", 10, null)),
+                ClientLimits.DEFAULT,
+                List.of());
+    }
+
+    static Route route(String name, String prefix, long timeout, WeightedService... services) {
+        return new Route(
+                name,
+                "host.example",
+                prefix,
+                RouteKind.IDEMPOTENT,
+                List.of(services),
+                timeout,
+                100,
+                0,
+                0,
+                2,
+                false,
+                false);
+    }
+}
--- /dev/null
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/EndpointDirectoryTest.java
@@ -0,0 +1,100 @@
+package io.siskintrail.internal.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+import static io.siskintrail.internal.traffic.EndpointState.DRAINING;
+import static io.siskintrail.internal.traffic.EndpointState.GONE;
+import static io.siskintrail.internal.traffic.EndpointState.READY;
+import static io.siskintrail.internal.traffic.EndpointState.SILENT;
+
+import io.siskintrail.lib.EndpointId;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What is known of endpoints does not depend on the order in which reports come. */
+class EndpointDirectoryTest {
+    private static final long SILENT_AFTER = 5_000;
+    private static final long FORGET_AFTER = 60_000;
+
+    private final EndpointDirectory directory = new EndpointDirectory(SILENT_AFTER, FORGET_AFTER);
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void anyOrderOfReportsEndsAlike(long seed) {
+        List<EndpointRecord> reports =
+                new ArrayList<>(
+                        List.of(
+                                record("a", 10, 1, "h1:1", READY),
+                                record("a", 10, 7, "h1:1", DRAINING),
+                                record("a", 10, 8, "h1:1", GONE),
+                                record("a", 20, 1, "h1:1", READY),
+                                record("b", 15, 4, "h2:1", READY),
+                                record("b", 15, 9, "h2:1", DRAINING)));
+        Collections.shuffle(reports, new Random(seed));
+
+        reports.forEach(r -> directory.report(r, 100));
+
+        assertThat(directory.get(new EndpointId("a")).incarnation()).isEqualTo(20);
+        assertThat(directory.get(new EndpointId("a")).state()).isEqualTo(READY);
+        assertThat(directory.get(new EndpointId("b")).state()).isEqualTo(DRAINING);
+    }
+
+    @Test
+    void lateReportOfAnEndedIncarnationChangesNothing() {
+        directory.report(record("a", 10, 5, "h1:1", GONE), 100);
+
+        assertThat(directory.report(record("a", 10, 9, "h1:1", READY), 200)).isEmpty();
+        assertThat(directory.get(new EndpointId("a")).state()).isEqualTo(GONE);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void addressBelongsToWhoStartedLast(boolean newerFirst) {
+        EndpointRecord older = record("old", 10, 5, "h1:1", READY);
+        EndpointRecord newer = record("new", 20, 1, "h1:1", READY);
+
+        directory.report(newerFirst ? newer : older, 100);
+        directory.report(newerFirst ? older : newer, 200);
+
+        assertThat(directory.get(new EndpointId("new")).state()).isEqualTo(READY);
+        EndpointRecord left = directory.get(new EndpointId("old"));
+        assertThat(left == null || left.state() == GONE).isTrue();
+    }
+
+    @Test
+    void renewalIsNoChange() {
+        assertThat(directory.report(record("a", 10, 1, "h1:1", READY), 0)).hasSize(1);
+        assertThat(directory.report(record("a", 10, 2, "h1:1", READY), 1_000)).isEmpty();
+        assertThat(directory.expire(SILENT_AFTER + 500)).isEmpty();
+    }
+
+    @Test
+    void silentEndpointComesBackWithItsNextReport() {
+        directory.report(record("a", 10, 1, "h1:1", READY), 0);
+
+        assertThat(directory.expire(SILENT_AFTER + 1)).hasSize(1);
+        assertThat(directory.get(new EndpointId("a")).state()).isEqualTo(SILENT);
+        assertThat(directory.report(record("a", 10, 2, "h1:1", READY), SILENT_AFTER + 2))
+                .hasSize(1);
+    }
+
+    @Test
+    void leaveWithoutAnIncarnationEndsTheKnownOne() {
+        directory.report(record("a", 10, 1, "h1:1", READY), 0);
+
+        directory.report(record("a", 0, 0, "h1:1", GONE), 10);
+
+        assertThat(directory.get(new EndpointId("a")).state()).isEqualTo(GONE);
+        directory.report(record("a", 30, 1, "h1:1", READY), 20);
+        assertThat(directory.get(new EndpointId("a")).state()).isEqualTo(READY);
+    }
+
+    private static EndpointRecord record(
+            String id, long incarnation, long sequence, String address, EndpointState state) {
+        return Records.at(id, incarnation, sequence, address, "a", state);
+    }
+}
--- /dev/null
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/SilenceRuleTest.java
@@ -0,0 +1,41 @@
+package io.siskintrail.internal.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.siskintrail.internal.traffic.SilenceRule.Probe;
+import io.siskintrail.internal.traffic.SilenceRule.Verdict;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Replays what a stream sees of an engine that is slow, dark or hangs. */
+class SilenceRuleTest {
+    private static final long TARGET_GAP = 700;
+    private final SilenceRule rule = new SilenceRule(TARGET_GAP);
+
+    @ParameterizedTest(name = "stream {0} ms, engine {1} ms, probe {2}: {3}")
+    @CsvSource({
+        "100, 100, NONE, WAIT",
+        "190, 190, NONE, WAIT",
+        "200, 200, NONE, PROBE",
+        "250, 250, SENT, WAIT",
+        "350, 350, SENT, ENGINE_SILENT",
+        "400, 400, ANSWERED, WAIT",
+        "630, 630, ANSWERED, ENGINE_SILENT",
+        "1000, 50, NONE, WAIT",
+        "1400, 50, NONE, STREAM_SILENT",
+    })
+    void pauseBetweenEvents(long stream, long engine, Probe probe, Verdict expected) {
+        assertThat(rule.between(stream, engine, probe)).isEqualTo(expected);
+    }
+
+    @ParameterizedTest(name = "sent {0} ms ago, engine {1} ms, expected {2} ms: {3}")
+    @CsvSource({
+        "400, 400, 1000, WAIT",
+        "600, 600, 1000, PROBE",
+        "600, 100, 1000, WAIT",
+        "4600, 100, 1000, STREAM_SILENT",
+    })
+    void firstEventIsAwaited(long sent, long engine, double expectedMillis, Verdict expected) {
+        assertThat(rule.beforeFirst(sent, engine, expectedMillis)).isEqualTo(expected);
+    }
+}
--- /dev/null
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/StreamJournalTest.java
@@ -0,0 +1,36 @@
+package io.siskintrail.internal.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+import static io.siskintrail.internal.traffic.StreamJournal.Verdict.DELIVER;
+import static io.siskintrail.internal.traffic.StreamJournal.Verdict.GAP;
+import static io.siskintrail.internal.traffic.StreamJournal.Verdict.REPEATED;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A client gets each event once and in order, whatever attempts repeat or leave out. */
+class StreamJournalTest {
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 1, 12})
+    void repeatsAreDroppedAndGapsAreSeen(long first) {
+        StreamJournal journal = new StreamJournal(-1);
+
+        assertThat(journal.take(first)).isEqualTo(DELIVER);
+        assertThat(journal.take(first + 1)).isEqualTo(DELIVER);
+        assertThat(journal.take(first)).isEqualTo(REPEATED);
+        assertThat(journal.take(first + 3)).isEqualTo(GAP);
+        assertThat(journal.take(first + 2)).isEqualTo(DELIVER);
+        assertThat(journal.lastId()).isEqualTo(first + 2);
+    }
+
+    @Test
+    void clientThatComesBackGetsTheRest() {
+        StreamJournal journal = new StreamJournal(12);
+
+        assertThat(journal.take(12)).isEqualTo(REPEATED);
+        assertThat(journal.take(14)).isEqualTo(GAP);
+        assertThat(journal.take(13)).isEqualTo(DELIVER);
+    }
+}
--- a/siskintrail/src/io/siskintrail/internal/traffic/CallPlacement.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CallPlacement.java
@@ -19,8 +19,11 @@
     /** Time that an endpoint counts as slower when the registry hears nothing of it. */
     private static final double SILENT_MILLIS = 400;
 
-    /** How much a share of failures of 1 adds, as a multiple of the latency. */
-    private static final double FAILURE_FACTOR = 12;
+    /**
+     * How much a share of failures that is 1 above that of the other endpoints adds, as a multiple
+     * of the latency. The share is squared, so that a single failure is soon forgiven.
+     */
+    private static final double FAILURE_FACTOR = 24;
 
     private final FailureDomain home;
 
@@ -39,11 +42,12 @@
             long nowMillis, Collection<EndpointView> endpoints, Predicate<EndpointView> allowed) {
         EndpointView best = null;
         double bestCost = Double.POSITIVE_INFINITY;
+        Failures failures = new Failures(nowMillis, endpoints);
         for (EndpointView e : endpoints) {
             if (!usable(e) || !allowed.test(e)) {
                 continue;
             }
-            double cost = cost(nowMillis, e);
+            double cost = cost(nowMillis, e, failures.excess(nowMillis, e));
             if (cost < bestCost) {
                 best = e;
                 bestCost = cost;
@@ -57,10 +61,10 @@
         return state == EndpointState.READY || state == EndpointState.SILENT;
     }
 
-    private double cost(long nowMillis, EndpointView e) {
+    private double cost(long nowMillis, EndpointView e, double excess) {
         double latency = e.health().latencyMillis(UNKNOWN_LATENCY_MILLIS);
         double load = 1 + (double) e.running() / Math.max(1, e.record().slots());
-        double failing = 1 + FAILURE_FACTOR * e.health().failureShare(nowMillis);
+        double failing = 1 + FAILURE_FACTOR * excess * excess;
         double cost = latency * load * failing;
         if (!e.record().domain().equals(home)) {
             cost += FOREIGN_DOMAIN_MILLIS;
@@ -71,4 +75,26 @@
         long paused = e.health().pausedUntil() - nowMillis;
         return e.health().isPaused(nowMillis) ? cost + SILENT_MILLIS + paused : cost;
     }
+
+    /** The failures of the usable endpoints of a service: some calls fail wherever they go. */
+    private static final class Failures {
+        private double sum;
+        private int count;
+
+        Failures(long nowMillis, Collection<EndpointView> endpoints) {
+            for (EndpointView e : endpoints) {
+                if (usable(e)) {
+                    sum += e.health().failureShare(nowMillis);
+                    count++;
+                }
+            }
+        }
+
+        /** Returns by how much more of its calls {@code e} fails than the others do. */
+        double excess(long nowMillis, EndpointView e) {
+            double own = e.health().failureShare(nowMillis);
+            double others = count > 1 ? (sum - own) / (count - 1) : 0;
+            return Math.max(0, own - others);
+        }
+    }
 }
--- a/siskintrail/src/io/siskintrail/internal/traffic/HealthMeter.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/HealthMeter.java
@@ -8,7 +8,7 @@
  */
 public final class HealthMeter {
     /** How long what was seen counts, in milliseconds; about the time of a few probes a second. */
-    private static final double MEMORY_MILLIS = 4_000;
+    private static final double MEMORY_MILLIS = 3_000;
 
     /** The first pause after an endpoint could not be reached, in milliseconds. */
     private static final long FIRST_PAUSE_MILLIS = 250;
