--- /dev/null
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/BoundaryTest.java
@@ -0,0 +1,98 @@
+package io.siskintrail.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Names of the platform stand in its folder only, and nothing in that folder decides. */
+class BoundaryTest {
+    private static final Path ROOT = Path.of(System.getProperty("siskintrail.root"));
+    private static final Path PLATFORM = ROOT.resolve("platform");
+    private static final int MOST_LINES = 900;
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X-Replica",
+                "X-Not-Executed",
+                "X-Expect-",
+                "X-Request-Deadline",
+                "X-Kv-",
+                "Kv-From",
+                "X-Tenant",
+                "X-Token-Usage",
+                "X-Prompt-Prefix",
+                "SISKINTRAIL_SETTINGS",
+                "/api/config",
+                "/api/replicas",
+                "/api/kv-",
+                "io.siskintrail.platform"
+            })
+    void nameStandsInThePlatformFolderOnly(String name) {
+        List<Path> outside =
+                sources(ROOT)
+                        .filter(p -> !p.startsWith(PLATFORM))
+                        .filter(p -> !p.toString().contains(".test"))
+                        .filter(p -> read(p).contains(name))
+                        .toList();
+
+        assertThat(outside).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Placement",
+                "WaitingRoom",
+                "SilenceRule",
+                "RetryBudget",
+                "HealthMeter",
+                "EndpointDirectory",
+                "RouteTable",
+                "StreamJournal",
+                "internal.consensus",
+                "edge.internal",
+                "registry.internal"
+            })
+    void platformUsesNoDecision(String decision) {
+        List<Path> inside = sources(PLATFORM).filter(p -> read(p).contains(decision)).toList();
+
+        assertThat(inside).isEmpty();
+    }
+
+    @Test
+    void platformStaysSmall() {
+        long lines = sources(PLATFORM).mapToLong(p -> read(p).lines().count()).sum();
+
+        assertThat(lines).isAtMost(MOST_LINES);
+        assertThat(lines).isAtLeast(1);
+    }
+
+    private static Stream<Path> sources(Path folder) {
+        try (Stream<Path> all = Files.walk(folder)) {
+            return all
+                    .filter(p -> p.toString().endsWith(".java"))
+                    .filter(p -> !p.toString().contains("/target/"))
+                    .toList()
+                    .stream();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
