--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -157,7 +157,7 @@
     @Override
     public void endpoints(List<EndpointRecord> records) {
         if (endpoints.told(records)) {
-            parts.placeWaiting();
+            parts.placeWaitingSoon();
         }
     }
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeParts.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeParts.java
@@ -31,6 +31,9 @@
     /** Starts a second that a service is assumed to allow before any end was seen. */
     private static final double INITIAL_STARTS_PER_SECOND = 4;
 
+    /** Time over which edges spread what they place on an engine that came back. */
+    private static final long SPREAD_MILLIS = 150;
+
     private final EventLoop loop;
     private final TrafficProtocol protocol;
     private final EndpointPool pool;
@@ -146,17 +149,23 @@
         rooms.values().forEach(this::placeWaiting);
     }
 
+    /**
+     * Places the first that waits. One at a time: other edges do the same at the same moment, and
+     * what they placed is known a moment later.
+     */
     private void placeWaiting(WaitingRoom<Exchange> room) {
         room.removeHopeless(EventLoop.nowMillis()).forEach(Exchange::timeUp);
-        while (room.first() != null) {
-            Exchange first = room.first();
-            if (!first.placeWaiting()) {
-                return;
-            }
+        Exchange first = room.first();
+        if (first != null && first.placeWaiting()) {
             room.removeFirst();
         }
     }
 
+    /** Places requests that wait after a random moment, since all edges learn of room at once. */
+    void placeWaitingSoon() {
+        loop.after(random.nextLong(SPREAD_MILLIS), this::placeWaiting);
+    }
+
     /** Remembers an exchange until it ends. */
     void add(Exchange exchange) {
         if (exchange instanceof StreamExchange s) {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -34,6 +34,9 @@
     /** Pause before a stream without an engine looks for one again. */
     private static final long RETRY_MILLIS = 50;
 
+    /** Share of the target latency that prompts before a request may take on its engine. */
+    private static final double PREFILL_SHARE = 0.3;
+
     /** Share of the target latency that a request waits for room at most. */
     private static final double WAIT_SHARE = 0.5;
 
@@ -288,6 +291,7 @@
                         edge.endpoints().of(service),
                         engine,
                         tokens,
+                        (long) (PREFILL_SHARE * call.route().targetLatencyMillis()),
                         e -> !failed.contains(e.record().id()));
     }
 
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/PlacementTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/PlacementTest.java
@@ -21,6 +21,7 @@
     private static final EngineSpec ENGINE = new EngineSpec(64, 88_000, 6, true, 4_000);
     private static final long TOKENS = 9_000;
     private static final long PROMPT_MILLIS = 1_000;
+    private static final long MAX_PREFILL = 100_000;
     private static final HostId ELSEWHERE = new HostId("h2");
 
     private final List<EndpointView> engines = new ArrayList<>();
@@ -67,6 +68,22 @@
         assertThat(placed).isAtLeast(8);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1_200, 3_000})
+    void burstDoesNotPileUpOnTheFirstEngineThatComesBack(long maxPrefill) {
+        addEngines("a", 1);
+        int placed = 0;
+        EndpointView best = engines.get(0);
+        while (best != null) {
+            place(best, 1_000);
+            placed++;
+            best = streams.choose(1_000, engines, ENGINE, 1_000, maxPrefill, e -> true);
+        }
+
+        assertThat(placed * PROMPT_MILLIS).isAtMost(maxPrefill + PROMPT_MILLIS);
+        assertThat(placed).isAtLeast(2);
+    }
+
     static Stream<EndpointState> unusable() {
         return Stream.of(EndpointState.DRAINING, EndpointState.GONE);
     }
@@ -133,7 +150,7 @@
     }
 
     private EndpointView choose(long now) {
-        return streams.choose(now, engines, ENGINE, TOKENS, e -> true);
+        return streams.choose(now, engines, ENGINE, TOKENS, MAX_PREFILL, e -> true);
     }
 
     private static void place(EndpointView e, long now) {
--- a/siskintrail/src/io/siskintrail/internal/traffic/StreamPlacement.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/StreamPlacement.java
@@ -51,6 +51,9 @@
      * Returns the best engine with room for {@code tokens}, null when there is none.
      *
      * @param engine the figures of the engines; null when the service has none
+     * @param maxPrefillMillis the longest time that prompts before this one may still take; a
+     *     request that finds no such engine waits for one, so that a burst does not pile up on the
+     *     first engine that comes back
      * @param allowed false for engines that must not be used
      */
     public EndpointView choose(
@@ -58,6 +61,7 @@
             Collection<EndpointView> endpoints,
             EngineSpec engine,
             long tokens,
+            long maxPrefillMillis,
             Predicate<EndpointView> allowed) {
         EndpointView best = null;
         double bestCost = Double.POSITIVE_INFINITY;
@@ -66,6 +70,9 @@
             if (!usable(nowMillis, e) || !allowed.test(e) || !hasRoom(load, engine, tokens)) {
                 continue;
             }
+            if (load.prefillMillis() > maxPrefillMillis) {
+                continue;
+            }
             boolean atHome = e.record().domain().equals(home);
             double cost = cost(nowMillis, e, load) + (atHome ? 0 : FOREIGN_DOMAIN_MILLIS);
             if (cost < bestCost) {
