--- a/siskintrail.platform.test/tst/io/siskintrail/platform/StandIn.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/StandIn.java
@@ -68,7 +68,8 @@
     /** Returns a signed answer with a length. */
     static byte[] signed(Seen request, int status, String extraHeaders, String body) {
         String head =
-                "HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Replica-Signature: s\r\n%sContent-Length: %d\r\n\r\n"
+                "HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Replica-Signature: s\r\n"
+                        .concat("%sContent-Length: %d\r\n\r\n")
                         .formatted(
                                 status,
                                 request.header("X-Request-Id"),
