--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
@@ -24,8 +24,8 @@
              {"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe",
               "timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":"app","maxAttempts":2},
              {"name":"gen","host":"h.example","pathPrefix":"/gen/","kind":"streaming",
-              "timeoutMs":9000,"targetLatencyMs":4000,"priority":0,"service":"llm","maxAttempts":5,"resumable":true,
-              "targetGapMs":700}],
+              "timeoutMs":9000,"targetLatencyMs":4000,"priority":0,"service":"llm",
+              "maxAttempts":5,"resumable":true,"targetGapMs":700}],
              "services":[{"name":"app"},{"name":"llm","engine":{"slots":4,"kvCapacityTokens":88000,
               "stride":6,"backups":true,"handleS":4.0}}],
              "tenants":[{"name":"acme","apiKeys":["key-1"]}]}
