--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -40,8 +40,17 @@
     /** Share of the target latency that a request waits for room at most. */
     private static final double WAIT_SHARE = 0.5;
 
-    /** Pause after an attempt that failed without an event, doubled with each further one. */
-    private static final long EVENTLESS_MILLIS = 50;
+    /** Attempts beyond those that ran: refused ones, and ones that reached nobody. */
+    private static final int MAX_REFUSALS = 12;
+
+    /** Age from which an attempt may have a copy: engines send parts a few times a second. */
+    private static final long COPY_MILLIS = 250;
+
+    /** Attempts without an event that follow each other at once; a copy may be missing. */
+    private static final int QUICK_RETRIES = 2;
+
+    /** Pause after further attempts that failed without an event, doubled with each one. */
+    private static final long EVENTLESS_MILLIS = 25;
 
     private static final int MAX_DOUBLINGS = 4;
 
@@ -60,9 +69,9 @@
     private CopySource copied;
     private EndpointView resumeAt;
     private boolean begun;
-    private boolean written;
     private boolean searching;
     private int sent;
+    private int ran;
     private int eventless;
     private long deliveredAt;
     private long firstMillis;
@@ -120,7 +129,7 @@
         }
         if (begun) {
             breakOff("time is over");
-        } else if (written) {
+        } else if (ran > 0) {
             refuse(ResultCode.CALL_TIMED_OUT, "attempts=%d".formatted(sent), 0);
         } else {
             refuse(ResultCode.NOT_RUN_NO_ROOM, "waited for room", ABSENT_RETRY_MILLIS);
@@ -248,6 +257,7 @@
         }
         from.engine().health().failed(EventLoop.nowMillis());
         edge.quarantine().broken(from.engine(), call.fingerprint());
+        failed.add(from.engine().record().id());
         resume(from, cause);
     }
 
@@ -256,7 +266,7 @@
         if (from != attempt) {
             return;
         }
-        sent--;
+        failed.add(from.engine().record().id());
         edge.engineSilent(from.engine(), "not connected: " + cause);
         if (attempt == from) {
             resume(from, cause);
@@ -362,6 +372,7 @@
             resume(from, "no copy: " + cause);
             return;
         }
+        failed.add(from.engine().record().id());
         from.engine().health().failed(EventLoop.nowMillis());
         boolean final4xx = said.signed() && !said.notRun() && said.status() < SERVER_ERROR;
         if (final4xx && !begun) {
@@ -369,13 +380,11 @@
             caller.answer(said.status(), from.headers(), from.errorBody());
             return;
         }
-        if (!said.notRun()) {
-            written = true;
-        }
         resume(from, cause);
     }
 
     private void lost(StreamAttempt from, String cause) {
+        failed.add(from.engine().record().id());
         from.engine().health().failed(EventLoop.nowMillis());
         from.stop();
         resume(from, cause);
@@ -388,26 +397,24 @@
         if (lostAt == 0) {
             lostAt = EventLoop.nowMillis();
         }
-        boolean notRun = from.said() != null && from.said().notRun();
-        written |= from.isWritten() && !notRun;
         logAttempt("stream.lost", from.engine(), cause);
-        if (from.isWritten() && !notRun) {
+        boolean mayHaveRun = from.isWritten() && !(from.said() != null && from.said().notRun());
+        if (mayHaveRun) {
+            ran++;
             rememberCopy(from);
         }
         stopFollowUp(false);
-        failed.add(from.engine().record().id());
-        if (from.isWritten() && !from.hasEvents() && !notRun) {
+        if (!from.hasEvents()) {
             eventless++;
         }
-        if (!call.route().resumable() && written) {
+        if (ran > 0 && !call.route().resumable()) {
             giveUp("the route does not allow to go on");
-            return;
-        }
-        if (eventless > 1) {
-            edge.loop().after(EVENTLESS_MILLIS << Math.min(eventless, MAX_DOUBLINGS), this::goOn);
-            return;
+        } else if (eventless > QUICK_RETRIES) {
+            int doublings = Math.min(eventless - QUICK_RETRIES, MAX_DOUBLINGS);
+            edge.loop().after(EVENTLESS_MILLIS << doublings, this::goOn);
+        } else {
+            goOn();
         }
-        goOn();
     }
 
     /** Remembers where the memory of a lost attempt is kept. */
@@ -415,7 +422,7 @@
         if (followUp != null && followUp.copied().isPresent()) {
             resumeAt = followUp.target();
             copied = followUp.copied().get();
-        } else if (from.copy() != null) {
+        } else if (from.copy() != null && from.ageMillis() > COPY_MILLIS) {
             resumeAt = from.copy();
             copied = new CopySource(from.copy().record().address(), call.requestId());
         }
@@ -437,7 +444,8 @@
             giveUp("the content ended endpoints");
             return;
         }
-        if (sent >= call.route().maxAttempts()) {
+        int attempts = call.route().maxAttempts();
+        if (ran >= attempts || sent >= attempts + MAX_REFUSALS) {
             giveUp("no attempts left");
             return;
         }
@@ -479,7 +487,7 @@
     private void giveUp(String detail) {
         if (begun) {
             breakOff(detail);
-        } else if (written) {
+        } else if (ran > 0) {
             refuse(ResultCode.ATTEMPTS_EXHAUSTED, detail, 0);
         } else {
             refuse(ResultCode.NOT_RUN_UNREACHABLE, detail, ABSENT_RETRY_MILLIS);
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
@@ -219,6 +219,44 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 4})
+    void refusalsOfEnginesUseUpNoAttempts(int refusals) throws Exception {
+        try (StandIn first =
+                        new StandIn(
+                                (n, r, out) -> n == 1 ? stream(r, out, 1, 2, true) : refuse(out));
+                StandIn second =
+                        new StandIn(
+                                (n, r, out) ->
+                                        n <= refusals
+                                                ? refuse(out)
+                                                : stream(r, out, 3, 4, false))) {
+            system.register("e1", "llm", first.address(), "a");
+            system.awaitServing("app");
+            Thread late = new Thread(() -> registerLate(second), "late");
+            late.start();
+
+            String answer = system.raw(request("POST", "/gen/x", "key-1", "p"));
+
+            late.join();
+            assertThat(answer).startsWith("HTTP/1.1 200");
+            assertThat(unchunked(answer)).endsWith("id: 4\ndata: t4\n\n");
+        }
+    }
+
+    private static boolean refuse(OutputStream out) throws IOException {
+        out.write(text("HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+        return true;
+    }
+
+    private void registerLate(StandIn second) {
+        try {
+            system.register("e2", "llm", second.address(), "b");
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @Test
     void acknowledgedConfigurationIsReadBack() throws Exception {
         system.configure(CONFIGURATION.formatted(9));
