Make each registry known to all others

For 15 s the log had a voter that was gone; then two disks were lost and no majority was left. Registries now tell each other whom they know every 400 ms.

--- /dev/null
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryAcquaintanceTest.java
@@ -0,0 +1,119 @@
+package io.siskintrail.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.siskintrail.lib.HostId;
+import io.siskintrail.net.EventLoop;
+import io.siskintrail.net.Identity;
+import io.siskintrail.net.Link;
+import io.siskintrail.net.LinkDialer;
+import io.siskintrail.net.LinkListener;
+import io.siskintrail.net.PeerRole;
+import io.siskintrail.registry.RegistryService;
+import io.siskintrail.registry.RegistrySettings;
+import io.siskintrail.wire.MessageKind;
+import io.siskintrail.wire.registry.RegistryCodec;
+import io.siskintrail.wire.registry.RegistryMessage;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A registry that knows one other becomes known to all, so that whichever leads can take it in. */
+class RegistryAcquaintanceTest {
+    private static final long LIMIT_SECONDS = 60;
+
+    @TempDir Path folder;
+    private final List<RegistryService> registries = new ArrayList<>();
+    private final EventLoop loop = new EventLoop("test");
+    private final int links = freePort();
+    private final int calls = freePort();
+    private final int metrics = freePort();
+
+    @AfterEach
+    void stop() {
+        registries.forEach(RegistryService::stop);
+        loop.stop();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void newcomerIsKnownToAll(int asked) throws Exception {
+        List<String> founders = List.of(call(1), call(2), call(3));
+        for (int i = 1; i <= 3; i++) {
+            start(i, founders, true);
+        }
+        start(4, List.of(call(1)), false);
+
+        assertThat(hearsOf(asked, new HostId(ip(4) + ":" + links))).isTrue();
+    }
+
+    private boolean hearsOf(int registry, HostId newcomer) throws InterruptedException {
+        CountDownLatch heard = new CountDownLatch(1);
+        LinkDialer dialer =
+                new LinkDialer(
+                        loop,
+                        new Identity(PeerRole.EDGE, new HostId("test-edge")),
+                        new HostId(ip(registry) + ":" + links),
+                        new LinkListener() {
+                            @Override
+                            public void opened(Link link) {}
+
+                            @Override
+                            public void received(Link link, MessageKind kind, byte[] body) {
+                                if (RegistryCodec.decode(body) instanceof RegistryMessage.Status s
+                                        && s.registries().contains(newcomer)) {
+                                    heard.countDown();
+                                }
+                            }
+
+                            @Override
+                            public void closed(Link link) {}
+                        });
+        dialer.start();
+        return heard.await(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private void start(int number, List<String> seeds, boolean founding) {
+        RegistryService registry =
+                new RegistryService(
+                        new RegistrySettings(
+                                "core-" + number,
+                                "d" + number,
+                                ip(number),
+                                call(number),
+                                links,
+                                metrics,
+                                seeds,
+                                founding,
+                                folder.resolve("data-" + number).toString(),
+                                1_000,
+                                1),
+                        new PlatformRegistryProtocol());
+        registry.start();
+        registries.add(registry);
+    }
+
+    private String call(int number) {
+        return ip(number) + ":" + calls;
+    }
+
+    private static String ip(int number) {
+        return "127.0.0." + number;
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        } catch (java.io.IOException e) {
+            throw new IllegalStateException("no free port", e);
+        }
+    }
+}
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -34,6 +34,10 @@
 
     private static final long STATUS_MILLIS = 150;
     private static final long RENEWALS_MILLIS = 400;
+
+    /** Time between two tellings of the known registries: a spare is to be heard by the leader. */
+    private static final long ACQUAINT_MILLIS = 400;
+
     private static final long EXPIRE_MILLIS = 500;
 
     /** Time after which a host that was a registry once is no longer dialed. */
@@ -147,6 +151,7 @@
         replica.start();
         loop.every(STATUS_MILLIS, this::tellStatus);
         loop.every(RENEWALS_MILLIS, endpoints::passRenewals);
+        loop.every(ACQUAINT_MILLIS, () -> peers.broadcast(status()));
         loop.every(EXPIRE_MILLIS, () -> endpoints.expire(replica.isCurrent()));
     }
 
