--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -43,9 +43,6 @@
     /** Attempts beyond those that ran: refused ones, and ones that reached nobody. */
     private static final int MAX_REFUSALS = 12;
 
-    /** Age from which an attempt may have a copy: engines send parts a few times a second. */
-    private static final long COPY_MILLIS = 250;
-
     /** Attempts without an event that follow each other at once; a copy may be missing. */
     private static final int QUICK_RETRIES = 2;
 
@@ -62,12 +59,10 @@
     private final long tokens;
     private final SilenceRule silence;
     private final StreamJournal journal;
+    private final StreamCopies copies;
     private final Set<EndpointId> failed = new HashSet<>();
     private WaitingRoom.Waiting<Exchange> place;
     private StreamAttempt attempt;
-    private FollowUpCopy followUp;
-    private CopySource copied;
-    private EndpointView resumeAt;
     private boolean begun;
     private boolean searching;
     private int sent;
@@ -88,6 +83,7 @@
         tokens = (long) call.head().promptTokens() + call.head().outputTokens();
         silence = new SilenceRule(call.route().targetGapMillis());
         journal = new StreamJournal(call.head().lastEventId());
+        copies = new StreamCopies(edge, call.requestId(), service, engine, tokens);
     }
 
     @Override
@@ -113,7 +109,7 @@
             edge.room(service).leave(place);
             place = null;
         }
-        stopFollowUp(true);
+        copies.stop(true);
         if (attempt != null) {
             StreamAttempt last = attempt;
             attempt = null;
@@ -178,18 +174,8 @@
 
     /** Begins another copy if the one of the stream was at {@code lostEngine}. */
     void copyLost(EndpointView lostEngine) {
-        StreamAttempt a = attempt;
-        boolean followed = followUp != null && followUp.target() != lostEngine;
-        if (a == null || followed || a.engine() == lostEngine) {
-            return;
-        }
-        if (followUp != null || a.copy() == lostEngine) {
-            stopFollowUp(false);
-            EndpointView target = chooseCopy(EventLoop.nowMillis(), a.engine());
-            if (target != null) {
-                followUp = new FollowUpCopy(edge, call.requestId(), a.engine(), target, tokens);
-                followUp.start();
-            }
+        if (attempt != null) {
+            copies.lost(attempt, lostEngine);
         }
     }
 
@@ -232,7 +218,7 @@
             return;
         }
         attempt = null;
-        stopFollowUp(true);
+        copies.stop(true);
         freed();
         EndpointAnswer said = from.said();
         if (said.isSuccess() && said.signed()) {
@@ -313,12 +299,12 @@
      */
     private void send(EndpointView target, EndpointView copyOf) {
         long now = EventLoop.nowMillis();
-        EndpointView copy = engine != null && engine.copies() ? chooseCopy(now, target) : null;
+        EndpointView copy = copies.choose(target);
         int unread = copyOf == null ? call.head().promptTokens() : 0;
         PrefillRate rate = edge.prefill(service);
         double expected = target.total(now).prefillMillis() + rate.firstEventMillis(unread);
         String copyAt = copy == null ? null : copy.record().address();
-        CopySource resumeFrom = copyOf == null ? null : copied;
+        CopySource resumeFrom = copyOf == null ? null : copies.source();
         EndpointRequest request =
                 forward(target, journal.lastId(), copyAt, resumeFrom, weightVersion);
         sent++;
@@ -341,10 +327,6 @@
         attempt.start();
     }
 
-    private EndpointView chooseCopy(long now, EndpointView target) {
-        return edge.streams().chooseCopy(now, edge.endpoints().of(service), engine, tokens, target);
-    }
-
     private void beginAnswer(StreamAttempt from) {
         if (begun) {
             return;
@@ -366,9 +348,9 @@
         String cause =
                 "status=%d signed=%s not_run=%s"
                         .formatted(said.status(), said.signed(), said.notRun());
-        if (said.notRun() && resumeAt == from.engine()) {
+        if (said.notRun() && copies.isAt(from.engine())) {
             // The copy was not there; the engine itself may be sound.
-            resumeAt = null;
+            copies.forget();
             resume(from, "no copy: " + cause);
             return;
         }
@@ -401,9 +383,9 @@
         boolean mayHaveRun = from.isWritten() && !(from.said() != null && from.said().notRun());
         if (mayHaveRun) {
             ran++;
-            rememberCopy(from);
+            copies.remember(from);
         }
-        stopFollowUp(false);
+        copies.stop(false);
         if (!from.hasEvents()) {
             eventless++;
         }
@@ -417,24 +399,6 @@
         }
     }
 
-    /** Remembers where the memory of a lost attempt is kept. */
-    private void rememberCopy(StreamAttempt from) {
-        if (followUp != null && followUp.copied().isPresent()) {
-            resumeAt = followUp.target();
-            copied = followUp.copied().get();
-        } else if (from.copy() != null && from.ageMillis() > COPY_MILLIS) {
-            resumeAt = from.copy();
-            copied = new CopySource(from.copy().record().address(), call.requestId());
-        }
-    }
-
-    private void stopFollowUp(boolean frees) {
-        if (followUp != null) {
-            followUp.stop(frees);
-            followUp = null;
-        }
-    }
-
     private void goOn() {
         searching = false;
         if (isOver() || attempt != null) {
@@ -450,7 +414,7 @@
             return;
         }
         long now = EventLoop.nowMillis();
-        EndpointView copy = usableCopy(now);
+        EndpointView copy = copies.usable();
         EndpointView target = copy != null ? copy : choose();
         if (target == null) {
             search();
@@ -463,18 +427,6 @@
         send(target, copy);
     }
 
-    private EndpointView usableCopy(long now) {
-        if (resumeAt == null) {
-            return null;
-        }
-        boolean there = edge.endpoints().of(service).contains(resumeAt);
-        if (there && !resumeAt.health().isPaused(now)) {
-            return resumeAt;
-        }
-        resumeAt = null;
-        return null;
-    }
-
     /** Looks for an engine again after a pause; engines that failed may be tried again then. */
     private void search() {
         if (!searching) {
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/LogAccess.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/LogAccess.java
@@ -8,6 +8,7 @@
 import io.siskintrail.wire.registry.RegistryMessage;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 
 /**
@@ -39,7 +40,7 @@
      * @param deadline when to give up, in monotonic milliseconds
      * @param done called once, with whether the command is committed and applied here
      */
-    void commit(byte[] command, long deadline, java.util.function.Consumer<Boolean> done) {
+    void commit(byte[] command, long deadline, Consumer<Boolean> done) {
         Call call = new Call(command, deadline, done);
         call.send();
     }
@@ -50,7 +51,7 @@
      * @param deadline when to give up, in monotonic milliseconds
      * @param done called once, with whether that is so
      */
-    void catchUp(long deadline, java.util.function.Consumer<Boolean> done) {
+    void catchUp(long deadline, Consumer<Boolean> done) {
         Call call = new Call(null, deadline, done);
         call.send();
     }
@@ -87,11 +88,11 @@
     private final class Call {
         private final byte[] command;
         private final long deadline;
-        private final java.util.function.Consumer<Boolean> done;
+        private final Consumer<Boolean> done;
         private boolean ended;
         private int round;
 
-        Call(byte[] command, long deadline, java.util.function.Consumer<Boolean> done) {
+        Call(byte[] command, long deadline, Consumer<Boolean> done) {
             this.command = command;
             this.deadline = deadline;
             this.done = done;
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
@@ -6,6 +6,7 @@
 import io.siskintrail.internal.consensus.Payload;
 import io.siskintrail.internal.consensus.ReplacementPolicy;
 import io.siskintrail.internal.consensus.Replica;
+import io.siskintrail.internal.consensus.ReplicaChange;
 import io.siskintrail.internal.consensus.ReplicaEffect;
 import io.siskintrail.internal.consensus.ReplicaHealth;
 import io.siskintrail.internal.consensus.ReplicaId;
@@ -260,7 +261,7 @@
         }
     }
 
-    private void change(io.siskintrail.internal.consensus.ReplicaChange change) {
+    private void change(ReplicaChange change) {
         if (replica.replicasSettled()) {
             LogEvent.info(LOG, "replica.change").with("change", change).write();
             step(new ReplicaInput.ChangeReplicas(change));
