Bound the bodies that an edge holds

Requests beyond 16 MB of bodies are refused as not run; the heap would have run over, which ends the process. requestsBeyondTheMemoryForBodiesAreNotRun failed before. Oversized headers and bodies have a test as well.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -52,6 +52,11 @@
         end("client-gone", 0, "");
     }
 
+    /** Returns the bytes of the body that are held for further attempts. */
+    final int bodyBytes() {
+        return call.body().length;
+    }
+
     /** Begins the work of this kind of request. */
     protected abstract void begin();
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Front.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Front.java
@@ -38,6 +38,14 @@
     /** Retry-After while this edge has no configuration. */
     private static final long NO_CONFIGURATION_RETRY_MILLIS = 500;
 
+    /**
+     * Bodies held at once, a quarter of the heap that the deploy file gives; more is turned away.
+     */
+    private static final long MAX_HELD_BYTES = 16L << 20;
+
+    /** Retry-After while too many bodies are held: a few answers later there is room. */
+    private static final long HELD_RETRY_MILLIS = 300;
+
     /** Retry-After for content that ends endpoints: as late as clients will take. */
     private static final long QUARANTINED_RETRY_MILLIS = 60_000;
 
@@ -49,6 +57,7 @@
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private Channel server;
     private int running;
+    private long heldBytes;
     private boolean stopping;
 
     Front(
@@ -107,6 +116,13 @@
     /** Passes a request through the filters; returns why it is turned away, if it is. */
     Optional<Failure> check(CallContext call) {
         Optional<Failure> refusal = filters.apply(call);
+        if (refusal.isEmpty() && heldBytes + call.body().length > MAX_HELD_BYTES) {
+            refusal =
+                    Optional.of(
+                            new Failure(
+                                    ResultCode.NOT_RUN_NO_ROOM,
+                                    "bodies of %d bytes are held".formatted(heldBytes)));
+        }
         refusal.ifPresent(f -> logRefused(call, f));
         return refusal;
     }
@@ -115,6 +131,7 @@
     long retryAfterMillis(ResultCode code) {
         return switch (code) {
             case NOT_RUN_RULES_STALE -> NO_CONFIGURATION_RETRY_MILLIS;
+            case NOT_RUN_NO_ROOM -> HELD_RETRY_MILLIS;
             case NOT_RUN_QUARANTINED -> QUARANTINED_RETRY_MILLIS;
             default -> 0;
         };
@@ -123,6 +140,7 @@
     /** Returns the exchange of a request that passed the filters. */
     Exchange exchange(CallerConnection caller, CallContext call) {
         running++;
+        heldBytes += call.body().length;
         Exchange exchange =
                 call.route().kind() == RouteKind.STREAM
                         ? new StreamExchange(parts, call, caller, this::ended)
@@ -146,6 +164,7 @@
 
     private void ended(Exchange exchange) {
         running--;
+        heldBytes -= exchange.bodyBytes();
         parts.remove(exchange);
     }
 
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
@@ -6,6 +6,10 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -20,7 +24,7 @@
             """
             {"version":%d,"routes":[
              {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"unsafe",
-              "timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":"app","maxAttempts":1},
+              "timeoutMs":60000,"targetLatencyMs":1000,"priority":1,"service":"app","maxAttempts":1},
              {"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe",
               "timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":"app","maxAttempts":2},
              {"name":"gen","host":"h.example","pathPrefix":"/gen/","kind":"streaming",
@@ -169,6 +173,81 @@
         }
     }
 
+    @Test
+    void requestsBeyondTheMemoryForBodiesAreNotRun() throws Exception {
+        CountDownLatch held = new CountDownLatch(4);
+        CountDownLatch refused = new CountDownLatch(1);
+        try (StandIn app =
+                        new StandIn(
+                                (n, r, out) -> {
+                                    held.countDown();
+                                    await(refused);
+                                    return ok(r, out, "fine");
+                                });
+                StandIn free = new StandIn((n, r, out) -> ok(r, out, "fine"))) {
+            system.register("app", "app", app.address(), "a");
+            system.awaitServing("llm");
+            String body = "x".repeat(4 << 20);
+            List<Thread> clients = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                Thread client = new Thread(() -> send(body), "client");
+                client.start();
+                clients.add(client);
+            }
+            await(held);
+            system.register("free", "app", free.address(), "a");
+            system.call("GET", "/api/config", "");
+            TimeUnit.MILLISECONDS.sleep(500);
+
+            String answer = system.raw(request("POST", "/once/x", "key-1", "one more"));
+
+            refused.countDown();
+            for (Thread client : clients) {
+                client.join();
+            }
+            assertThat(answer).startsWith("HTTP/1.1 503");
+            assertThat(answer).containsMatch("(?i)retry-after: 0\\.3");
+            assertThat(app.seen()).hasSize(4);
+            assertThat(free.seen()).isEmpty();
+        }
+    }
+
+    private void send(String body) {
+        try {
+            system.raw(
+                    request("POST", "/once/x", "key-1", body)
+                            .replace("Deadline-Ms: 2000", "Deadline-Ms: 60000"));
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertThat(latch.await(60, TimeUnit.SECONDS)).isTrue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"20000, 0, 431", "10, 5000000, 413"})
+    void oversizedRequestReachesNoEndpoint(int headerBytes, int bodyBytes, int expected)
+            throws Exception {
+        try (StandIn app = new StandIn((n, r, out) -> ok(r, out, "fine"))) {
+            system.register("app", "app", app.address(), "a");
+            system.awaitServing("llm");
+            String large =
+                    "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n"
+                            + "Authorization: Bearer key-1\r\nConnection: close\r\nX-Long: "
+                            + "x".repeat(headerBytes)
+                            + "\r\nContent-Length: %d\r\n\r\n".formatted(bodyBytes);
+
+            assertThat(system.raw(large)).startsWith("HTTP/1.1 " + expected);
+            assertThat(app.seen()).isEmpty();
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({
         "/once/x, wrong, 401",
