--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
@@ -24,7 +24,8 @@
             """
             {"version":%d,"routes":[
              {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"unsafe",
-              "timeoutMs":60000,"targetLatencyMs":1000,"priority":1,"service":"app","maxAttempts":1},
+              "timeoutMs":60000,"targetLatencyMs":1000,"priority":1,"service":"app",
+              "maxAttempts":1},
              {"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe",
               "timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":"app","maxAttempts":2},
              {"name":"gen","host":"h.example","pathPrefix":"/gen/","kind":"streaming",
