Keep writing log lines until a service has stopped

The log manager of the JDK removes all handlers in a shutdown hook of its own, beside ours. A manager that waits for the end of the service replaces it. Lines that the writing thread held at the end were lost as well; the handler now waits for that thread.

--- a/siskintrail.service/src/io/siskintrail/service/BoundedLogHandler.java
+++ b/siskintrail.service/src/io/siskintrail/service/BoundedLogHandler.java
@@ -21,8 +21,12 @@
     private static final long SECOND_MILLIS = 1_000;
     private static final long POLL_MILLIS = 1_000;
 
+    /** Longest wait for a line that is being written; an output that nobody reads blocks it. */
+    private static final long CLOSE_MILLIS = 200;
+
     private final BlockingQueue<LogRecord> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
     private final PrintStream out;
+    private final Thread writer;
     private final Map<String, Integer> written = new HashMap<>();
     private final Map<String, Integer> left = new HashMap<>();
     private long second;
@@ -32,7 +36,7 @@
     BoundedLogHandler(PrintStream out) {
         this.out = out;
         setFormatter(new LineFormatter());
-        Thread writer = new Thread(this::run, "log-writer");
+        writer = new Thread(this::run, "log-writer");
         writer.setDaemon(true);
         writer.start();
     }
@@ -66,8 +70,15 @@
         out.flush();
     }
 
+    /** Ends the thread that writes, and writes what is left; waits a moment for a slow output. */
     @Override
     public void close() {
+        writer.interrupt();
+        try {
+            writer.join(CLOSE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         flush();
     }
 
--- a/siskintrail.service/src/io/siskintrail/service/ShutdownSignal.java
+++ b/siskintrail.service/src/io/siskintrail/service/ShutdownSignal.java
@@ -14,6 +14,7 @@
                 new Thread(
                         () -> {
                             service.stop();
+                            LogSetup.end();
                             stopped.countDown();
                         },
                         "shutdown");
