Turn waiting requests away when the forecast changes

A request was judged on entry and again only at its latest start, though the documentation said otherwise: half of the old condition implied the other. One that could not start even at twice the rate seen is turned away at once.

--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/WaitingRoomTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/WaitingRoomTest.java
@@ -50,6 +50,32 @@
         assertThat(room.forecastMillis(5_000, 0)).isLessThan(before / 2);
     }
 
+    /** Engines of a failure domain end while requests wait: what was forecast no longer holds. */
+    @Test
+    void lastInLineIsTurnedAwayWhenRoomStopsToBecomeFree() {
+        for (int i = 0; i < 60; i++) {
+            room.released(50L * i);
+        }
+        for (int i = 1; i <= 10; i++) {
+            assertThat(room.enter(3_000, "r" + i, 2, 4_000)).isNotNull();
+        }
+
+        assertThat(room.removeHopeless(3_100)).isEmpty();
+        assertThat(room.removeHopeless(3_800)).contains("r10");
+        assertThat(room.first()).isEqualTo("r1");
+    }
+
+    /** A single request waits for room that nobody has seen becoming free yet. */
+    @Test
+    void firstInLineWaitsUntilItsLatestStart() {
+        WaitingRoom<String> quiet = new WaitingRoom<>(new ReleaseRate(4));
+        quiet.enter(0, "r", 2, 1_000);
+        quiet.released(0);
+
+        assertThat(quiet.removeHopeless(990)).isEmpty();
+        assertThat(quiet.removeHopeless(1_000)).containsExactly("r");
+    }
+
     @Test
     void noMoreHopeIsNoticed() {
         room.enter(0, "r", 2, 1_000);
--- a/siskintrail/src/io/siskintrail/internal/traffic/WaitingRoom.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/WaitingRoom.java
@@ -14,6 +14,12 @@
  * @param <T> what waits
  */
 public final class WaitingRoom<T> {
+    /**
+     * How many times faster than forecast room may become free for a request that goes on waiting;
+     * the rate of a host that has few requests is known within a factor of two.
+     */
+    private static final double HOPE_FACTOR = 2;
+
     private final ReleaseRate rate;
     private final PriorityQueue<Waiting<T>> queue =
             new PriorityQueue<>(
@@ -38,11 +44,6 @@
             this.number = number;
             this.latestStart = latestStart;
         }
-
-        /** Returns what waits. */
-        public T item() {
-            return item;
-        }
     }
 
     /** Makes an empty room whose forecasts come from {@code rate}. */
@@ -105,18 +106,26 @@
     /** Removes and returns those for whom a start would come too late. */
     public List<T> removeHopeless(long nowMillis) {
         List<T> hopeless = new ArrayList<>();
+        if (queue.isEmpty()) {
+            return hopeless;
+        }
         List<Waiting<T>> inOrder = new ArrayList<>(queue);
         inOrder.sort(queue.comparator());
-        int position = 0;
+        int ahead = 0;
         for (Waiting<T> w : inOrder) {
-            position++;
-            if (nowMillis + rate.waitMillis(nowMillis, position) > w.latestStart
-                    && nowMillis >= w.latestStart) {
+            if (isHopeless(nowMillis, w, ahead + 1)) {
                 queue.remove(w);
                 hopeless.add(w.item);
-                position--;
+            } else {
+                ahead++;
             }
         }
         return hopeless;
     }
+
+    private boolean isHopeless(long nowMillis, Waiting<T> w, int position) {
+        boolean first = position == 1;
+        double soonest = first ? 0 : rate.waitMillis(nowMillis, position) / HOPE_FACTOR;
+        return nowMillis >= w.latestStart || nowMillis + soonest > w.latestStart;
+    }
 }
