--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -101,11 +101,6 @@
         return eventAt != Long.MIN_VALUE;
     }
 
-    /** Returns how long ago the request was sent. */
-    long ageMillis() {
-        return EventLoop.nowMillis() - sentAt;
-    }
-
     long sentAt() {
         return sentAt;
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamCopies.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamCopies.java
@@ -12,9 +12,6 @@
  * on the event loop.
  */
 final class StreamCopies {
-    /** Age from which an attempt may have a copy: engines send parts a few times a second. */
-    private static final long COPY_MILLIS = 250;
-
     private final EdgeParts edge;
     private final String requestId;
     private final ServiceName service;
@@ -67,12 +64,16 @@
         }
     }
 
-    /** Remembers where the memory of a lost attempt is kept, if it can be. */
+    /**
+     * Remembers where the memory of a lost attempt is kept, if it can be: engines copy the memory
+     * of a run from its first event on, so an attempt that was lost while its prompt was read has
+     * none.
+     */
     void remember(StreamAttempt from) {
         if (followUp != null && followUp.copied().isPresent()) {
             resumeAt = followUp.target();
             source = followUp.copied().get();
-        } else if (from.copy() != null && from.ageMillis() > COPY_MILLIS) {
+        } else if (from.copy() != null && from.hasEvents()) {
             resumeAt = from.copy();
             source = new CopySource(from.copy().record().address(), requestId);
         }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
@@ -299,6 +299,40 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({"0, false", "3, true"})
+    void copyIsUsedOnlyWhenTheLostRunHadBegun(int eventsBeforeLoss, boolean expected)
+            throws Exception {
+        try (StandIn first = new StandIn((n, r, out) -> late(r, out, eventsBeforeLoss));
+                StandIn second =
+                        new StandIn(
+                                (n, r, out) -> stream(r, out, eventsBeforeLoss + 1, 6, false))) {
+            system.register("e1", "llm", first.address(), "a");
+            system.register("e2", "llm", second.address(), "b");
+            system.awaitServing("app");
+
+            String answer = "";
+            for (int i = 0; i < 20 && first.seen().isEmpty(); i++) {
+                answer = system.raw(request("POST", "/gen/x", "key-1", "p"));
+            }
+
+            assertThat(unchunked(answer)).endsWith("id: 6\ndata: t6\n\n");
+            StandIn.Seen resumed = second.seen().get(second.seen().size() - 1);
+            assertThat(resumed.header("Kv-From") != null).isEqualTo(expected);
+        }
+    }
+
+    /** Breaks off after {@code events} events, when an engine has had time to copy a run. */
+    private static boolean late(StandIn.Seen r, OutputStream out, int events) throws IOException {
+        boolean goesOn = events > 0 && stream(r, out, 1, events, true);
+        try {
+            TimeUnit.MILLISECONDS.sleep(400);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return goesOn;
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {1, 3, 4})
     void refusalsOfEnginesUseUpNoAttempts(int refusals) throws Exception {
