Count retries by service and by window

The budget was kept by route and refilled its reserve over the window beside what was saved up, so a service with two routes could get four times the reserve within one window; and the share of an edge was taken from the number of edges known at its first request, mostly one. Now each window holds at most the ratio of its requests and this edge's part of the reserve, and attempts that reached nobody are not counted.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/CallExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/CallExchange.java
@@ -9,7 +9,6 @@
 import io.siskintrail.internal.traffic.WaitingRoom;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.ResultCode;
-import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
@@ -41,7 +40,6 @@
     /** Retry-After when no endpoint is known or can be reached: time to learn of another. */
     private static final long ABSENT_RETRY_MILLIS = 300;
 
-    private final ServiceName service;
     private final Set<EndpointId> tried = new HashSet<>();
     private final List<Try> running = new ArrayList<>(2);
     private WaitingRoom.Waiting<Exchange> place;
@@ -57,7 +55,6 @@
     CallExchange(
             EdgeParts edge, CallContext call, CallerConnection caller, Consumer<Exchange> ended) {
         super(edge, call, caller, ended);
-        service = call.route().pick(edge.random().nextDouble());
     }
 
     @Override
@@ -163,7 +160,7 @@
                                 now,
                                 edge.endpoints().of(service),
                                 e -> !tried.contains(e.record().id()));
-        if (next == null || !edge.budget(call.route()).tryTake(now)) {
+        if (next == null || !mayRepeat()) {
             return false;
         }
         send(next);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeParts.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeParts.java
@@ -11,7 +11,6 @@
 import io.siskintrail.internal.traffic.PrefillRate;
 import io.siskintrail.internal.traffic.ReleaseRate;
 import io.siskintrail.internal.traffic.RetryBudget;
-import io.siskintrail.internal.traffic.Route;
 import io.siskintrail.internal.traffic.StreamPlacement;
 import io.siskintrail.internal.traffic.WaitingRoom;
 import io.siskintrail.lib.EndpointId;
@@ -49,7 +48,7 @@
     private final Map<ServiceName, WaitingRoom<Exchange>> rooms = new HashMap<>();
     private final Map<ServiceName, PrefillRate> prefill = new HashMap<>();
     private final Set<StreamExchange> open = new LinkedHashSet<>();
-    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
 
     EdgeParts(
             EventLoop loop,
@@ -96,10 +95,6 @@
         return stats;
     }
 
-    RegistryFollower registries() {
-        return registries;
-    }
-
     LoadExchange loads() {
         return loads;
     }
@@ -131,17 +126,15 @@
                 service, s -> new WaitingRoom<>(new ReleaseRate(INITIAL_STARTS_PER_SECOND)));
     }
 
-    /**
-     * Returns the budget for further attempts on a route; each edge has its share of the reserve.
-     */
-    RetryBudget budget(Route route) {
+    /** Returns the budget for further attempts at a service. */
+    RetryBudget budget(ServiceName service) {
         return budgets.computeIfAbsent(
-                route.name(),
-                n ->
-                        new RetryBudget(
-                                settings.retryRatio(),
-                                Math.max(1, settings.retryReserve() / registries.edges()),
-                                settings.retryWindowMillis()));
+                service, s -> new RetryBudget(settings.retryRatio(), settings.retryWindowMillis()));
+    }
+
+    /** Returns this edge's part of the further attempts that all edges share. */
+    double retryReserve() {
+        return settings.retryReserve() / registries.edges();
     }
 
     /** Places requests that wait, as far as there is room now, and turns away the hopeless. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -6,6 +6,7 @@
 import io.siskintrail.internal.traffic.EndpointView;
 import io.siskintrail.lib.Failure;
 import io.siskintrail.lib.ResultCode;
+import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.LogEvent;
 import java.util.function.Consumer;
@@ -23,6 +24,9 @@
     /** Where the answer goes. */
     protected final CallerConnection caller;
 
+    /** The service that the request goes to, one of those of its route. */
+    protected final ServiceName service;
+
     private final Consumer<Exchange> ended;
     private Future<?> timeout;
     private boolean over;
@@ -33,13 +37,14 @@
         this.call = call;
         this.caller = caller;
         this.ended = ended;
+        this.service = call.route().pick(edge.random().nextDouble());
     }
 
     /** Begins the work. */
     final void start() {
         long remaining = call.remainingMillis(EventLoop.nowMillis());
         timeout = edge.loop().after(remaining, this::timeUp);
-        edge.budget(call.route()).requested();
+        edge.budget(service).requested(EventLoop.nowMillis());
         begin();
     }
 
@@ -74,6 +79,11 @@
         return over;
     }
 
+    /** Takes one further attempt from the budget of the service; false when there is none. */
+    protected final boolean mayRepeat() {
+        return edge.budget(service).tryTake(EventLoop.nowMillis(), edge.retryReserve());
+    }
+
     /** Answers with a failure of this system. */
     protected final void refuse(ResultCode code, String detail, long retryAfterMillis) {
         release();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -15,7 +15,6 @@
 import io.siskintrail.internal.traffic.WaitingRoom;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.ResultCode;
-import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
 import java.util.HashSet;
 import java.util.Set;
@@ -54,7 +53,6 @@
     /** Retry-After when no engine is known or can be reached. */
     private static final long ABSENT_RETRY_MILLIS = 1_000;
 
-    private final ServiceName service;
     private final EngineSpec engine;
     private final long tokens;
     private final SilenceRule silence;
@@ -65,6 +63,7 @@
     private StreamAttempt attempt;
     private boolean begun;
     private boolean searching;
+    private boolean arrived;
     private int sent;
     private int ran;
     private int eventless;
@@ -77,7 +76,6 @@
     StreamExchange(
             EdgeParts edge, CallContext call, CallerConnection caller, Consumer<Exchange> ended) {
         super(edge, call, caller, ended);
-        service = call.route().pick(edge.random().nextDouble());
         ServiceSpec spec = call.table().service(service);
         engine = spec == null ? null : spec.engine();
         tokens = (long) call.head().promptTokens() + call.head().outputTokens();
@@ -380,6 +378,7 @@
             lostAt = EventLoop.nowMillis();
         }
         logAttempt("stream.lost", from.engine(), cause);
+        arrived |= from.isWritten();
         boolean mayHaveRun = from.isWritten() && !(from.said() != null && from.said().notRun());
         if (mayHaveRun) {
             ran++;
@@ -413,14 +412,13 @@
             giveUp("no attempts left");
             return;
         }
-        long now = EventLoop.nowMillis();
         EndpointView copy = copies.usable();
         EndpointView target = copy != null ? copy : choose();
         if (target == null) {
             search();
             return;
         }
-        if (sent > 0 && !edge.budget(call.route()).tryTake(now)) {
+        if (arrived && !mayRepeat()) {
             giveUp("no retries left");
             return;
         }
--- a/siskintrail/src/io/siskintrail/internal/traffic/RetryBudget.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/RetryBudget.java
@@ -1,50 +1,76 @@
 package io.siskintrail.internal.traffic;
 
 /**
- * Bounds how many further attempts a host adds to the requests of one service, as a share of those
- * requests. Answers a storm of failures: repeats stay a fraction of the load, so that they cannot
- * keep a service down. Needs no exchange between hosts, since each spends from its own requests.
+ * Bounds how many further attempts a host adds to the requests of one service within any window of
+ * time, as a share of the requests in that window and a fixed reserve. Answers a storm of failures:
+ * repeats stay a fraction of the load, so that they cannot keep a service down. Needs no exchange
+ * between hosts, since each spends from its own requests. Not safe for use by several threads.
  */
 public final class RetryBudget {
+    /** Parts of a window that are counted apart; a window is exact to a hundredth. */
+    private static final int PARTS = 100;
+
     private final double ratio;
-    private final double reserve;
-    private final long windowMillis;
-    private double tokens;
-    private long at = Long.MIN_VALUE;
+    private final long partMillis;
+
+    /** Counts by part of the window, one more than fit, since the oldest is only partly inside. */
+    private final int[] requests = new int[PARTS + 1];
+
+    private final int[] attempts = new int[PARTS + 1];
+    private int requestSum;
+    private int attemptSum;
+    private long newest = Long.MIN_VALUE;
 
     /**
-     * Makes a budget that starts with its reserve.
+     * Makes a budget for a service without requests.
      *
      * @param ratio further attempts for each request
-     * @param reserve the most attempts that can be saved up, and what there is at the start
-     * @param windowMillis the time in which an idle budget fills up
+     * @param windowMillis the time in which requests and attempts are counted
      */
-    public RetryBudget(double ratio, double reserve, long windowMillis) {
+    public RetryBudget(double ratio, long windowMillis) {
         this.ratio = ratio;
-        this.reserve = reserve;
-        this.windowMillis = windowMillis;
-        this.tokens = reserve;
+        this.partMillis = Math.max(1, windowMillis / PARTS);
     }
 
     /** Notes the first attempt of a request. */
-    public void requested() {
-        tokens = Math.min(reserve, tokens + ratio);
+    public void requested(long nowMillis) {
+        requests[advance(nowMillis)]++;
+        requestSum++;
     }
 
-    /** Takes one further attempt from the budget; returns false when there is none. */
-    public boolean tryTake(long nowMillis) {
-        refill(nowMillis);
-        if (tokens < 1) {
+    /**
+     * Takes one further attempt from the budget; returns false when there is none.
+     *
+     * @param reserve further attempts in a window beside the share of its requests
+     */
+    public boolean tryTake(long nowMillis, double reserve) {
+        int now = advance(nowMillis);
+        int oldest = (now + 1) % requests.length;
+        int counted = requestSum - requests[oldest];
+        if (attemptSum + 1 > ratio * counted + reserve) {
             return false;
         }
-        tokens -= 1;
+        attempts[now]++;
+        attemptSum++;
         return true;
     }
 
-    private void refill(long nowMillis) {
-        if (at != Long.MIN_VALUE) {
-            tokens = Math.min(reserve, tokens + reserve * (nowMillis - at) / windowMillis);
+    /** Forgets what has left the window, and returns the index of the present part. */
+    private int advance(long nowMillis) {
+        long part = Math.floorDiv(nowMillis, partMillis);
+        long from = newest == Long.MIN_VALUE ? part : Math.max(newest + 1, part - PARTS);
+        for (long p = from; p <= part; p++) {
+            int index = index(p);
+            requestSum -= requests[index];
+            attemptSum -= attempts[index];
+            requests[index] = 0;
+            attempts[index] = 0;
         }
-        at = nowMillis;
+        newest = Math.max(newest, part);
+        return index(newest);
+    }
+
+    private int index(long part) {
+        return (int) Math.floorMod(part, (long) requests.length);
     }
 }
