Move no streams off an engine for one lost opening packet

A connection that could not be opened within 250 ms ended all streams of the edge at that engine, also while their events came in. On links that lose packets that happens to one dial in some tens. The streams stay when something came from the engine within 150 ms.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeParts.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeParts.java
@@ -18,6 +18,7 @@
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
+import io.siskintrail.service.LogEvent;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -27,12 +28,17 @@
 
 /** What the exchanges of an edge share. Used on the event loop. */
 final class EdgeParts {
+    private static final System.Logger LOG = System.getLogger(EdgeParts.class.getName());
+
     /** Starts a second that a service is assumed to allow before any end was seen. */
     private static final double INITIAL_STARTS_PER_SECOND = 4;
 
     /** Time over which edges spread what they place on an engine that came back. */
     private static final long SPREAD_MILLIS = 150;
 
+    /** Age up to which a byte from an engine shows that it is there; a few events of a stream. */
+    private static final long HEARD_MILLIS = 150;
+
     private final EventLoop loop;
     private final TrafficProtocol protocol;
     private final EndpointPool pool;
@@ -179,6 +185,24 @@
         }
     }
 
+    /**
+     * Notes that an engine could not be connected to. Its streams move only if nothing comes from
+     * it either: an opening packet may have been lost on its way.
+     */
+    void notConnected(EndpointView engine, String cause) {
+        long now = EventLoop.nowMillis();
+        if (engine.health().wasHeardWithin(now, HEARD_MILLIS)) {
+            engine.health().failed(now);
+            LogEvent.info(LOG, "endpoint.doubted")
+                    .with("endpoint", engine.record().id())
+                    .with("heard_ms", now - engine.health().lastHeardAt())
+                    .with("detail", cause)
+                    .write();
+            return;
+        }
+        engineSilent(engine, "not connected: " + cause);
+    }
+
     /** Moves all streams off an engine that cannot be reached or sends nothing. */
     void engineSilent(EndpointView engine, String cause) {
         engine.health().unreachable(EventLoop.nowMillis());
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -251,9 +251,9 @@
             return;
         }
         failed.add(from.engine().record().id());
-        edge.engineSilent(from.engine(), "not connected: " + cause);
+        edge.notConnected(from.engine(), cause);
         if (attempt == from) {
-            resume(from, cause);
+            resume(from, "not connected: " + cause);
         }
     }
 
--- a/siskintrail/src/io/siskintrail/internal/traffic/HealthMeter.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/HealthMeter.java
@@ -78,6 +78,11 @@
         return lastGoodAt;
     }
 
+    /** Returns whether something useful came in the last {@code millis}. */
+    public boolean wasHeardWithin(long nowMillis, long millis) {
+        return lastGoodAt != Long.MIN_VALUE && nowMillis - lastGoodAt <= millis;
+    }
+
     /** Returns the share of recent requests that failed, 0 when there were none. */
     public double failureShare(long nowMillis) {
         decay(nowMillis);
