Take SIGHUP from the beginning of a program

The signal is now taken first and kept until the watch starts; settings that change between their reading and that start are noticed as well. Two tests failed before.

--- a/siskintrail.service.test/tst/io/siskintrail/service/SettingsWatchTest.java
+++ b/siskintrail.service.test/tst/io/siskintrail/service/SettingsWatchTest.java
@@ -31,7 +31,7 @@
     @EnumSource(Cause.class)
     void settingsAreReadAgain(Cause cause) throws Exception {
         Path file = write("{\"size\": 1}");
-        new SettingsWatch<>(file, Settings.class, (Reloadable<Settings>) taken::add).start();
+        watch(file).start(taken::add);
 
         if (cause == Cause.SIGNAL) {
             Signal.raise(new Signal("HUP"));
@@ -45,7 +45,7 @@
     @Test
     void settingsThatCannotBeReadAreLeftOut() throws Exception {
         Path file = write("{\"size\": 1}");
-        new SettingsWatch<>(file, Settings.class, (Reloadable<Settings>) taken::add).start();
+        watch(file).start(taken::add);
 
         write("{\"size\": ");
         Signal.raise(new Signal("HUP"));
@@ -54,6 +54,26 @@
         assertThat(next().size()).isEqualTo(3);
     }
 
+    /** The signal, or another file, can come while the program still starts. */
+    @ParameterizedTest
+    @EnumSource(Cause.class)
+    void changeDuringTheStartIsTaken(Cause cause) throws Exception {
+        SettingsWatch<Settings> watch = watch(write("{\"size\": 1}"));
+        if (cause == Cause.SIGNAL) {
+            Signal.raise(new Signal("HUP"));
+        } else {
+            write("{\"size\": 22}");
+        }
+
+        watch.start(taken::add);
+
+        assertThat(next().size()).isEqualTo(cause == Cause.SIGNAL ? 1 : 22);
+    }
+
+    private static SettingsWatch<Settings> watch(Path file) {
+        return new SettingsWatch<>(HangUp.install(), file, Settings.class);
+    }
+
     private Settings next() throws InterruptedException {
         return taken.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
     }
--- a/siskintrail.service/src/io/siskintrail/service/CommandFrame.java
+++ b/siskintrail.service/src/io/siskintrail/service/CommandFrame.java
@@ -62,6 +62,7 @@
      * @return the exit status
      */
     public <T> int run(String[] args, Class<T> type, Function<T, ? extends Service> factory) {
+        HangUp hangUp = HangUp.install();
         if (boundedLogs) {
             LogSetup.installBounded();
         } else {
@@ -85,14 +86,16 @@
         if (!line.hasOption("settings")) {
             return fail(new Failure(ResultCode.BAD_COMMAND_LINE, "--settings FILE is required"));
         }
-        Result<T> settings = SettingsReader.read(Path.of(line.getOptionValue("settings")), type);
+        Path file = Path.of(line.getOptionValue("settings"));
+        SettingsWatch<T> watch = new SettingsWatch<>(hangUp, file, type);
+        Result<T> settings = SettingsReader.read(file, type);
         if (settings instanceof Result.Err<T> err) {
             return fail(err.failure());
         }
         Service service = factory.apply(((Result.Ok<T>) settings).value());
         service.start();
         if (service instanceof Reloadable<?>) {
-            watch(Path.of(line.getOptionValue("settings")), type, service);
+            start(watch, service);
         }
         ShutdownSignal.await(service);
         return EXIT_OK;
@@ -100,8 +103,8 @@
 
     /** A service that can be reloaded takes the type of settings that it was made from. */
     @SuppressWarnings("unchecked")
-    private static <T> void watch(Path file, Class<T> type, Service service) {
-        new SettingsWatch<>(file, type, (Reloadable<T>) service).start();
+    private static <T> void start(SettingsWatch<T> watch, Service service) {
+        watch.start((Reloadable<T>) service);
     }
 
     private int fail(Failure failure) {
--- a/siskintrail.service/src/io/siskintrail/service/SettingsWatch.java
+++ b/siskintrail.service/src/io/siskintrail/service/SettingsWatch.java
@@ -4,9 +4,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
-import sun.misc.Signal;
 
 /**
  * Reads a settings file again when the process gets SIGHUP or the file has changed, and hands the
@@ -16,27 +13,27 @@
  */
 final class SettingsWatch<T> {
     private static final System.Logger LOG = System.getLogger(SettingsWatch.class.getName());
-    private static final String HANG_UP = "HUP";
 
     /** Time between two looks at the file. */
     private static final long POLL_MILLIS = 1_000;
 
+    private final HangUp hangUp;
     private final Path file;
     private final Class<T> type;
-    private final Reloadable<T> service;
-    private final Semaphore signalled = new Semaphore(0);
+    private Reloadable<T> service;
     private String content;
 
-    SettingsWatch(Path file, Class<T> type, Reloadable<T> service) {
+    /** Remembers what the file holds now; to be made before the settings are read from it. */
+    SettingsWatch(HangUp hangUp, Path file, Class<T> type) {
+        this.hangUp = hangUp;
         this.file = file;
         this.type = type;
-        this.service = service;
+        this.content = read();
     }
 
-    /** Begins to watch, on a thread of its own. */
-    void start() {
-        content = read();
-        Signal.handle(new Signal(HANG_UP), s -> signalled.release());
+    /** Begins to tell {@code reloadable} of changes since the watch was made, on a thread. */
+    void start(Reloadable<T> reloadable) {
+        service = reloadable;
         Thread thread = new Thread(this::run, "settings-watch");
         thread.setDaemon(true);
         thread.start();
@@ -45,8 +42,7 @@
     private void run() {
         try {
             while (true) {
-                boolean asked = signalled.tryAcquire(POLL_MILLIS, TimeUnit.MILLISECONDS);
-                look(asked);
+                look(hangUp.await(POLL_MILLIS));
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
