--- /dev/null
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakHost.java
@@ -0,0 +1,80 @@
+package io.siskintrail.platform;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A program of the platform in a process of its own, to which signals are sent. Thread-safe. */
+final class SoakHost implements AutoCloseable {
+    private static final long END_SECONDS = 20;
+
+    private final String program;
+    private final Path settings;
+    private final Path log;
+    private Process process;
+
+    /**
+     * Prepares a process.
+     *
+     * @param program {@code edge} or {@code registry}
+     * @param settings its settings file
+     */
+    SoakHost(String program, Path settings) {
+        this.program = program;
+        this.settings = settings;
+        this.log = Path.of(settings + ".log");
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
+    }
+
+    synchronized void start() throws IOException {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        List<String> command =
+                new ArrayList<>(
+                        List.of(java, "-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path")));
+        command.addAll(List.of(Programs.class.getName(), program, "--settings", "" + settings));
+        process =
+                new ProcessBuilder(command)
+                        .redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                        .start();
+    }
+
+    /** Sends a signal to the process, such as {@code STOP}; nothing when it has ended. */
+    synchronized void signal(String name) throws IOException, InterruptedException {
+        if (process.isAlive()) {
+            new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
+        }
+    }
+
+    /** Ends the process at once and waits until it is gone. */
+    synchronized void kill() throws InterruptedException {
+        process.destroyForcibly();
+        process.waitFor();
+    }
+
+    /** Asks the process to end; returns whether it did by itself. */
+    synchronized boolean end() throws InterruptedException {
+        process.destroy();
+        return process.waitFor(END_SECONDS, TimeUnit.SECONDS);
+    }
+
+    synchronized boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Returns what the process wrote in all its lives. */
+    String log() throws IOException {
+        return Files.readString(log);
+    }
+
+    @Override
+    public void close() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+}
