--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRun.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRun.java
@@ -14,6 +14,10 @@
  */
 final class SoakRun {
     private static final int CALLERS = 6;
+
+    /** Loopback networks that runs of several processes and seeds are spread over. */
+    private static final int NETS = 200;
+
     private static final int FAULT_GAP_MILLIS = 500;
     private static final int LONGEST_FAULT_MILLIS = 1_500;
     private static final int REPORT_MILLIS = 150;
@@ -51,7 +55,8 @@
      * @return the broken promises
      */
     List<String> run(Path folder, int faults) throws Exception {
-        String net = "127.%d.%d".formatted(10 + seed / 200 % 200, 1 + seed % 200);
+        long process = ProcessHandle.current().pid();
+        String net = "127.%d.%d".formatted(10 + process % NETS, 1 + seed % NETS);
         try (SoakSystem started = new SoakSystem(folder, net, evidence)) {
             system = started;
             operator = new SoakOperator(system.callProxies(), evidence, seed);
