Bound the names of prompts that hosts keep

Longer ones than 64 characters are not kept; such a stream is placed as before. The test failed before.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakEvidence.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakEvidence.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -97,6 +98,6 @@
 
     @Override
     public String toString() {
-        return new java.util.TreeMap<>(counts).toString();
+        return new TreeMap<>(counts).toString();
     }
 }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRun.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRun.java
@@ -43,8 +43,8 @@
         this.random = new SplittableRandom(seed);
     }
 
-    /** A fault that is injected and, at the end of a pause, healed. */
-    private interface Fault {
+    /** The beginning or the end of a fault. */
+    private interface Action {
         void run() throws Exception;
     }
 
@@ -113,7 +113,7 @@
         }
     }
 
-    private void fault(String name, int pause, Fault begin, Fault end) throws Exception {
+    private void fault(String name, int pause, Action begin, Action end) throws Exception {
         story.add(name);
         begin.run();
         Http.pause(pause);
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/ReadPromptsTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/ReadPromptsTest.java
@@ -4,6 +4,8 @@
 
 import io.siskintrail.lib.EndpointId;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** What is known of prompts that were read, while streams come and go. */
 class ReadPromptsTest {
@@ -29,6 +31,13 @@
         assertThat(prompts.whereRead(new PromptId("p"), 17_000)).isNull();
     }
 
+    @ParameterizedTest
+    @CsvSource({"0, false", "1, true", "64, true", "65, false", "16000, false"})
+    void nameThatIsTooLongIsNotKept(int length, boolean kept) {
+        assertThat(PromptId.ofNullable("p".repeat(length)) != null).isEqualTo(kept);
+        assertThat(PromptId.ofNullable(null)).isNull();
+    }
+
     @Test
     void floodOfPromptsTakesBoundedMemory() {
         for (int i = 0; i < 20_000; i++) {
--- a/siskintrail/src/io/siskintrail/internal/traffic/PromptId.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/PromptId.java
@@ -7,6 +7,14 @@
  * @param value the name that the client gave it
  */
 public record PromptId(String value) {
+    /** Longest name in characters; all hosts keep the names of many prompts. */
+    private static final int MAX_LENGTH = 64;
+
+    /** Returns the id {@code text}, null when it is empty or too long to be kept. */
+    public static PromptId ofNullable(String text) {
+        boolean kept = text != null && !text.isEmpty() && text.length() <= MAX_LENGTH;
+        return kept ? new PromptId(text) : null;
+    }
 
     @Override
     public String toString() {
