--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakOperator.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakOperator.java
@@ -89,10 +89,12 @@
         }
     }
 
-    /** Sends an older configuration again, which must change nothing. */
+    /** Sends an older version, which must change nothing if a higher one is in force. */
     synchronized void repeat() {
         if (version > 0) {
-            ask("PUT", "/api/config", SoakConfiguration.of(1 + random.nextLong(version)));
+            long older = 1 + random.nextLong(version);
+            evidence.configured(older, SoakConfiguration.of(older));
+            ask("PUT", "/api/config", SoakConfiguration.of(older));
         }
     }
 
