--- a/siskintrail.bench/src/io/siskintrail/bench/QuickstartExperiment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/QuickstartExperiment.java
@@ -12,10 +12,7 @@
 import io.siskintrail.service.OperatorTokens;
 import io.siskintrail.service.Service;
 import io.siskintrail.service.ShutdownSignal;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
+import io.siskintrail.testkit.FreePorts;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -42,8 +39,8 @@
     private static final String SHARED_KEY = "quickstart-shared-key";
     private static final String OPERATOR_TOKEN = "quickstart-operator";
 
-    private final String controlPeerAddress = freeAddress();
-    private final String routerPeerAddress = freeAddress();
+    private final String controlPeerAddress = FreePorts.address();
+    private final String routerPeerAddress = FreePorts.address();
     private final Deque<Service> running = new ArrayDeque<>();
     private final List<FakeEngine> engines = new ArrayList<>();
     private ControlService control;
@@ -178,14 +175,6 @@
                 new OperatorTokens.Operator("quickstart", OperatorTokens.hashOf(OPERATOR_TOKEN)));
     }
 
-    private static String freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return "127.0.0.1:" + socket.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException("no free port on loopback", e);
-        }
-    }
-
     private FakeEngineSettings engineSettings(int number) {
         return new FakeEngineSettings(
                 "engine-" + number,
--- a/siskintrail.bench/src/io/siskintrail/bench/SlopesExperiment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/SlopesExperiment.java
@@ -15,6 +15,7 @@
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.Rank;
 import io.siskintrail.lib.RequestKey;
+import io.siskintrail.testkit.FreePorts;
 import io.siskintrail.wire.BuddyCodec;
 import io.siskintrail.wire.MessageKind;
 import io.siskintrail.wire.PolicyCodec;
@@ -22,9 +23,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -131,8 +130,8 @@
      * Returns microseconds of processor time for each message, {@code window} under way at most.
      */
     private static double transport(int window) throws Exception {
-        InetSocketAddress to = freeAddress();
-        InetSocketAddress from = freeAddress();
+        InetSocketAddress to = FreePorts.socketAddress();
+        InetSocketAddress from = FreePorts.socketAddress();
         int count = window == 1 ? MESSAGES / 10 : MESSAGES;
         java.util.concurrent.Semaphore room = new java.util.concurrent.Semaphore(window);
         CountDownLatch arrived = new CountDownLatch(count);
@@ -200,13 +199,6 @@
         return ((com.sun.management.OperatingSystemMXBean) bean).getProcessCpuTime();
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        InetAddress loopback = InetAddress.getLoopbackAddress();
-        try (ServerSocket socket = new ServerSocket(0, 1, loopback)) {
-            return new InetSocketAddress(loopback, socket.getLocalPort());
-        }
-    }
-
     private static void print(String key, double value) {
         System.out.printf(Locale.ROOT, "%s=%.1f%n", key, value);
     }
--- a/siskintrail.bench/src/io/siskintrail/bench/cost/RealRouters.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/cost/RealRouters.java
@@ -8,8 +8,8 @@
 import io.siskintrail.router.RouterService;
 import io.siskintrail.router.RouterSettings;
 import io.siskintrail.router.internal.account.ApiKeys;
+import io.siskintrail.testkit.FreePorts;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -33,11 +33,11 @@
      * @param alone whether the routers know neither control nor each other nor an engine
      */
     RealRouters(int count, int engineCount, boolean alone) throws IOException {
-        int controlPort = freePort();
+        int controlPort = FreePorts.next();
         List<RouterSettings.Peer> peers = new ArrayList<>();
         List<ControlSettings.Peer> seeds = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            String address = "127.0.0.1:" + freePort();
+            String address = FreePorts.address();
             peers.add(new RouterSettings.Peer("host-" + i, "local", address));
             seeds.add(new ControlSettings.Peer("host-" + i, "local", address));
         }
@@ -120,10 +120,4 @@
             control.stop();
         }
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
 }
--- a/siskintrail.bench/src/io/siskintrail/bench/ledger/LedgerExperiment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/ledger/LedgerExperiment.java
@@ -4,9 +4,8 @@
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.HostInfo;
+import io.siskintrail.testkit.FreePorts;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -123,11 +122,8 @@
         }
     }
 
-    private static HostInfo host(String name) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            String address = "127.0.0.1:" + socket.getLocalPort();
-            return new HostInfo(new HostId(name), new FailureDomain("d-" + name), address);
-        }
+    private static HostInfo host(String name) {
+        return new HostInfo(new HostId(name), new FailureDomain("d-" + name), FreePorts.address());
     }
 
     private static long size(Path folder) throws IOException {
--- a/siskintrail.bench/src/io/siskintrail/bench/orders/Deployment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/orders/Deployment.java
@@ -10,8 +10,8 @@
 import io.siskintrail.router.RouterSettings;
 import io.siskintrail.router.internal.account.ApiKeys;
 import io.siskintrail.router.internal.rules.RulesView;
+import io.siskintrail.testkit.FreePorts;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -35,7 +35,7 @@
     Deployment(FileLog log) throws IOException {
         this.log = log;
         for (int i = 0; i < ROUTERS; i++) {
-            ports[i] = freePort();
+            ports[i] = FreePorts.next();
         }
         for (int i = 0; i < ROUTERS; i++) {
             startRouter(i);
@@ -104,12 +104,6 @@
         log.close();
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     private RouterSettings routerSettings(int number) {
         int other = ROUTERS - 1 - number;
         return new RouterSettings(
--- a/siskintrail.bench/src/io/siskintrail/bench/orders/FileLog.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/orders/FileLog.java
@@ -12,6 +12,7 @@
 import io.siskintrail.service.ControlLoop;
 import io.siskintrail.storage.DataFolder;
 import io.siskintrail.storage.FileLogStore;
+import io.siskintrail.testkit.FreePorts;
 import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ControlStateCodec;
 import io.siskintrail.wire.ThriftPeerTransport;
@@ -103,14 +104,7 @@
     }
 
     private static HostInfo info(String name) {
-        try {
-            return new HostInfo(
-                    new HostId(name),
-                    new FailureDomain("local"),
-                    "127.0.0.1:" + Deployment.freePort());
-        } catch (IOException e) {
-            throw new UncheckedIOException("no free port", e);
-        }
+        return new HostInfo(new HostId(name), new FailureDomain("local"), FreePorts.address());
     }
 
     private static ThriftPeerTransport transport(HostInfo self, List<HostInfo> peers) {
--- a/siskintrail.bench/src/io/siskintrail/bench/path/PathDeployment.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/path/PathDeployment.java
@@ -6,6 +6,7 @@
 import io.siskintrail.lib.ModelId;
 import io.siskintrail.router.RouterSettings;
 import io.siskintrail.router.internal.account.ApiKeys;
+import io.siskintrail.testkit.FreePorts;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -52,7 +53,7 @@
         for (int i = 0; i < routerCount; i++) {
             all.add(
                     new RouterSettings.Peer(
-                            "router-" + i, "domain-" + i % DOMAINS, RouterProcess.freeAddress()));
+                            "router-" + i, "domain-" + i % DOMAINS, FreePorts.address()));
         }
         for (RouterSettings.Peer own : all) {
             List<RouterSettings.Peer> others = new ArrayList<>(all);
@@ -130,7 +131,7 @@
         return new RouterSettings(
                 own.host(),
                 own.domain(),
-                RouterProcess.freeAddress(),
+                FreePorts.address(),
                 own.peerAddress(),
                 SHARED_KEY,
                 TOKEN,
--- a/siskintrail.bench/src/io/siskintrail/bench/path/RouterProcess.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/path/RouterProcess.java
@@ -3,10 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.siskintrail.router.RouterSettings;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.HttpURLConnection;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -34,14 +31,6 @@
         this.folder = folder;
     }
 
-    static String freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(IP))) {
-            return IP + ":" + socket.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException("no free port on loopback", e);
-        }
-    }
-
     String address() {
         return settings.httpAddress();
     }
--- a/siskintrail.bench/src/io/siskintrail/bench/rules/Node.java
+++ b/siskintrail.bench/src/io/siskintrail/bench/rules/Node.java
@@ -4,20 +4,15 @@
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.HostInfo;
 import io.siskintrail.service.ControlLoop;
+import io.siskintrail.testkit.FreePorts;
 import io.siskintrail.wire.ThriftPeerTransport;
-import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.Collection;
-import java.util.concurrent.ThreadLocalRandom;
 
 /** The address of one process, and its sockets and control thread while it runs. */
 abstract class Node {
     static final String SHARED_KEY = "shared-key-of-the-bench";
     private static final int DOMAINS = 3;
-    private static final int FIRST_PORT = 20_000;
-    private static final int LAST_PORT = 32_000; // Outgoing connections take ports above.
 
     private final HostInfo info;
     private final InetSocketAddress address;
@@ -27,7 +22,7 @@
     private boolean cut;
 
     Node(String name, int number) {
-        address = freeAddress();
+        address = FreePorts.socketAddress();
         info =
                 new HostInfo(
                         new HostId(name + "-" + number),
@@ -35,20 +30,6 @@
                         "127.0.0.1:" + address.getPort());
     }
 
-    /** Returns an address that no outgoing connection takes while the process is down. */
-    private static InetSocketAddress freeAddress() {
-        for (int i = 0; i < LAST_PORT - FIRST_PORT; i++) {
-            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
-            InetAddress loopback = InetAddress.getLoopbackAddress();
-            try (ServerSocket socket = new ServerSocket(port, 1, loopback)) {
-                return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-            } catch (IOException expected) {
-                // Another process has the port.
-            }
-        }
-        throw new IllegalStateException("no free port on loopback");
-    }
-
     HostInfo info() {
         return info;
     }
--- a/siskintrail.control.test/tst/io/siskintrail/control/ControlServiceDiskTest.java
+++ b/siskintrail.control.test/tst/io/siskintrail/control/ControlServiceDiskTest.java
@@ -11,12 +11,12 @@
 import io.siskintrail.lib.HostInfo;
 import io.siskintrail.service.ControlLoop;
 import io.siskintrail.service.OperatorTokens;
+import io.siskintrail.testkit.FreePorts;
 import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ControlStateCodec;
 import io.siskintrail.wire.ThriftPeerTransport;
 import io.siskintrail.wire.control.CommittedListener;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -59,7 +59,7 @@
                         "c1",
                         "d",
                         "127.0.0.1:0",
-                        "127.0.0.1:" + freePort(),
+                        FreePorts.address(),
                         "shared-key",
                         folder.toString(),
                         List.of(),
@@ -106,7 +106,7 @@
         private final ReplicatedControlLog log;
 
         Running() throws IOException {
-            String address = "127.0.0.1:" + freePort();
+            String address = FreePorts.address();
             ControlSettings settings =
                     new ControlSettings(
                             "c1",
@@ -134,10 +134,4 @@
             loop.stop();
         }
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
 }
--- a/siskintrail.control.test/tst/io/siskintrail/control/internal/configuration/RulesDeployment.java
+++ b/siskintrail.control.test/tst/io/siskintrail/control/internal/configuration/RulesDeployment.java
@@ -7,14 +7,11 @@
 import io.siskintrail.lib.HostInfo;
 import io.siskintrail.router.internal.rules.RulesFollower;
 import io.siskintrail.service.ControlLoop;
+import io.siskintrail.testkit.FreePorts;
 import io.siskintrail.wire.ControlStateCodec;
 import io.siskintrail.wire.ThriftPeerTransport;
 import io.siskintrail.wire.control.LocalControlClient;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -35,11 +32,11 @@
     private volatile boolean leading = true;
 
     RulesDeployment(int routerCount) {
-        addresses.put(CONTROL, freeAddress());
+        addresses.put(CONTROL, FreePorts.socketAddress());
         List<HostInfo> hosts = new ArrayList<>();
         for (int i = 1; i <= routerCount; i++) {
             HostId id = new HostId("router-" + i);
-            InetSocketAddress address = freeAddress();
+            InetSocketAddress address = FreePorts.socketAddress();
             addresses.put(id, address);
             hosts.add(
                     new HostInfo(id, new FailureDomain("d" + i), "127.0.0.1:" + address.getPort()));
@@ -98,14 +95,6 @@
         return loop;
     }
 
-    private static InetSocketAddress freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     ConfigurationService control() {
         return control;
     }
--- a/siskintrail.control.test/tst/io/siskintrail/control/internal/replica/ControlReplicaTest.java
+++ b/siskintrail.control.test/tst/io/siskintrail/control/internal/replica/ControlReplicaTest.java
@@ -6,12 +6,12 @@
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.HostInfo;
 import io.siskintrail.service.ControlLoop;
+import io.siskintrail.testkit.FreePorts;
 import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ThriftPeerTransport;
 import io.siskintrail.wire.control.ControlClient;
 import io.siskintrail.wire.control.RemoteControlClient;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -40,7 +40,7 @@
     @BeforeEach
     void start() throws IOException {
         for (int i = 0; i < HOSTS; i++) {
-            infos.add(TestHost.info("c" + i, freePort()));
+            infos.add(TestHost.info("c" + i, FreePorts.next()));
         }
         for (int i = 0; i < VOTERS; i++) {
             startHost(i, "disk");
@@ -99,7 +99,7 @@
     @Test
     void hostWithoutReplicaFollowsAndProposes() throws IOException {
         propose(hosts.get(0).replica.client(), 70);
-        HostInfo router = TestHost.info("router", freePort());
+        HostInfo router = TestHost.info("router", FreePorts.next());
         ControlLoop loop = new ControlLoop("router");
         try (ThriftPeerTransport transport =
                 new ThriftPeerTransport(
@@ -184,10 +184,4 @@
             }
         }
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
 }
--- a/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
+++ b/siskintrail.pgm.test/tst/io/siskintrail/pgm/LauncherTest.java
@@ -5,11 +5,10 @@
 import io.siskintrail.control.ControlService;
 import io.siskintrail.control.ControlSettings;
 import io.siskintrail.service.OperatorTokens;
+import io.siskintrail.testkit.FreePorts;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -38,7 +37,7 @@
                                 "control-1",
                                 "marka",
                                 "127.0.0.1:0",
-                                "127.0.0.1:" + freePort(),
+                                FreePorts.address(),
                                 "shared-key-of-the-test",
                                 "",
                                 List.of(),
@@ -55,32 +54,18 @@
         control.stop();
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     private int runAs(String token, String... args) {
         out.getBuffer().setLength(0);
         err.getBuffer().setLength(0);
         Map<String, String> environment =
                 Map.of(
                         "SISKINTRAIL_CONTROL",
-                        "http://127.0.0.1:" + freePortOrOne() + ",http://" + control.httpAddress(),
+                        "http://" + FreePorts.address() + ",http://" + control.httpAddress(),
                         "SISKINTRAIL_TOKEN",
                         token);
         return new Launcher(environment, new PrintWriter(out), new PrintWriter(err)).run(args);
     }
 
-    private static int freePortOrOne() {
-        try {
-            return freePort();
-        } catch (IOException e) {
-            return 1;
-        }
-    }
-
     private int run(String... args) {
         return runAs(TOKEN, args);
     }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
@@ -4,10 +4,9 @@
 import io.siskintrail.edge.EdgeSettings;
 import io.siskintrail.registry.RegistryService;
 import io.siskintrail.registry.RegistrySettings;
+import io.siskintrail.testkit.FreePorts;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -26,9 +25,9 @@
     private final HttpClient http = HttpClient.newHttpClient();
     private final RegistryService registry;
     private final EdgeService edge;
-    private final int front = freePort();
-    private final int ready = freePort();
-    private final int calls = freePort();
+    private final int front = FreePorts.next();
+    private final int ready = FreePorts.next();
+    private final int calls = FreePorts.next();
 
     /** Starts both with an edge that has a second to stop. */
     LoopbackSystem(Path folder) throws IOException {
@@ -37,7 +36,7 @@
 
     /** Starts both; an edge that is asked to stop has {@code graceSeconds} for it. */
     LoopbackSystem(Path folder, double graceSeconds) throws IOException {
-        int links = freePort();
+        int links = FreePorts.next();
         List<String> seeds = List.of("127.0.0.1:" + calls);
         registry =
                 new RegistryService(
@@ -47,7 +46,7 @@
                                 "127.0.0.1",
                                 "127.0.0.1:" + calls,
                                 links,
-                                freePort(),
+                                FreePorts.next(),
                                 seeds,
                                 true,
                                 folder.resolve("data").toString(),
@@ -63,7 +62,7 @@
                                 "127.0.0.1:" + front,
                                 "127.0.0.1:" + ready,
                                 links,
-                                freePort(),
+                                FreePorts.next(),
                                 seeds,
                                 graceSeconds,
                                 0.8,
@@ -102,7 +101,7 @@
      * @param unused a service of the configuration that the test needs no endpoint of
      */
     void awaitServing(String unused) throws Exception {
-        register("idle", unused, "127.0.0.1:" + freePort(), "z");
+        register("idle", unused, FreePorts.address(), "z");
         for (int i = 0; i < TRIES; i++) {
             if (readiness() == 200) {
                 return;
@@ -154,12 +153,4 @@
         edge.stop();
         registry.stop();
     }
-
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException("no free port", e);
-        }
-    }
 }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryAcquaintanceTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryAcquaintanceTest.java
@@ -11,11 +11,10 @@
 import io.siskintrail.net.PeerRole;
 import io.siskintrail.registry.RegistryService;
 import io.siskintrail.registry.RegistrySettings;
+import io.siskintrail.testkit.FreePorts;
 import io.siskintrail.wire.MessageKind;
 import io.siskintrail.wire.registry.RegistryCodec;
 import io.siskintrail.wire.registry.RegistryMessage;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,9 +32,9 @@
     @TempDir Path folder;
     private final List<RegistryService> registries = new ArrayList<>();
     private final EventLoop loop = new EventLoop("test");
-    private final int links = freePort();
-    private final int calls = freePort();
-    private final int metrics = freePort();
+    private final int links = FreePorts.next();
+    private final int calls = FreePorts.next();
+    private final int metrics = FreePorts.next();
 
     @AfterEach
     void stop() {
@@ -108,12 +107,4 @@
     private static String ip(int number) {
         return "127.0.0." + number;
     }
-
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        } catch (java.io.IOException e) {
-            throw new IllegalStateException("no free port", e);
-        }
-    }
 }
--- a/siskintrail.router.test/tst/io/siskintrail/router/GenerationsTest.java
+++ b/siskintrail.router.test/tst/io/siskintrail/router/GenerationsTest.java
@@ -10,8 +10,8 @@
 import io.siskintrail.fake.FakeTokens;
 import io.siskintrail.lib.ModelId;
 import io.siskintrail.router.internal.account.ApiKeys;
+import io.siskintrail.testkit.FreePorts;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -46,7 +46,7 @@
     void start() throws Exception {
         List<RouterSettings.Peer> peers = new ArrayList<>();
         for (int i = 0; i < ROUTERS; i++) {
-            peers.add(new RouterSettings.Peer("r" + i, "d" + i, "127.0.0.1:" + freePort()));
+            peers.add(new RouterSettings.Peer("r" + i, "d" + i, FreePorts.address()));
         }
         for (int i = 0; i < ROUTERS; i++) {
             RouterService router =
@@ -229,10 +229,4 @@
                 routers,
                 TOKEN);
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
 }
--- a/siskintrail.router.test/tst/io/siskintrail/router/OrdersOverControlTest.java
+++ b/siskintrail.router.test/tst/io/siskintrail/router/OrdersOverControlTest.java
@@ -8,9 +8,7 @@
 import io.siskintrail.fake.FakeServiceSettings;
 import io.siskintrail.router.internal.account.ApiKeys;
 import io.siskintrail.service.OperatorTokens;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
+import io.siskintrail.testkit.FreePorts;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -35,8 +33,8 @@
 
     @TempDir Path data;
     private final HttpClient http = HttpClient.newHttpClient();
-    private final String controlPeer = freeAddress();
-    private final String routerPeer = freeAddress();
+    private final String controlPeer = FreePorts.address();
+    private final String routerPeer = FreePorts.address();
     private ControlService control;
     private RouterService router;
     private FakeService service;
@@ -150,12 +148,4 @@
         assertThat(what + " " + last.statusCode()).isEqualTo(what + " 200");
         return last;
     }
-
-    private static String freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return "127.0.0.1:" + socket.getLocalPort();
-        } catch (IOException e) {
-            throw new java.io.UncheckedIOException("no free port on loopback", e);
-        }
-    }
 }
--- a/siskintrail.router.test/tst/io/siskintrail/router/ServicesTest.java
+++ b/siskintrail.router.test/tst/io/siskintrail/router/ServicesTest.java
@@ -11,10 +11,9 @@
 import io.siskintrail.internal.rules.RulesParser;
 import io.siskintrail.router.internal.account.ApiKeys;
 import io.siskintrail.router.internal.rules.RulesView;
+import io.siskintrail.testkit.FreePorts;
 import io.siskintrail.wire.ControlStateCodec;
 import io.siskintrail.wire.control.LocalControlClient;
-import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -52,8 +51,8 @@
         RulesCheck check = RulesParser.parse(RULES);
         assertThat(check).isInstanceOf(RulesCheck.Accepted.class);
         RulesView rules = fixed(((RulesCheck.Accepted) check).rules());
-        peerPorts[0] = freePort();
-        peerPorts[1] = freePort();
+        peerPorts[0] = FreePorts.next();
+        peerPorts[1] = FreePorts.next();
         for (int i = 0; i < 2; i++) {
             RouterService router = new RouterService(settings(i), new ControlAccess(log, rules));
             router.start();
@@ -228,12 +227,6 @@
         };
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     private RouterSettings settings(int number) {
         int other = 1 - number;
         return new RouterSettings(
--- a/siskintrail.wire.test/tst/io/siskintrail/wire/ThriftPeerTransportTest.java
+++ b/siskintrail.wire.test/tst/io/siskintrail/wire/ThriftPeerTransportTest.java
@@ -3,10 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.siskintrail.lib.HostId;
-import java.io.IOException;
-import java.net.InetAddress;
+import io.siskintrail.testkit.FreePorts;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -20,10 +18,10 @@
     @Test
     void messagesReachTheHandlerOfTheirKind() throws Exception {
         BlockingQueue<String> received = new LinkedBlockingQueue<>();
-        InetSocketAddress address = freeAddress();
+        InetSocketAddress address = FreePorts.socketAddress();
         try (ThriftPeerTransport to = new ThriftPeerTransport(B, address, "shared-key");
                 ThriftPeerTransport from =
-                        new ThriftPeerTransport(A, freeAddress(), "shared-key")) {
+                        new ThriftPeerTransport(A, FreePorts.socketAddress(), "shared-key")) {
             to.handle(MessageKind.POLICY, (s, body) -> received.add(s + ":" + text(body)));
             to.start();
             from.addPeer(B, address);
@@ -38,11 +36,12 @@
     @Test
     void messagesUnderAnotherKeyAreDropped() throws Exception {
         BlockingQueue<String> received = new LinkedBlockingQueue<>();
-        InetSocketAddress address = freeAddress();
+        InetSocketAddress address = FreePorts.socketAddress();
         try (ThriftPeerTransport to = new ThriftPeerTransport(B, address, "shared-key");
-                ThriftPeerTransport bad = new ThriftPeerTransport(A, freeAddress(), "other-key!");
+                ThriftPeerTransport bad =
+                        new ThriftPeerTransport(A, FreePorts.socketAddress(), "other-key!");
                 ThriftPeerTransport good =
-                        new ThriftPeerTransport(A, freeAddress(), "shared-key")) {
+                        new ThriftPeerTransport(A, FreePorts.socketAddress(), "shared-key")) {
             to.handle(MessageKind.POLICY, (s, body) -> received.add(text(body)));
             to.start();
             bad.addPeer(B, address);
@@ -56,7 +55,7 @@
 
     @Test
     void theAddressIsFreeOnceTheTransportIsClosed() throws Exception {
-        InetSocketAddress address = freeAddress();
+        InetSocketAddress address = FreePorts.socketAddress();
         for (int i = 0; i < 50; i++) {
             try (ThriftPeerTransport transport =
                     new ThriftPeerTransport(A, address, "shared-key")) {
@@ -65,12 +64,6 @@
         }
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        }
-    }
-
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
