Wake edges only when something is due

An edge woke up 50 times a second for two timers of 40 ms, 17 times for probes of its five links, 20 times for the sampling of the runtime's performance data, and up to 40 times for loads that a registry passed on every 25 ms whatever the number of edges.

Listening sockets are opened in one place (TcpServer); waiting for room stands once, in Exchange.

Tests: SilenceRuleTest (nothing is missed between two looks, and no look comes for nothing), RelayPaceTest.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/CallExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/CallExchange.java
@@ -6,7 +6,6 @@
 import io.siskintrail.edge.EndpointAnswer;
 import io.siskintrail.internal.traffic.EndpointView;
 import io.siskintrail.internal.traffic.RouteKind;
-import io.siskintrail.internal.traffic.WaitingRoom;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
@@ -34,6 +33,9 @@
     /** Share of the target latency after which an idempotent call is sent a second time. */
     private static final double HEDGE_SHARE = 0.5;
 
+    /** Share of the target latency that a call waits for room at most; the rest is for its work. */
+    private static final double WAIT_SHARE = 0.5;
+
     /** Retry-After for an endpoint that refused although it seemed to have room. */
     private static final long REFUSED_RETRY_MILLIS = 80;
 
@@ -42,7 +44,6 @@
 
     private final Set<EndpointId> tried = new HashSet<>();
     private final List<Try> running = new ArrayList<>(2);
-    private WaitingRoom.Waiting<Exchange> place;
     private Future<?> hedge;
     private int sent;
     private int dials;
@@ -66,14 +67,7 @@
             refuse(ResultCode.NO_ENDPOINT, "no endpoint of the service", ABSENT_RETRY_MILLIS);
             return;
         }
-        long now = EventLoop.nowMillis();
-        long latest = now + call.route().targetLatencyMillis() / 2;
-        WaitingRoom<Exchange> room = edge.room(service);
-        place = room.enter(now, this, call.rank(), latest);
-        if (place == null) {
-            long wait = (long) room.forecastMillis(now, call.rank());
-            refuse(ResultCode.NOT_RUN_NO_ROOM, "forecast %d ms".formatted(wait), wait);
-        }
+        waitForRoom((long) (WAIT_SHARE * call.route().targetLatencyMillis()));
     }
 
     @Override
@@ -86,10 +80,7 @@
         if (hedge != null) {
             hedge.cancel(false);
         }
-        if (place != null) {
-            edge.room(service).leave(place);
-            place = null;
-        }
+        leaveRoom();
         for (Try t : List.copyOf(running)) {
             t.stop();
         }
@@ -100,9 +91,8 @@
         if (isOver()) {
             return;
         }
-        if (place != null) {
-            long wait =
-                    (long) edge.room(service).forecastMillis(EventLoop.nowMillis(), call.rank());
+        if (isWaiting()) {
+            long wait = edge.rooms().forecastMillis(service, call.rank());
             refuse(ResultCode.NOT_RUN_NO_ROOM, "waited for room", wait);
             return;
         }
@@ -121,7 +111,7 @@
         if (endpoint == null) {
             return false;
         }
-        place = null;
+        placed();
         send(endpoint);
         return true;
     }
@@ -316,8 +306,7 @@
         private void leave() {
             attempt.endpoint().end(0);
             edge.quarantine().left(attempt.endpoint(), call.fingerprint());
-            edge.room(service).released(EventLoop.nowMillis());
-            edge.loop().execute(edge::placeWaiting);
+            edge.rooms().released(service);
         }
     }
 }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -15,7 +15,6 @@
 import io.siskintrail.service.Service;
 import io.siskintrail.wire.registry.RegistryMessage;
 import java.nio.charset.StandardCharsets;
-import java.security.SecureRandom;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -25,7 +24,6 @@
 public final class Edge implements Service, RegistryFollower.Listener {
     private static final System.Logger LOG = System.getLogger(Edge.class.getName());
     private static final int MAX_READINESS_BYTES = 1 << 10;
-    private static final long WATCH_MILLIS = 40;
     private static final long CLEAN_MILLIS = 500;
 
     /** Time in which every endpoint that is there has reported, some intervals of reports. */
@@ -80,7 +78,7 @@
                         stats,
                         settings,
                         registries,
-                        new SecureRandom().nextLong());
+                        seed(settings.host()));
         RequestFilters filters =
                 new RequestFilters(protocol, () -> table, parts.quarantine(), parts.stopPlan());
         front = new Front(loop, settings.frontAddress(), parts, filters, () -> table);
@@ -104,8 +102,6 @@
         front.start();
         readiness.start();
         metrics.start();
-        loop.every(WATCH_MILLIS, parts::watchStreams);
-        loop.every(WATCH_MILLIS, parts::placeWaiting);
         loop.every(CLEAN_MILLIS, pool::closeOld);
         loop.every(REPEAT_MILLIS, parts.loads()::repeat);
         loop.every(CLEAN_MILLIS, parts.quarantine()::tick);
@@ -166,7 +162,7 @@
     @Override
     public void endpoints(List<EndpointRecord> records) {
         if (endpoints.told(records)) {
-            parts.placeWaitingSoon();
+            parts.rooms().placeSoon();
         }
     }
 
@@ -244,6 +240,11 @@
         }
     }
 
+    /** Returns a seed that differs between hosts that start at the same moment. */
+    private static long seed(String host) {
+        return System.nanoTime() ^ ((long) host.hashCode() << Integer.SIZE);
+    }
+
     private static void pause(long millis) {
         try {
             TimeUnit.MILLISECONDS.sleep(millis);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeParts.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeParts.java
@@ -9,11 +9,9 @@
 import io.siskintrail.internal.traffic.CallPlacement;
 import io.siskintrail.internal.traffic.EndpointView;
 import io.siskintrail.internal.traffic.PrefillRate;
-import io.siskintrail.internal.traffic.ReleaseRate;
 import io.siskintrail.internal.traffic.RetryBudget;
 import io.siskintrail.internal.traffic.StopPlan;
 import io.siskintrail.internal.traffic.StreamPlacement;
-import io.siskintrail.internal.traffic.WaitingRoom;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
@@ -21,22 +19,13 @@
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.LogEvent;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 
 /** What the exchanges of an edge share. Used on the event loop. */
 final class EdgeParts {
     private static final System.Logger LOG = System.getLogger(EdgeParts.class.getName());
 
-    /** Starts a second that a service is assumed to allow before any end was seen. */
-    private static final double INITIAL_STARTS_PER_SECOND = 4;
-
-    /** Time over which edges spread what they place on an engine that came back. */
-    private static final long SPREAD_MILLIS = 150;
-
     /** Age up to which a byte from an engine shows that it is there; a few events of a stream. */
     private static final long HEARD_MILLIS = 150;
 
@@ -52,9 +41,9 @@
     private final SplittableRandom random;
     private final CallPlacement calls;
     private final StreamPlacement streams;
-    private final Map<ServiceName, WaitingRoom<Exchange>> rooms = new HashMap<>();
+    private final WaitingRooms rooms;
     private final Map<ServiceName, PrefillRate> prefill = new HashMap<>();
-    private final Set<StreamExchange> open = new LinkedHashSet<>();
+    private final StreamWatch watch;
     private final StopPlan stopPlan = new StopPlan();
     private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
 
@@ -81,6 +70,8 @@
         FailureDomain home = new FailureDomain(settings.domain());
         this.calls = new CallPlacement(home);
         this.streams = new StreamPlacement(home, random::nextDouble);
+        this.rooms = new WaitingRooms(loop, random::nextLong);
+        this.watch = new StreamWatch(loop);
     }
 
     EventLoop loop() {
@@ -132,10 +123,14 @@
         return streams;
     }
 
-    /** Returns where requests for a service wait. */
-    WaitingRoom<Exchange> room(ServiceName service) {
-        return rooms.computeIfAbsent(
-                service, s -> new WaitingRoom<>(new ReleaseRate(INITIAL_STARTS_PER_SECOND)));
+    /** Returns where requests wait. */
+    WaitingRooms rooms() {
+        return rooms;
+    }
+
+    /** Returns what looks after open streams. */
+    StreamWatch watch() {
+        return watch;
     }
 
     /** Returns the budget for further attempts at a service. */
@@ -149,46 +144,16 @@
         return settings.retryReserve() / registries.edges();
     }
 
-    /** Places requests that wait, as far as there is room now, and turns away the hopeless. */
-    void placeWaiting() {
-        rooms.values().forEach(this::placeWaiting);
-    }
-
-    /**
-     * Places the first that waits. One at a time: other edges do the same at the same moment, and
-     * what they placed is known a moment later.
-     */
-    private void placeWaiting(WaitingRoom<Exchange> room) {
-        room.removeHopeless(EventLoop.nowMillis()).forEach(Exchange::timeUp);
-        Exchange first = room.first();
-        if (first != null && first.placeWaiting()) {
-            room.removeFirst();
-        }
-    }
-
-    /** Places requests that wait after a random moment, since all edges learn of room at once. */
-    void placeWaitingSoon() {
-        loop.after(random.nextLong(SPREAD_MILLIS), this::placeWaiting);
-    }
-
     /** Remembers an exchange until it ends. */
     void add(Exchange exchange) {
         if (exchange instanceof StreamExchange s) {
-            open.add(s);
+            watch.add(s);
         }
     }
 
     /** Forgets an exchange that ended. */
     void remove(Exchange exchange) {
-        open.remove(exchange);
-    }
-
-    /** Looks after streams whose engines may be gone. */
-    void watchStreams() {
-        long now = EventLoop.nowMillis();
-        for (StreamExchange s : List.copyOf(open)) {
-            s.watch(now);
-        }
+        watch.remove(exchange);
     }
 
     /**
@@ -222,16 +187,17 @@
         EndpointView view = endpoints.get(id);
         if (view != null && !view.health().isPaused(EventLoop.nowMillis())) {
             view.health().unreachable(EventLoop.nowMillis());
-            List.copyOf(open).forEach(s -> s.copyLost(view));
+            watch.forEach(s -> s.copyLost(view));
         }
     }
 
     /** Moves all streams off an engine that has ended. */
     void engineLost(EndpointView engine, String cause) {
-        for (StreamExchange s : List.copyOf(open)) {
-            s.engineLost(engine, cause);
-            s.copyLost(engine);
-        }
+        watch.forEach(
+                s -> {
+                    s.engineLost(engine, cause);
+                    s.copyLost(engine);
+                });
     }
 
     /** Returns the request of {@code call} as it is sent on {@code terms}. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -4,6 +4,7 @@
 import io.siskintrail.edge.CopySource;
 import io.siskintrail.edge.ForwardTerms;
 import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.WaitingRoom;
 import io.siskintrail.lib.Failure;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.lib.ServiceName;
@@ -31,6 +32,7 @@
     protected final ServiceName service;
 
     private final Consumer<Exchange> ended;
+    private WaitingRoom.Waiting<Exchange> place;
     private Future<?> timeout;
     private boolean over;
 
@@ -79,7 +81,7 @@
         return call.body().length;
     }
 
-    /** Begins the work of this kind of request. */
+    /** Places the request, or lets it wait for room, or turns it away. */
     protected abstract void begin();
 
     /** Returns whether an endpoint may have seen the request. */
@@ -94,6 +96,39 @@
     /** Tries to place a request that waits; returns whether it no longer waits. */
     protected abstract boolean placeWaiting();
 
+    /**
+     * Lets the request wait for room, or turns it away when the forecast says that it cannot start
+     * in time.
+     *
+     * @param waitMillis the longest wait that is of use
+     */
+    protected final void waitForRoom(long waitMillis) {
+        long latest = EventLoop.nowMillis() + waitMillis;
+        place = edge.rooms().enter(this, call.rank(), latest);
+        if (place == null) {
+            long wait = edge.rooms().forecastMillis(service, call.rank());
+            refuse(ResultCode.NOT_RUN_NO_ROOM, "forecast %d ms".formatted(wait), wait);
+        }
+    }
+
+    /** Returns whether the request waits for room. */
+    protected final boolean isWaiting() {
+        return place != null;
+    }
+
+    /** Notes that the request no longer waits: it was placed. */
+    protected final void placed() {
+        place = null;
+    }
+
+    /** Gives up the place in the waiting room, if there is one. */
+    protected final void leaveRoom() {
+        if (place != null) {
+            edge.rooms().leave(service, place);
+            place = null;
+        }
+    }
+
     /** Returns whether the request has its final answer. */
     protected final boolean isOver() {
         return over;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Front.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Front.java
@@ -1,11 +1,7 @@
 package io.siskintrail.edge.internal;
 
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.timeout.IdleStateHandler;
@@ -16,6 +12,7 @@
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.net.HostAddress;
+import io.siskintrail.net.TcpServer;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
 import java.util.LinkedHashSet;
@@ -28,7 +25,6 @@
 /** Listens for clients and begins the work on their requests. Used on the event loop. */
 final class Front implements Service {
     private static final System.Logger LOG = System.getLogger(Front.class.getName());
-    private static final int BACKLOG = 1024;
 
     /**
      * Time beyond the idle limit that a connection stays open: clients may use all of the limit.
@@ -49,13 +45,11 @@
     /** Retry-After for content that ends endpoints: as late as clients will take. */
     private static final long QUARANTINED_RETRY_MILLIS = 60_000;
 
-    private final EventLoop loop;
-    private final String address;
     private final EdgeParts parts;
     private final RequestFilters filters;
     private final Supplier<RouteTable> table;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
-    private Channel server;
+    private final TcpServer server;
     private int running;
     private long heldBytes;
     private boolean stopping;
@@ -66,8 +60,7 @@
             EdgeParts parts,
             RequestFilters filters,
             Supplier<RouteTable> table) {
-        this.loop = loop;
-        this.address = address;
+        this.server = new TcpServer(loop, HostAddress.parse(address), new Initializer());
         this.parts = parts;
         this.filters = filters;
         this.table = table;
@@ -75,17 +68,7 @@
 
     @Override
     public void start() {
-        server =
-                new ServerBootstrap()
-                        .group(loop.group())
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(new Initializer())
-                        .bind(HostAddress.parse(address))
-                        .syncUninterruptibly()
-                        .channel();
+        server.start();
     }
 
     /** Stops to keep connections; those without a request close now, others after their answer. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -13,7 +13,6 @@
 import io.siskintrail.internal.traffic.SilenceRule;
 import io.siskintrail.internal.traffic.StreamEvent;
 import io.siskintrail.internal.traffic.StreamJournal;
-import io.siskintrail.internal.traffic.WaitingRoom;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
@@ -60,7 +59,6 @@
     private final StreamJournal journal;
     private final StreamCopies copies;
     private final Set<EndpointId> failed = new HashSet<>();
-    private WaitingRoom.Waiting<Exchange> place;
     private StreamAttempt attempt;
     private boolean begun;
     private boolean searching;
@@ -90,16 +88,9 @@
         if (placeWaiting()) {
             return;
         }
-        long now = EventLoop.nowMillis();
         boolean none = edge.endpoints().of(service).isEmpty();
         double share = none ? ABSENT_SHARE : WAIT_SHARE;
-        long latest = now + (long) (share * call.route().targetLatencyMillis());
-        WaitingRoom<Exchange> room = edge.room(service);
-        place = room.enter(now, this, call.rank(), latest);
-        if (place == null) {
-            long wait = (long) room.forecastMillis(now, call.rank());
-            refuse(ResultCode.NOT_RUN_NO_ROOM, "forecast %d ms".formatted(wait), wait);
-        }
+        waitForRoom((long) (share * call.route().targetLatencyMillis()));
     }
 
     @Override
@@ -109,10 +100,7 @@
 
     @Override
     protected void release() {
-        if (place != null) {
-            edge.room(service).leave(place);
-            place = null;
-        }
+        leaveRoom();
         copies.stop(true);
         if (attempt != null) {
             StreamAttempt last = attempt;
@@ -142,31 +130,27 @@
         if (best == null) {
             return false;
         }
-        place = null;
+        placed();
         send(best, null);
         return true;
     }
 
-    /** Looks whether the engine is still there; to be called every few tens of milliseconds. */
-    void watch(long nowMillis) {
-        StreamAttempt a = attempt;
-        if (a == null) {
-            return;
-        }
-        long silent = engineSilent(nowMillis, a);
-        SilenceRule.Verdict verdict =
-                a.hasEvents()
-                        ? silence.between(nowMillis - a.eventAt(), silent, a.probe(silent))
-                        : silence.beforeFirst(
-                                nowMillis - a.sentAt(),
-                                Math.min(silent, nowMillis - a.probedAt()),
-                                a.expectedMillis());
-        switch (verdict) {
-            case PROBE -> probe(a, nowMillis);
-            case ENGINE_SILENT -> edge.engineSilent(a.engine(), "silent beside others");
-            case STREAM_SILENT -> lost(a, "stream silent");
+    /**
+     * Looks whether the engine is still there.
+     *
+     * @return when to look again, in monotonic milliseconds
+     */
+    long watch(long nowMillis) {
+        if (attempt == null) {
+            return StreamWatch.NEVER;
+        }
+        switch (judge(nowMillis, attempt)) {
+            case PROBE -> probe(attempt, nowMillis);
+            case ENGINE_SILENT -> edge.engineSilent(attempt.engine(), "silent beside others");
+            case STREAM_SILENT -> lost(attempt, "stream silent");
             default -> {}
         }
+        return attempt == null ? StreamWatch.NEVER : nowMillis + dueMillis(nowMillis, attempt);
     }
 
     /** Goes on elsewhere if the stream is at {@code lostEngine}. */
@@ -264,8 +248,9 @@
         }
     }
 
-    /** Takes note that an engine has read the prompt. */
+    /** Takes note that an engine has read the prompt: its first event is there. */
     void promptRead(EndpointView by) {
+        watchNext();
         if (call.head().prompt() != null) {
             edge.loads().promptRead(new ReadPrompt(call.head().prompt(), by.record().id()));
         }
@@ -345,6 +330,7 @@
                         (long) rate.readMillis(unread),
                         expected);
         attempt.start();
+        watchNext();
     }
 
     private void beginAnswer(StreamAttempt from) {
@@ -472,6 +458,14 @@
         caller.abort();
     }
 
+    /** Has the stream looked after when its engine's silence can first mean something. */
+    private void watchNext() {
+        if (attempt != null) {
+            long now = EventLoop.nowMillis();
+            edge.watch().lookAt(now + dueMillis(now, attempt));
+        }
+    }
+
     private void probe(StreamAttempt a, long now) {
         a.probed(now, false);
         edge.pool()
@@ -486,13 +480,34 @@
                         });
     }
 
+    private SilenceRule.Verdict judge(long nowMillis, StreamAttempt a) {
+        long silent = engineSilent(nowMillis, a);
+        if (a.hasEvents()) {
+            return silence.between(nowMillis - a.eventAt(), silent, a.probe(silent));
+        }
+        return silence.beforeFirst(
+                nowMillis - a.sentAt(),
+                Math.min(silent, nowMillis - a.probedAt()),
+                a.expectedMillis());
+    }
+
+    private long dueMillis(long nowMillis, StreamAttempt a) {
+        long silent = engineSilent(nowMillis, a);
+        if (a.hasEvents()) {
+            return silence.betweenDueMillis(nowMillis - a.eventAt(), silent, a.probe(silent));
+        }
+        return silence.beforeFirstDueMillis(
+                nowMillis - a.sentAt(),
+                Math.min(silent, nowMillis - a.probedAt()),
+                a.expectedMillis());
+    }
+
     private static long engineSilent(long nowMillis, StreamAttempt a) {
         long heard = a.engine().health().lastHeardAt();
         return nowMillis - Math.max(heard, a.sentAt());
     }
 
     private void freed() {
-        edge.room(service).released(EventLoop.nowMillis());
-        edge.loop().execute(edge::placeWaiting);
+        edge.rooms().released(service);
     }
 }
--- a/siskintrail.net/src/io/siskintrail/net/HttpService.java
+++ b/siskintrail.net/src/io/siskintrail/net/HttpService.java
@@ -1,14 +1,10 @@
 package io.siskintrail.net;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -27,14 +23,11 @@
 /** Serves small calls at one address: operators, endpoints, readiness, metrics. */
 public final class HttpService implements Service {
     private static final System.Logger LOG = System.getLogger(HttpService.class.getName());
-    private static final int BACKLOG = 1024;
     private static final int IDLE_SECONDS = 60;
 
-    private final EventLoop loop;
-    private final InetSocketAddress address;
     private final int maxBodyBytes;
     private final Handler handler;
-    private Channel server;
+    private final TcpServer server;
 
     /** Answers calls, on the event loop. */
     @FunctionalInterface
@@ -71,30 +64,19 @@
      */
     public HttpService(
             EventLoop loop, InetSocketAddress address, int maxBodyBytes, Handler handler) {
-        this.loop = loop;
-        this.address = address;
         this.maxBodyBytes = maxBodyBytes;
         this.handler = handler;
+        this.server = new TcpServer(loop, address, new Initializer());
     }
 
     @Override
     public void start() {
-        server =
-                new ServerBootstrap()
-                        .group(loop.group())
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(new Initializer())
-                        .bind(address)
-                        .syncUninterruptibly()
-                        .channel();
+        server.start();
     }
 
     @Override
     public void stop() {
-        server.close();
+        server.stop();
     }
 
     private final class Initializer extends ChannelInitializer<SocketChannel> {
--- a/siskintrail.net/src/io/siskintrail/net/LinkDialer.java
+++ b/siskintrail.net/src/io/siskintrail/net/LinkDialer.java
@@ -44,7 +44,7 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        .handler(LinkHandler.initializer(self, new Watch(listener)));
+                        .handler(LinkHandler.dialed(self, new Watch(listener)));
     }
 
     @Override
--- a/siskintrail.net/src/io/siskintrail/net/LinkHandler.java
+++ b/siskintrail.net/src/io/siskintrail/net/LinkHandler.java
@@ -15,8 +15,10 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * One end of a link: introduces itself, hands messages over, and probes the other end, because a
- * connection can go silent without being closed.
+ * One end of a link: introduces itself, hands messages over, and finds out whether the other end is
+ * still there, because a connection can go silent without being closed. The end that dialed sends
+ * probes, the other one answers them at once, so that what answers to all links of a process comes
+ * in a few wake-ups.
  */
 final class LinkHandler extends SimpleChannelInboundHandler<ByteBuf> {
     private static final System.Logger LOG = System.getLogger(LinkHandler.class.getName());
@@ -30,18 +32,34 @@
     /** Silence after which a link is given up; below the time that any change may take. */
     private static final long SILENT_MILLIS = 1_500;
 
+    /** Time in which the other end introduces itself, also while it starts on a busy host. */
+    private static final long GREETING_MILLIS = 500;
+
     private final Identity self;
     private final LinkListener listener;
+    private final boolean dialed;
     private Link link;
-    private Future<?> probes;
+    private long openedAt;
+    private Future<?> checks;
 
-    LinkHandler(Identity self, LinkListener listener) {
+    private LinkHandler(Identity self, LinkListener listener, boolean dialed) {
         this.self = self;
         this.listener = listener;
+        this.dialed = dialed;
+    }
+
+    /** Returns what sets a new channel up as the end of a link that dialed. */
+    static ChannelInitializer<SocketChannel> dialed(Identity self, LinkListener listener) {
+        return initializer(self, listener, true);
+    }
+
+    /** Returns what sets a new channel up as the end of a link that was dialed. */
+    static ChannelInitializer<SocketChannel> accepted(Identity self, LinkListener listener) {
+        return initializer(self, listener, false);
     }
 
-    /** Returns what sets a new channel up as one end of a link. */
-    static ChannelInitializer<SocketChannel> initializer(Identity self, LinkListener listener) {
+    private static ChannelInitializer<SocketChannel> initializer(
+            Identity self, LinkListener listener, boolean dialed) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
@@ -50,7 +68,7 @@
                                 new LengthFieldBasedFrameDecoder(
                                         MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                        .addLast(new LinkHandler(self, listener));
+                        .addLast(new LinkHandler(self, listener, dialed));
             }
         };
     }
@@ -63,13 +81,8 @@
         frame.writeByte(self.role().ordinal());
         frame.writeBytes(name);
         ctx.writeAndFlush(frame);
-        probes =
-                ctx.executor()
-                        .scheduleWithFixedDelay(
-                                () -> probe(ctx),
-                                PROBE_MILLIS,
-                                PROBE_MILLIS,
-                                TimeUnit.MILLISECONDS);
+        openedAt = EventLoop.nowMillis();
+        checkLater(ctx);
     }
 
     @Override
@@ -82,15 +95,17 @@
             return;
         }
         link.heard(EventLoop.nowMillis());
-        if (kind != null && kind != MessageKind.LINK) {
+        if (kind == MessageKind.LINK && !dialed) {
+            link.send(MessageKind.LINK, PROBE);
+        } else if (kind != null && kind != MessageKind.LINK) {
             deliver(kind, body);
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        if (probes != null) {
-            probes.cancel(false);
+        if (checks != null) {
+            checks.cancel(false);
         }
         if (link != null) {
             listener.closed(link);
@@ -129,18 +144,25 @@
         }
     }
 
-    private void probe(ChannelHandlerContext ctx) {
-        long heardAt = link == null ? Long.MIN_VALUE : link.heardAt();
-        if (heardAt < EventLoop.nowMillis() - SILENT_MILLIS) {
+    /** Schedules the next check at a moment at which those of all links of the process come. */
+    private void checkLater(ChannelHandlerContext ctx) {
+        long pause = PROBE_MILLIS - Math.floorMod(EventLoop.nowMillis(), PROBE_MILLIS);
+        checks = ctx.executor().schedule(() -> check(ctx), pause, TimeUnit.MILLISECONDS);
+    }
+
+    private void check(ChannelHandlerContext ctx) {
+        long silent = EventLoop.nowMillis() - (link == null ? openedAt : link.heardAt());
+        if (silent >= (link == null ? GREETING_MILLIS : SILENT_MILLIS)) {
             LogEvent.info(LOG, "link.silent")
                     .with("peer", link == null ? ctx.channel().remoteAddress() : link.peer())
-                    .with("silent_ms", SILENT_MILLIS)
+                    .with("silent_ms", silent)
                     .write();
             ctx.close();
             return;
         }
-        if (link != null) {
+        if (link != null && dialed) {
             link.send(MessageKind.LINK, PROBE);
         }
+        checkLater(ctx);
     }
 }
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/LoadRelay.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/LoadRelay.java
@@ -1,5 +1,6 @@
 package io.siskintrail.registry.internal;
 
+import io.siskintrail.internal.traffic.RelayPace;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.wire.registry.RegistryMessage;
 import java.util.ArrayList;
@@ -10,9 +11,6 @@
  * do not grow with the number of edges.
  */
 final class LoadRelay {
-    /** Time for which the words of edges are gathered; short beside the reading of a prompt. */
-    private static final long GATHER_MILLIS = 25;
-
     private final EventLoop loop;
     private final EdgeFeed feed;
     private List<RegistryMessage.HostLoads> gathered = new ArrayList<>();
@@ -25,7 +23,7 @@
     /** Takes the word of an edge. */
     void gather(RegistryMessage.Loads loads) {
         if (gathered.isEmpty()) {
-            loop.after(GATHER_MILLIS, this::pass);
+            loop.after(RelayPace.gatherMillis(feed.count()), this::pass);
         }
         gathered.addAll(loads.hosts());
     }
--- /dev/null
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/RelayPaceTest.java
@@ -0,0 +1,24 @@
+package io.siskintrail.internal.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RelayPaceTest {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    @ParameterizedTest(name = "{0} hosts: {1} ms")
+    @CsvSource({"0, 25", "7, 25", "72, 72", "240, 240", "1000, 250"})
+    void wordsAreGatheredForLongerWhereMoreHostsListen(int hosts, long expectedMillis) {
+        assertThat(RelayPace.gatherMillis(hosts)).isEqualTo(expectedMillis);
+    }
+
+    /** All hosts speak all the time: what a registry sends stays bounded, as on a small system. */
+    @ParameterizedTest(name = "{0} hosts")
+    @CsvSource({"7", "30", "72", "100", "200"})
+    void messagesDoNotGrowWithTheSquareOfTheHosts(int hosts) {
+        double sent = hosts * MILLIS_PER_SECOND / RelayPace.gatherMillis(hosts);
+        assertThat(sent).isAtMost(1_000);
+    }
+}
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/SilenceRuleTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/SilenceRuleTest.java
@@ -38,4 +38,30 @@
     void firstEventIsAwaited(long sent, long engine, double expectedMillis, Verdict expected) {
         assertThat(rule.beforeFirst(sent, engine, expectedMillis)).isEqualTo(expected);
     }
+
+    /** Between two looks nothing may be missed, and a look must not come for nothing. */
+    @ParameterizedTest(name = "stream {0} ms, engine {1} ms, probe {2}")
+    @CsvSource({
+        "0, 0, NONE",
+        "150, 20, NONE",
+        "1300, 10, NONE",
+        "200, 200, SENT",
+        "300, 300, ANSWERED",
+        "1390, 300, SENT",
+    })
+    void pauseIsJudgedAnewWhenTheVerdictChanges(long stream, long engine, Probe probe) {
+        long due = rule.betweenDueMillis(stream, engine, probe);
+        Verdict now = rule.between(stream, engine, probe);
+        assertThat(rule.between(stream + due - 1, engine + due - 1, probe)).isEqualTo(now);
+        assertThat(rule.between(stream + due, engine + due, probe)).isNotEqualTo(now);
+    }
+
+    @ParameterizedTest(name = "sent {0} ms ago, engine {1} ms, expected {2} ms")
+    @CsvSource({"0, 0, 1000", "700, 100, 1000", "4400, 0, 1000", "1300, 0, 0"})
+    void firstEventIsJudgedAnewWhenTheVerdictChanges(long sent, long engine, double expected) {
+        long due = rule.beforeFirstDueMillis(sent, engine, expected);
+        Verdict now = rule.beforeFirst(sent, engine, expected);
+        assertThat(rule.beforeFirst(sent + due - 1, engine + due - 1, expected)).isEqualTo(now);
+        assertThat(rule.beforeFirst(sent + due, engine + due, expected)).isNotEqualTo(now);
+    }
 }
--- a/siskintrail/src/io/siskintrail/internal/traffic/SilenceRule.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/SilenceRule.java
@@ -93,6 +93,31 @@
                 : Verdict.WAIT;
     }
 
+    /**
+     * Returns the time after which {@link #between} can first say something else if nothing comes
+     * from the engine until then, in milliseconds, at least 1.
+     */
+    public long betweenDueMillis(long streamSilentMillis, long engineSilentMillis, Probe probe) {
+        long limit =
+                switch (probe) {
+                    case NONE -> probeMillis;
+                    case SENT -> gapMillis;
+                    case ANSWERED -> answeredMillis;
+                };
+        long stream = (long) (OTHERS_FACTOR * gapMillis) - streamSilentMillis;
+        return Math.max(1, Math.min(limit - engineSilentMillis, stream));
+    }
+
+    /**
+     * Returns the time after which {@link #beforeFirst} can first say something else if nothing
+     * comes from the engine until then, in milliseconds, at least 1.
+     */
+    public long beforeFirstDueMillis(
+            long sinceSentMillis, long engineSilentMillis, double expectedMillis) {
+        long probe = PROBE_AFTER_MILLIS - Math.min(sinceSentMillis, engineSilentMillis);
+        return Math.max(1, Math.min(firstEventLimit(expectedMillis) - sinceSentMillis, probe));
+    }
+
     /**
      * Judges a stream without an event.
      *
@@ -103,11 +128,15 @@
      */
     public Verdict beforeFirst(
             long sinceSentMillis, long engineSilentMillis, double expectedMillis) {
-        if (sinceSentMillis > FIRST_EVENT_FACTOR * expectedMillis + FIRST_EVENT_SLACK_MILLIS) {
+        if (sinceSentMillis >= firstEventLimit(expectedMillis)) {
             return Verdict.STREAM_SILENT;
         }
         return Math.min(sinceSentMillis, engineSilentMillis) >= PROBE_AFTER_MILLIS
                 ? Verdict.PROBE
                 : Verdict.WAIT;
     }
+
+    private static long firstEventLimit(double expectedMillis) {
+        return (long) (FIRST_EVENT_FACTOR * expectedMillis) + FIRST_EVENT_SLACK_MILLIS;
+    }
 }
