Read ip:port in one place

Four classes parsed the same text (wire, net, service, fake); one of them checked it. service.Addresses replaces them and refuses what is not ip:port.

--- a/siskintrail.control.test/tst/io/siskintrail/control/internal/replica/ControlReplicaTest.java
+++ b/siskintrail.control.test/tst/io/siskintrail/control/internal/replica/ControlReplicaTest.java
@@ -5,9 +5,9 @@
 
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.HostInfo;
+import io.siskintrail.service.Addresses;
 import io.siskintrail.service.ControlLoop;
 import io.siskintrail.testkit.FreePorts;
-import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ThriftPeerTransport;
 import io.siskintrail.wire.control.ControlClient;
 import io.siskintrail.wire.control.RemoteControlClient;
--- a/siskintrail.control/src/io/siskintrail/control/ControlService.java
+++ b/siskintrail.control/src/io/siskintrail/control/ControlService.java
@@ -9,12 +9,12 @@
 import io.siskintrail.internal.rules.RulesParser;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.HostInfo;
+import io.siskintrail.service.Addresses;
 import io.siskintrail.service.ControlLoop;
 import io.siskintrail.service.HttpAddress;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.OperatorTokens;
 import io.siskintrail.service.Service;
-import io.siskintrail.wire.Addresses;
 import io.siskintrail.wire.ThriftPeerTransport;
 
 /** A control replica in this process. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -9,8 +9,8 @@
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.Result;
 import io.siskintrail.net.EventLoop;
-import io.siskintrail.net.HostAddress;
 import io.siskintrail.net.HttpService;
+import io.siskintrail.service.Addresses;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
 import io.siskintrail.wire.registry.RegistryMessage;
@@ -85,13 +85,13 @@
         readiness =
                 new HttpService(
                         loop,
-                        HostAddress.parse(settings.readinessAddress()),
+                        Addresses.parse(settings.readinessAddress()),
                         MAX_READINESS_BYTES,
                         this::answerReadiness);
         metrics =
                 new HttpService(
                         loop,
-                        HostAddress.parse(settings.ip() + ":" + settings.metricsPort()),
+                        Addresses.parse(settings.ip() + ":" + settings.metricsPort()),
                         MAX_READINESS_BYTES,
                         this::answerMetrics);
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -11,7 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.siskintrail.edge.TrafficProtocol;
 import io.siskintrail.net.EventLoop;
-import io.siskintrail.net.HostAddress;
+import io.siskintrail.service.Addresses;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -84,7 +84,7 @@
                         .clone()
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, PROBE_MILLIS)
                         .handler(new ChannelInboundHandlerAdapter())
-                        .connect(HostAddress.parse(address));
+                        .connect(Addresses.parse(address));
         connecting.addListener(
                 f -> {
                     if (f.isSuccess()) {
@@ -177,7 +177,7 @@
                                                 .addLast(connection);
                                     }
                                 })
-                        .connect(HostAddress.parse(address));
+                        .connect(Addresses.parse(address));
         connecting.addListener(f -> connected(f.isSuccess(), f.cause(), connection, attempt));
     }
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Front.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Front.java
@@ -11,8 +11,8 @@
 import io.siskintrail.lib.Failure;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
-import io.siskintrail.net.HostAddress;
 import io.siskintrail.net.TcpServer;
+import io.siskintrail.service.Addresses;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
 import java.util.LinkedHashSet;
@@ -60,7 +60,7 @@
             EdgeParts parts,
             RequestFilters filters,
             Supplier<RouteTable> table) {
-        this.server = new TcpServer(loop, HostAddress.parse(address), new Initializer());
+        this.server = new TcpServer(loop, Addresses.parse(address), new Initializer());
         this.parts = parts;
         this.filters = filters;
         this.table = table;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
@@ -3,12 +3,12 @@
 import io.siskintrail.internal.traffic.EndpointRecord;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.net.EventLoop;
-import io.siskintrail.net.HostAddress;
 import io.siskintrail.net.Identity;
 import io.siskintrail.net.Link;
 import io.siskintrail.net.LinkDialer;
 import io.siskintrail.net.LinkListener;
 import io.siskintrail.net.PeerRole;
+import io.siskintrail.service.Addresses;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
 import io.siskintrail.wire.MessageKind;
@@ -72,7 +72,7 @@
     void addSeeds(List<String> callAddresses) {
         List<HostId> hosts =
                 callAddresses.stream()
-                        .map(s -> HostAddress.parse(s).getHostString() + ":" + linkPort)
+                        .map(s -> Addresses.parse(s).getHostString() + ":" + linkPort)
                         .map(HostId::new)
                         .toList();
         loop.execute(() -> dial(hosts));
--- a/siskintrail.fake/src/io/siskintrail/fake/FakeEndpoint.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/FakeEndpoint.java
@@ -15,6 +15,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.siskintrail.lib.EndpointInfo;
+import io.siskintrail.service.Addresses;
 import io.siskintrail.service.Service;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
--- a/siskintrail.fake/src/io/siskintrail/fake/FakeEndpoints.java
+++ b/siskintrail.fake/src/io/siskintrail/fake/FakeEndpoints.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
+import io.siskintrail.service.Addresses;
 import io.siskintrail.service.Service;
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/siskintrail.net/src/io/siskintrail/net/LinkDialer.java
+++ b/siskintrail.net/src/io/siskintrail/net/LinkDialer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.siskintrail.lib.HostId;
+import io.siskintrail.service.Addresses;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
 import io.siskintrail.wire.MessageKind;
@@ -69,7 +70,7 @@
         if (stopped) {
             return;
         }
-        ChannelFuture attempt = bootstrap.connect(HostAddress.of(target));
+        ChannelFuture attempt = bootstrap.connect(Addresses.of(target));
         attempt.addListener(
                 f -> {
                     if (!f.isSuccess()) {
--- a/siskintrail.net/src/io/siskintrail/net/LinkServer.java
+++ b/siskintrail.net/src/io/siskintrail/net/LinkServer.java
@@ -1,5 +1,6 @@
 package io.siskintrail.net;
 
+import io.siskintrail.service.Addresses;
 import io.siskintrail.service.Service;
 
 /** Accepts links from other processes. */
@@ -10,7 +11,7 @@
     public LinkServer(EventLoop loop, Identity self, LinkListener listener) {
         server =
                 new TcpServer(
-                        loop, HostAddress.of(self.host()), LinkHandler.accepted(self, listener));
+                        loop, Addresses.of(self.host()), LinkHandler.accepted(self, listener));
     }
 
     @Override
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -4,7 +4,6 @@
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.net.EventLoop;
-import io.siskintrail.net.HostAddress;
 import io.siskintrail.net.HttpService;
 import io.siskintrail.net.Identity;
 import io.siskintrail.net.Link;
@@ -12,6 +11,7 @@
 import io.siskintrail.net.PeerRole;
 import io.siskintrail.registry.RegistryProtocol;
 import io.siskintrail.registry.RegistrySettings;
+import io.siskintrail.service.Addresses;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
 import io.siskintrail.wire.MessageKind;
@@ -80,13 +80,13 @@
         calls =
                 new HttpService(
                         loop,
-                        HostAddress.parse(settings.callAddress()),
+                        Addresses.parse(settings.callAddress()),
                         MAX_CALL_BYTES,
                         new CallDesk(protocol, replica, log, endpoints));
         metrics =
                 new HttpService(
                         loop,
-                        HostAddress.parse(settings.ip() + ":" + settings.metricsPort()),
+                        Addresses.parse(settings.ip() + ":" + settings.metricsPort()),
                         0,
                         this::answerMetrics);
     }
@@ -224,7 +224,7 @@
     }
 
     private HostId seedHost(String callAddress) {
-        return linkHost(HostAddress.parse(callAddress).getHostString());
+        return linkHost(Addresses.parse(callAddress).getHostString());
     }
 
     private HostId linkHost(String ip) {
--- a/siskintrail.net/src/io/siskintrail/net/HostAddress.java
+++ b/siskintrail.service/src/io/siskintrail/service/Addresses.java
@@ -1,12 +1,12 @@
-package io.siskintrail.net;
+package io.siskintrail.service;
 
 import io.siskintrail.lib.HostId;
 import java.net.InetSocketAddress;
 
-/** Reads {@code ip:port} texts. Hosts of a registry are named by the address of their links. */
-public final class HostAddress {
+/** Reads and writes {@code ip:port} texts; IPv6 numbers stand in brackets. */
+public final class Addresses {
 
-    private HostAddress() {}
+    private Addresses() {}
 
     /**
      * Returns the socket address in {@code text}.
@@ -22,8 +22,13 @@
         return new InetSocketAddress(text.substring(0, colon), port);
     }
 
-    /** Returns the socket address that {@code host} names. */
+    /** Returns the socket address that names {@code host}: that of its links. */
     public static InetSocketAddress of(HostId host) {
         return parse(host.value());
     }
+
+    /** Returns {@code address} as {@code ip:port}. */
+    public static String format(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
 }
--- a/siskintrail.service/src/io/siskintrail/service/HttpAddress.java
+++ b/siskintrail.service/src/io/siskintrail/service/HttpAddress.java
@@ -1,5 +1,6 @@
 package io.siskintrail.service;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -14,9 +15,8 @@
 
     /** Reads {@code ip:port}. */
     public static HttpAddress parse(String text) {
-        int colon = text.lastIndexOf(':');
-        return new HttpAddress(
-                text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        InetSocketAddress address = Addresses.parse(text);
+        return new HttpAddress(address.getHostString(), address.getPort());
     }
 
     /** Returns {@code ip:port} with the port that the server took. */
