Tell edges at once that another edge ended

Cause: what an edge had placed was repeated every second to all edges and counted for 3.5 s.

Change: the registry that passes an edge's loads on tells the others when its link ends. All that an edge has placed is told every 4 s as a complete statement, which also takes back what was lost, and after the link to a registry ended, since another one passes loads on from then.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -29,7 +29,12 @@
     /** Time in which every endpoint that is there has reported, some intervals of reports. */
     private static final long REPORT_MILLIS = 4_000;
 
-    private static final long REPEAT_MILLIS = 1_000;
+    /** Time between two tellings of all that is placed; changes are told at once. */
+    private static final long REPEAT_MILLIS = 4_000;
+
+    /** Time after which another registry has taken over from one whose link ended. */
+    private static final long TAKE_OVER_MILLIS = 300;
+
     private static final long STOP_POLL_MILLIS = 50;
 
     /**
@@ -178,6 +183,11 @@
         }
     }
 
+    @Override
+    public void registryLost() {
+        loop.after(TAKE_OVER_MILLIS, parts.loads()::repeat);
+    }
+
     private void endpointGone(EndpointView endpoint) {
         pool.forget(endpoint.record().address());
         parts.engineLost(endpoint, "left");
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
@@ -62,6 +62,11 @@
         return views == null ? null : views.get(id);
     }
 
+    /** Calls {@code action} with each endpoint. */
+    void forEach(Consumer<EndpointView> action) {
+        byService.values().forEach(views -> views.values().forEach(action));
+    }
+
     /** Returns how many endpoints are known. */
     int size() {
         return byService.values().stream().mapToInt(Map::size).sum();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
@@ -17,8 +17,8 @@
 /**
  * Tells other edges what this one has placed on engines and which prompts were read there, and
  * takes their word. One registry passes the word on, so that edges need no links among each other.
- * Only changes are told, gathered for a moment; what is still placed is repeated, since messages
- * can be lost and edges can end.
+ * Only changes are told, gathered for a moment. All that is placed is told again now and then,
+ * since messages can be lost; of an edge that ended the registry tells that it has placed nothing.
  */
 final class LoadExchange {
     /** Time for which changes are gathered; short beside the reading of a prompt. */
@@ -29,6 +29,7 @@
     private final RegistryFollower registries;
     private final Map<EndpointId, EndpointView> changed = new LinkedHashMap<>();
     private final Map<EndpointId, EndpointView> placed = new LinkedHashMap<>();
+    private boolean complete;
     private final List<ReadPrompt> readHere = new ArrayList<>();
     private final ReadPrompts prompts = new ReadPrompts();
     private boolean scheduled;
@@ -58,10 +59,14 @@
         return prompts.whereRead(prompt, EventLoop.nowMillis());
     }
 
-    /** Tells again what is placed. */
+    /** Tells again all that is placed. */
     void repeat() {
         placed.values().removeIf(e -> e.own(EventLoop.nowMillis()).tokens() == 0);
-        placed.values().forEach(this::changed);
+        if (!placed.isEmpty()) {
+            changed.putAll(placed);
+            complete = true;
+            schedule();
+        }
     }
 
     /** Takes the word of other edges. */
@@ -71,6 +76,9 @@
             if (host.host().equals(self)) {
                 continue;
             }
+            if (host.complete()) {
+                endpoints.forEach(e -> e.nothingPlacedBy(host.host()));
+            }
             for (PlacedLoad load : host.loads()) {
                 EndpointView view = endpoints.get(load.endpoint());
                 if (view != null) {
@@ -89,9 +97,11 @@
         changed.clear();
         List<ReadPrompt> read = List.copyOf(readHere);
         readHere.clear();
+        boolean all = complete;
+        complete = false;
         registries.sendToOne(
                 new RegistryMessage.Loads(
-                        List.of(new RegistryMessage.HostLoads(self, loads, read))));
+                        List.of(new RegistryMessage.HostLoads(self, all, loads, read))));
     }
 
     private void schedule() {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
@@ -52,6 +52,9 @@
 
         /** Takes the word of other edges, or another message that a registry passes on. */
         void passedOn(RegistryMessage message);
+
+        /** Takes note that the link to a registry ended: what was told to it may be lost. */
+        void registryLost();
     }
 
     RegistryFollower(
@@ -144,6 +147,7 @@
     @Override
     public void closed(Link link) {
         statuses.remove(link.peer());
+        listener.registryLost();
         if (statuses.isEmpty()) {
             LogEvent.warning(LOG, "registry.lost").with("registry", link.peer()).write();
         }
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -143,6 +143,7 @@
     @Override
     public void closed(Link link) {
         feed.closed(link);
+        relay.left(link.peer());
     }
 
     private void startOnLoop() {
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/EndpointViewTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/EndpointViewTest.java
@@ -54,4 +54,18 @@
         assertThat(view.total(now + 60_000))
                 .isEqualTo(new PlacedLoad(view.record().id(), 1, 100, 0));
     }
+
+    /** A host that ended must not keep its room on engines until its word is too old. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 1_000, 1L << 40})
+    void workOfHostThatIsGoneDoesNotCount(long now) {
+        EndpointView view = new EndpointView(Records.engine("e1", "a"));
+        HostId gone = new HostId("h2");
+        view.placedElsewhere(gone, new PlacedLoad(view.record().id(), 2, 500, 800), now);
+        view.placedElsewhere(new HostId("h3"), new PlacedLoad(view.record().id(), 1, 70, 0), now);
+
+        view.nothingPlacedBy(gone);
+
+        assertThat(view.total(now)).isEqualTo(new PlacedLoad(view.record().id(), 1, 70, 0));
+    }
 }
--- a/siskintrail.wire/idl/registry.thrift
+++ b/siskintrail.wire/idl/registry.thrift
@@ -77,7 +77,8 @@
 struct LoadsData {
   1: required string host,
   2: required list<LoadData> loads,
-  3: optional list<ReadPromptData> prompts
+  3: optional list<ReadPromptData> prompts,
+  4: optional bool complete
 }
 
 struct AllLoadsData {
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/LoadsData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/LoadsData.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField LOADS_FIELD_DESC = new org.apache.thrift.protocol.TField("loads", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.LIST, (short)3);
+  private static final org.apache.thrift.protocol.TField COMPLETE_FIELD_DESC = new org.apache.thrift.protocol.TField("complete", org.apache.thrift.protocol.TType.BOOL, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadsDataStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadsDataTupleSchemeFactory();
@@ -20,12 +21,14 @@
   public @org.apache.thrift.annotation.Nullable java.lang.String host; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<LoadData> loads; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<ReadPromptData> prompts; // optional
+  public boolean complete; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     HOST((short)1, "host"),
     LOADS((short)2, "loads"),
-    PROMPTS((short)3, "prompts");
+    PROMPTS((short)3, "prompts"),
+    COMPLETE((short)4, "complete");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +50,8 @@
           return LOADS;
         case 3: // PROMPTS
           return PROMPTS;
+        case 4: // COMPLETE
+          return COMPLETE;
         default:
           return null;
       }
@@ -90,7 +95,9 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.PROMPTS};
+  private static final int __COMPLETE_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.COMPLETE};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -102,6 +109,8 @@
     tmpMap.put(_Fields.PROMPTS, new org.apache.thrift.meta_data.FieldMetaData("prompts", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ReadPromptData.class))));
+    tmpMap.put(_Fields.COMPLETE, new org.apache.thrift.meta_data.FieldMetaData("complete", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadsData.class, metaDataMap);
   }
@@ -122,6 +131,7 @@
    * Performs a deep copy on <i>other</i>.
    */
   public LoadsData(LoadsData other) {
+    __isset_bitfield = other.__isset_bitfield;
     if (other.isSetHost()) {
       this.host = other.host;
     }
@@ -139,6 +149,7 @@
       }
       this.prompts = __this__prompts;
     }
+    this.complete = other.complete;
   }
 
   @Override
@@ -151,6 +162,8 @@
     this.host = null;
     this.loads = null;
     this.prompts = null;
+    setCompleteIsSet(false);
+    this.complete = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -260,6 +273,29 @@
     }
   }
 
+  public boolean isComplete() {
+    return this.complete;
+  }
+
+  public LoadsData setComplete(boolean complete) {
+    this.complete = complete;
+    setCompleteIsSet(true);
+    return this;
+  }
+
+  public void unsetComplete() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __COMPLETE_ISSET_ID);
+  }
+
+  /** Returns true if field complete is set (has been assigned a value) and false otherwise */
+  public boolean isSetComplete() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __COMPLETE_ISSET_ID);
+  }
+
+  public void setCompleteIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __COMPLETE_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -287,6 +323,14 @@
       }
       break;
 
+    case COMPLETE:
+      if (value == null) {
+        unsetComplete();
+      } else {
+        setComplete((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -303,6 +347,9 @@
     case PROMPTS:
       return getPrompts();
 
+    case COMPLETE:
+      return isComplete();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -321,6 +368,8 @@
       return isSetLoads();
     case PROMPTS:
       return isSetPrompts();
+    case COMPLETE:
+      return isSetComplete();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -365,6 +414,15 @@
         return false;
     }
 
+    boolean this_present_complete = true && this.isSetComplete();
+    boolean that_present_complete = true && that.isSetComplete();
+    if (this_present_complete || that_present_complete) {
+      if (!(this_present_complete && that_present_complete))
+        return false;
+      if (this.complete != that.complete)
+        return false;
+    }
+
     return true;
   }
 
@@ -384,6 +442,10 @@
     if (isSetPrompts())
       hashCode = hashCode * 8191 + prompts.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetComplete()) ? 131071 : 524287);
+    if (isSetComplete())
+      hashCode = hashCode * 8191 + ((complete) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -425,6 +487,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetComplete(), other.isSetComplete());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetComplete()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.complete, other.complete);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -474,6 +546,12 @@
       }
       first = false;
     }
+    if (isSetComplete()) {
+      if (!first) sb.append(", ");
+      sb.append("complete:");
+      sb.append(this.complete);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -499,6 +577,8 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
@@ -571,6 +651,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // COMPLETE
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.complete = iprot.readBool();
+              struct.setCompleteIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -618,6 +706,11 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetComplete()) {
+        oprot.writeFieldBegin(COMPLETE_FIELD_DESC);
+        oprot.writeBool(struct.complete);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -648,7 +741,10 @@
       if (struct.isSetPrompts()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetComplete()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetPrompts()) {
         {
           oprot.writeI32(struct.prompts.size());
@@ -658,6 +754,9 @@
           }
         }
       }
+      if (struct.isSetComplete()) {
+        oprot.writeBool(struct.complete);
+      }
     }
 
     @Override
@@ -677,7 +776,7 @@
         }
       }
       struct.setLoadsIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
           org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
@@ -692,6 +791,10 @@
         }
         struct.setPromptsIsSet(true);
       }
+      if (incoming.get(1)) {
+        struct.complete = iprot.readBool();
+        struct.setCompleteIsSet(true);
+      }
     }
   }
 
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
@@ -206,6 +206,9 @@
                                                 (int) l.prefillMillis()))
                         .toList();
         LoadsData data = new LoadsData(h.host().value(), loads);
+        if (h.complete()) {
+            data.setComplete(true);
+        }
         if (!h.prompts().isEmpty()) {
             data.setPrompts(h.prompts().stream().map(RegistryCodec::data).toList());
         }
@@ -235,6 +238,7 @@
                 d.isSetPrompts()
                         ? d.getPrompts().stream().map(RegistryCodec::readPrompt).toList()
                         : List.of();
-        return new RegistryMessage.HostLoads(new HostId(d.getHost()), loads, prompts);
+        return new RegistryMessage.HostLoads(
+                new HostId(d.getHost()), d.isComplete(), loads, prompts);
     }
 }
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
@@ -57,15 +57,24 @@
     /** Tells that requests with this content are refused for a while. */
     record Refusal(Fingerprint content, long millis) implements RegistryMessage {}
 
-    /** Tells what edges have placed on endpoints; only the endpoints where that changed. */
+    /** Tells what edges have placed on endpoints. */
     record Loads(List<HostLoads> hosts) implements RegistryMessage {}
 
     /**
      * What one edge has placed.
      *
      * @param host the edge
+     * @param complete whether it has placed nothing but {@code loads}; otherwise these are the
+     *     endpoints where that changed
      * @param loads its loads
      * @param prompts the prompts that were read for it since it told last
      */
-    record HostLoads(HostId host, List<PlacedLoad> loads, List<ReadPrompt> prompts) {}
+    record HostLoads(
+            HostId host, boolean complete, List<PlacedLoad> loads, List<ReadPrompt> prompts) {
+
+        /** Returns the word that {@code host} has placed nothing, or is gone. */
+        public static HostLoads nothing(HostId host) {
+            return new HostLoads(host, true, List.of(), List.of());
+        }
+    }
 }
--- a/siskintrail/src/io/siskintrail/internal/traffic/EndpointView.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/EndpointView.java
@@ -9,8 +9,8 @@
  * other hosts say that they placed. Not safe for use by several threads.
  */
 public final class EndpointView {
-    /** Time that the word of another host counts; a few times the interval of repetition. */
-    private static final long FOREIGN_MILLIS = 3_500;
+    /** Time that the word of another host counts, in milliseconds; two repetitions of it. */
+    private static final long FOREIGN_MILLIS = 10_000;
 
     /** Part of a prompt that is always taken to be left until its first event comes. */
     private static final double LEAST_LEFT = 0.15;
@@ -96,7 +96,16 @@
 
     /** Takes the word of another host. */
     public void placedElsewhere(HostId host, PlacedLoad load, long nowMillis) {
-        foreign.put(host, new Foreign(load, nowMillis));
+        if (load.running() == 0 && load.tokens() == 0) {
+            foreign.remove(host);
+        } else {
+            foreign.put(host, new Foreign(load, nowMillis));
+        }
+    }
+
+    /** Takes the word that another host has placed nothing here, or is gone. */
+    public void nothingPlacedBy(HostId host) {
+        foreign.remove(host);
     }
 
     /** Returns what this host has placed here. */
