Keep streams in their failure domain unless that costs much

An edge placed a stream in another domain as soon as an engine at home ran two more streams, which hardly slow it.

Change: staying at home may cost 600 ms instead of 100 ms, less than the read of a prompt, so that bursts still spread. PlacementTest (streamStaysAtHomeBesideOthers) fails without it.

--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/PlacementTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/PlacementTest.java
@@ -57,6 +57,28 @@
         assertThat(choose(1_010)).isEqualTo(engines.get(1));
     }
 
+    /** A lossy link between domains delays each lost event; running streams delay little. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 4, 8})
+    void streamStaysAtHomeBesideOthers(int othersThere) {
+        addEngines("a", 1);
+        addEngines("b", 1);
+        EndpointView home = engines.get(0);
+        home.placedElsewhere(
+                ELSEWHERE, new PlacedLoad(home.record().id(), othersThere, 0, 0), 1_000);
+
+        assertThat(choose(1_010)).isEqualTo(home);
+    }
+
+    @Test
+    void streamLeavesItsDomainWhenPromptsAreReadThere() {
+        addEngines("a", 1);
+        addEngines("b", 1);
+        place(engines.get(0), 1_000);
+
+        assertThat(choose(1_010)).isEqualTo(engines.get(1));
+    }
+
     @Test
     void memoryIsNeverOverfilled() {
         addEngines("a", 1);
--- a/siskintrail/src/io/siskintrail/internal/traffic/StreamPlacement.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/StreamPlacement.java
@@ -11,7 +11,8 @@
  * first event. Answers bursts of long prompts, which delay each other and everybody who runs beside
  * them: a prompt goes where the least is still to be read. Also chooses the engine that keeps a
  * copy of the memory, in another failure domain, so that the loss of a whole one costs no prompt
- * read.
+ * read. Keeps streams in their own failure domain unless that costs much: links between domains
+ * lose packets at times, and their bytes are dear.
  */
 public final class StreamPlacement {
     /** Share of the memory of an engine that is filled, so that nothing is preempted. */
@@ -20,8 +21,12 @@
     /** Time that each stream on an engine counts for, in milliseconds. */
     private static final double RUNNING_MILLIS = 60;
 
-    /** Time that a stream may lose by staying in its failure domain, in milliseconds. */
-    private static final double FOREIGN_DOMAIN_MILLIS = 100;
+    /**
+     * Time that a stream may lose by staying in its failure domain, in milliseconds: less than the
+     * read of a prompt, so that a burst still spreads. Each event that is lost between domains
+     * comes late, while a few more streams on an engine hardly slow it.
+     */
+    private static final double FOREIGN_DOMAIN_MILLIS = 600;
 
     /** Time that a share of failures of 1 counts for, in milliseconds. */
     private static final double FAILURE_MILLIS = 4_000;
