Start programs on the event loop only

While the main thread still loaded classes, the event loop already read from sockets. Since the platform rewrites such calls in place while it runs, two threads inside read at that moment are the suspect; the question stands in docs/design/platform.md.

Change: everything that opens sockets runs on the event loop while the main thread waits; failures to listen still end the process.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -103,6 +103,18 @@
 
     @Override
     public void start() {
+        loop.call(this::startOnLoop);
+        front.awaitListening();
+        readiness.awaitListening();
+        metrics.awaitListening();
+        LogEvent.info(LOG, "edge.started")
+                .with("host", settings.host())
+                .with("front", settings.frontAddress())
+                .with("domain", settings.domain())
+                .write();
+    }
+
+    private void startOnLoop() {
         registries.start();
         front.start();
         readiness.start();
@@ -110,11 +122,6 @@
         loop.every(CLEAN_MILLIS, pool::closeOld);
         loop.every(REPEAT_MILLIS, parts.loads()::repeat);
         loop.every(CLEAN_MILLIS, parts.quarantine()::tick);
-        LogEvent.info(LOG, "edge.started")
-                .with("host", settings.host())
-                .with("front", settings.frontAddress())
-                .with("domain", settings.domain())
-                .write();
     }
 
     /** Takes changed settings: only the seeds can change while the process runs. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Front.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Front.java
@@ -66,9 +66,15 @@
         this.table = table;
     }
 
+    /** Begins to listen, which {@link #awaitListening()} waits for. */
     @Override
     public void start() {
-        server.start();
+        server.listen();
+    }
+
+    /** Waits until the address is taken; not to be called on the event loop. */
+    void awaitListening() {
+        server.awaitListening();
     }
 
     /** Stops to keep connections; those without a request close now, others after their answer. */
--- a/siskintrail.net/src/io/siskintrail/net/EventLoop.java
+++ b/siskintrail.net/src/io/siskintrail/net/EventLoop.java
@@ -46,6 +46,20 @@
         }
     }
 
+    /**
+     * Runs {@code task} on the loop and waits for its end; not to be called on the loop. Between
+     * the call and the end the calling thread does nothing, so that programs start on one thread.
+     *
+     * @throws IllegalStateException when the task fails
+     */
+    public void call(Runnable task) {
+        Future<?> done = group.submit(task);
+        done.awaitUninterruptibly();
+        if (!done.isSuccess()) {
+            throw new IllegalStateException("a task on the event loop failed", done.cause());
+        }
+    }
+
     /** Runs {@code task} on the loop after {@code millis}. */
     public Future<?> after(long millis, Runnable task) {
         return group.schedule(guarded(task), millis, TimeUnit.MILLISECONDS);
--- a/siskintrail.net/src/io/siskintrail/net/HttpService.java
+++ b/siskintrail.net/src/io/siskintrail/net/HttpService.java
@@ -69,14 +69,20 @@
         this.server = new TcpServer(loop, address, new Initializer());
     }
 
+    /** Begins to listen, which {@link #awaitListening()} waits for. */
     @Override
     public void start() {
-        server.start();
+        server.listen();
+    }
+
+    /** Waits until the address is taken; not to be called on the event loop. */
+    public void awaitListening() {
+        server.awaitListening();
     }
 
     @Override
     public void stop() {
-        server.stop();
+        server.close();
     }
 
     private final class Initializer extends ChannelInitializer<SocketChannel> {
--- a/siskintrail.net/src/io/siskintrail/net/LinkServer.java
+++ b/siskintrail.net/src/io/siskintrail/net/LinkServer.java
@@ -14,13 +14,19 @@
                         loop, Addresses.of(self.host()), LinkHandler.accepted(self, listener));
     }
 
+    /** Begins to listen, which {@link #awaitListening()} waits for. */
     @Override
     public void start() {
-        server.start();
+        server.listen();
+    }
+
+    /** Waits until the address is taken; not to be called on the event loop. */
+    public void awaitListening() {
+        server.awaitListening();
     }
 
     @Override
     public void stop() {
-        server.stop();
+        server.close();
     }
 }
--- a/siskintrail.net/src/io/siskintrail/net/TcpServer.java
+++ b/siskintrail.net/src/io/siskintrail/net/TcpServer.java
@@ -1,22 +1,21 @@
 package io.siskintrail.net;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.siskintrail.service.Service;
 import java.net.InetSocketAddress;
 
 /** Listens at one address and sets up what connects there. */
-public final class TcpServer implements Service {
+public final class TcpServer {
     /** Connections that may wait to be accepted: those of a second in which the process stood. */
     private static final int BACKLOG = 1024;
 
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final ChannelHandler connections;
-    private Channel server;
+    private ChannelFuture listening;
 
     /**
      * Prepares a server.
@@ -30,9 +29,9 @@
         this.connections = connections;
     }
 
-    @Override
-    public void start() {
-        server =
+    /** Begins to listen; may be called on the event loop. */
+    public void listen() {
+        listening =
                 new ServerBootstrap()
                         .group(loop.group())
                         .channel(NioServerSocketChannel.class)
@@ -40,13 +39,16 @@
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(connections)
-                        .bind(address)
-                        .syncUninterruptibly()
-                        .channel();
+                        .bind(address);
     }
 
-    @Override
-    public void stop() {
-        server.close();
+    /** Waits until the address is taken, and throws when it cannot be; not on the event loop. */
+    public void awaitListening() {
+        listening.syncUninterruptibly();
+    }
+
+    /** Stops to listen. */
+    public void close() {
+        listening.channel().close();
     }
 }
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -93,10 +93,10 @@
 
     @Override
     public void start() {
-        peers.start();
-        loop.execute(this::startOnLoop);
-        calls.start();
-        metrics.start();
+        loop.call(this::startOnLoop);
+        peers.awaitListening();
+        calls.awaitListening();
+        metrics.awaitListening();
         LogEvent.info(LOG, "registry.started")
                 .with("host", settings.host())
                 .with("links", self)
@@ -147,6 +147,9 @@
     }
 
     private void startOnLoop() {
+        peers.start();
+        calls.start();
+        metrics.start();
         peers.add(seeds);
         peers.add(replica.hosts());
         replica.start();
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryPeers.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryPeers.java
@@ -44,6 +44,11 @@
         server.start();
     }
 
+    /** Waits until the address is taken; not to be called on the event loop. */
+    void awaitListening() {
+        server.awaitListening();
+    }
+
     @Override
     public void stop() {
         server.stop();
