Start processes again in the soak, as the platform does

The soak now watches all processes: one that SIGHUP ended before its program began is started again and counted; any other end by itself is a broken promise at once, not only when the run is over.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakHost.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakHost.java
@@ -12,11 +12,25 @@
 final class SoakHost implements AutoCloseable {
     private static final long END_SECONDS = 20;
 
+    /** What the runtime returns when SIGHUP ends it. */
+    private static final int HANGUP_EXIT = 129;
+
     private final String program;
     private final Path settings;
     private final Path log;
     private Process process;
     private long earlierBytes;
+    private boolean wanted;
+
+    /** What became of a process. */
+    enum Fate {
+        /** It runs, or was ended by the soak. */
+        AS_WANTED,
+        /** SIGHUP ended the runtime before the program could take the signal. */
+        HUNG_UP_BEFORE_ITS_START,
+        /** It ended by itself. */
+        ENDED
+    }
 
     /**
      * Prepares a process.
@@ -39,6 +53,7 @@
         command.addAll(List.of("-cp", System.getProperty("java.class.path")));
         command.addAll(List.of(Programs.class.getName(), program, "--settings", "" + settings));
         earlierBytes = Files.exists(log) ? Files.size(log) : 0;
+        wanted = true;
         process =
                 new ProcessBuilder(command)
                         .redirectErrorStream(true)
@@ -55,18 +70,35 @@
 
     /** Ends the process at once and waits until it is gone. */
     synchronized void kill() throws InterruptedException {
+        wanted = false;
         process.destroyForcibly();
         process.waitFor();
     }
 
     /** Asks the process to end; returns whether it did by itself. */
     synchronized boolean end() throws InterruptedException {
+        wanted = false;
         process.destroy();
         return process.waitFor(END_SECONDS, TimeUnit.SECONDS);
     }
 
-    synchronized boolean isAlive() {
-        return process.isAlive();
+    /** Starts the process again if it ended though it should run; returns what became of it. */
+    synchronized Fate restartIfEnded() throws IOException {
+        Fate fate = fate();
+        if (fate != Fate.AS_WANTED) {
+            start();
+        }
+        return fate;
+    }
+
+    private Fate fate() throws IOException {
+        if (!wanted || process.isAlive()) {
+            return Fate.AS_WANTED;
+        }
+        boolean began = log().contains("event=%s.started".formatted(program));
+        return !began && process.exitValue() == HANGUP_EXIT
+                ? Fate.HUNG_UP_BEFORE_ITS_START
+                : Fate.ENDED;
     }
 
     /** Returns what the process wrote since its last start. */
@@ -77,7 +109,8 @@
     }
 
     @Override
-    public void close() {
+    public synchronized void close() {
+        wanted = false;
         if (process != null) {
             process.destroyForcibly();
         }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRun.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRun.java
@@ -66,6 +66,7 @@
             List<Thread> threads = new ArrayList<>();
             threads.add(start(this::report));
             threads.add(start(this::change));
+            threads.add(start(this::supervise));
             for (int i = 0; i < CALLERS; i++) {
                 SoakCaller c = new SoakCaller(i, system.frontProxies(), evidence, seed + i);
                 callers.add(c);
@@ -209,17 +210,35 @@
         if (leaves.requests() > before) {
             evidence.broken("requests came to an endpoint that has left");
         }
-        for (SoakHost h : system.registries()) {
-            checkAlive(h);
+        for (SoakHost h : system.hosts()) {
+            supervise(h);
         }
-        for (SoakHost h : system.edges()) {
-            checkAlive(h);
+    }
+
+    /**
+     * Watches all processes. As on the platform, one that ended is started again; it may have ended
+     * by itself only where SIGHUP reached the runtime before the program could take it.
+     */
+    private void supervise() {
+        while (!over) {
+            for (SoakHost h : system.hosts()) {
+                supervise(h);
+            }
+            Http.pause(REPORT_MILLIS);
         }
     }
 
-    private void checkAlive(SoakHost host) {
-        if (!host.isAlive()) {
-            evidence.broken("a process ended by itself");
+    private void supervise(SoakHost host) {
+        try {
+            SoakHost.Fate fate = host.restartIfEnded();
+            if (fate == SoakHost.Fate.ENDED) {
+                evidence.broken("a process ended by itself");
+            }
+            if (fate != SoakHost.Fate.AS_WANTED) {
+                evidence.counts("started again");
+            }
+        } catch (IOException e) {
+            evidence.broken("a process cannot be watched: " + e.getMessage());
         }
     }
 
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakSystem.java
@@ -72,6 +72,11 @@
         return edges;
     }
 
+    /** Returns all processes. */
+    List<SoakHost> hosts() {
+        return Stream.concat(registries.stream(), edges.stream()).toList();
+    }
+
     List<FaultProxy> callProxies() {
         return callProxies;
     }
