--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakTest.java
@@ -20,8 +20,8 @@
 
     /**
      * Seed 1 ended an edge by a SIGHUP that came before the program had begun to take it; seed 18
-     * ended one by a SIGTERM that came before the program had begun to stop in order. Seeds 12 and 25
-     * ended a registry by a SIGHUP that came before the runtime began the program, which the
+     * ended one by a SIGTERM that came before the program had begun to stop in order. Seeds 12 and
+     * 25 ended a registry by a SIGHUP that came before the runtime began the program, which the
      * platform starts again.
      */
     @ParameterizedTest
