Wait in the soak until a lost disk is replaced

Trace: core 2 lost its disk, its process took 3 s to start on the busy machine, and the soak's pause of 3 s after a lost disk was over when it had just come; core 1 was killed 0.2 s later, did not come up between two kills, and lost its disk too. Two of three disks were lost at once, more than the soak's system tolerates (1); the registries rightly confirmed nothing and told nothing older than acknowledged.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakHost.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakHost.java
@@ -101,6 +101,11 @@
                 : Fate.ENDED;
     }
 
+    /** Returns what the process wrote in all its lives. */
+    synchronized String history() throws IOException {
+        return Files.readString(log);
+    }
+
     /** Returns what the process wrote since its last start. */
     synchronized String log() throws IOException {
         byte[] all = Files.readAllBytes(log);
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRun.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRun.java
@@ -103,7 +103,10 @@
             case 1 -> fault("end edge " + edge, 0, () -> endGracefully(edgeHost), edgeHost::start);
             case 2 -> paused("edge " + edge, edgeHost, pause);
             case 3 -> fault("kill core " + core, pause, coreHost::kill, coreHost::start);
-            case 4 -> fault("wipe core " + core, pause, () -> wipe(core), () -> refill(core));
+            case 4 -> {
+                long removals = system.removals(core);
+                fault("wipe core " + core, pause, () -> wipe(core), () -> refill(core, removals));
+            }
             case 5 -> paused("core " + core, coreHost, pause);
             case 6 -> fault("tear core " + core, pause, () -> tear(core), coreHost::start);
             case 7 -> fault("kill all cores", pause / 4, this::killCores, this::startCores);
@@ -168,11 +171,16 @@
         system.wipe(core);
     }
 
-    /** Starts a registry with an empty disk, and waits until the others made it whole again. */
-    private void refill(int core) throws Exception {
+    /**
+     * Starts a registry with an empty disk, and waits until the others made it whole again: until
+     * then it counts as lost, and no other disk may be.
+     *
+     * @param removals how often replicas of this host had been taken out of the log before
+     */
+    private void refill(int core, long removals) throws Exception {
         system.registries().get(core).start();
         heal("a change after a lost disk", operator::read);
-        Http.pause(2 * LONGEST_FAULT_MILLIS);
+        heal("a replica in place of the lost one", () -> system.removals(core) > removals);
     }
 
     private void tear(int core) throws Exception {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakSystem.java
@@ -1,6 +1,7 @@
 package io.siskintrail.platform;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -89,6 +90,20 @@
         return engines;
     }
 
+    /** Returns how often replicas that lost their disk on this host were taken out of the log. */
+    long removals(int registry) {
+        String removed = "Remove[replica=" + registryIp(registry) + ":";
+        return registries.stream().mapToLong(h -> occurrences(h, removed)).sum();
+    }
+
+    private static long occurrences(SoakHost host, String text) {
+        try {
+            return host.history().lines().filter(l -> l.contains(text)).count();
+        } catch (IOException e) {
+            throw new UncheckedIOException("the log of a registry cannot be read", e);
+        }
+    }
+
     /** Removes the disk of a registry that does not run. */
     void wipe(int registry) throws IOException {
         try (Stream<Path> files = Files.walk(data(registry))) {
