--- a/siskintrail.edge/src/io/siskintrail/edge/internal/WaitingRooms.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/WaitingRooms.java
@@ -19,7 +19,7 @@
     /** Time over which edges spread what they place on an engine that came back. */
     private static final long SPREAD_MILLIS = 150;
 
-    /** Pause between two looks for room that other edges left; one is a few messages old. */
+    /** Pause between two looks for room; other edges leave some without a word to this one. */
     private static final long LOOK_MILLIS = 40;
 
     private final EventLoop loop;
