--- a/siskintrail.service.test/tst/io/siskintrail/service/SettingsWatchTest.java
+++ b/siskintrail.service.test/tst/io/siskintrail/service/SettingsWatchTest.java
@@ -1,12 +1,14 @@
 package io.siskintrail.service;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -17,6 +19,9 @@
 class SettingsWatchTest {
     private static final long LIMIT_SECONDS = 60;
 
+    /** The mask of ignored signals in the state of a process; SIGHUP is its lowest bit. */
+    private static final String IGNORED_SIGNALS = "SigIgn:";
+
     enum Cause {
         SIGNAL,
         CHANGED_FILE
@@ -27,6 +32,21 @@
     @TempDir Path folder;
     private final BlockingQueue<Settings> taken = new LinkedBlockingQueue<>();
 
+    /** A process that was started with SIGHUP ignored never gets it, as below nohup. */
+    @BeforeEach
+    void signalCanArrive() throws Exception {
+        Path state = Path.of("/proc/self/status");
+        String mask =
+                Files.readAllLines(state).stream()
+                        .filter(l -> l.startsWith(IGNORED_SIGNALS))
+                        .map(l -> l.substring(IGNORED_SIGNALS.length()).strip())
+                        .findFirst()
+                        .orElseThrow();
+        assertWithMessage("SIGHUP is ignored: start the tests without nohup")
+                .that(Long.parseUnsignedLong(mask, 16) & 1)
+                .isEqualTo(0);
+    }
+
     @ParameterizedTest
     @EnumSource(Cause.class)
     void settingsAreReadAgain(Cause cause) throws Exception {
