Say what a stopping edge has open, and who closes a connection with a request inside

No line told whether the process ended, the edge closed the connection after an earlier answer, or an exception did.

edge.stopping says its times, edge.terminating what is open when all further requests are refused, and client.closed names the request and the cause when a connection closes with a request inside. Nothing else changes.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -24,6 +24,7 @@
 import io.siskintrail.lib.Failure;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
+import io.siskintrail.service.LogEvent;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -35,6 +36,8 @@
  * request is processed, so that a disconnect is noticed at once.
  */
 final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final System.Logger LOG = System.getLogger(ClientConnection.class.getName());
+
     /** Requests that may queue behind the current one before reading pauses. */
     private static final int MAX_PENDING = 4;
 
@@ -47,6 +50,7 @@
     private Exchange current;
     private boolean keepAlive = true;
     private boolean closing;
+    private String closeCause = "client";
 
     ClientConnection(ClientServer server) {
         this.server = server;
@@ -91,6 +95,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         server.removeConnection(this);
+        if (!isIdle()) {
+            logClosedWithRequests(closeCause);
+        }
         pending.clear();
         if (current != null) {
             Exchange abandoned = current;
@@ -108,6 +115,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        closeCause = cause.toString();
         ctx.close();
     }
 
@@ -233,12 +241,23 @@
     private void onResponseSent() {
         if (!keepAlive) {
             closing = true;
+            closeCause = "last response sent";
             ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
         }
         startNext();
     }
 
+    /** Logs that the connection was closed before its requests had a complete response. */
+    private void logClosedWithRequests(String cause) {
+        LogEvent.info(LOG, "client.closed")
+                .with("request", current == null ? "-" : current.requestId())
+                .with("pending", pending.size())
+                .with("stopping", server.isStopping())
+                .with("cause", cause)
+                .write();
+    }
+
     private void setConnectionHeader(HttpResponse response) {
         if (!keepAlive || server.isStopping()) {
             keepAlive = false;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -112,6 +112,11 @@
         return openRequests;
     }
 
+    /** Returns the number of open client connections. */
+    int connections() {
+        return connections.size();
+    }
+
     void addConnection(ClientConnection connection) {
         connections.add(connection);
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -59,6 +59,7 @@
     private RouteTable table;
     private long firstConfigurationAtMillis;
     private boolean stopping;
+    private boolean terminating;
 
     /** Creates the components without starting them. */
     public Edge(EventLoop loop, EdgeSettings settings, TrafficProtocol protocol) {
@@ -135,7 +136,11 @@
      */
     @Override
     public void stop() {
-        LogEvent.info(LOG, "edge.stopping").with("host", settings.host()).write();
+        LogEvent.info(LOG, "edge.stopping")
+                .with("host", settings.host())
+                .with("grace_ms", settings.graceMillis())
+                .with("out_of_rotation_ms", settings.outOfRotationMillis())
+                .write();
         long now = EventLoop.nowMillis();
         long outOfRotationAtMillis = now + settings.outOfRotationMillis();
         long shutdownDeadlineMillis = now + settings.graceMillis() - SHUTDOWN_RESERVE_MILLIS;
@@ -148,7 +153,7 @@
         while (EventLoop.nowMillis() < shutdownDeadlineMillis && !terminateIfDrained()) {
             sleep(SHUTDOWN_POLL_MILLIS);
         }
-        loop.execute(server::terminate);
+        loop.execute(this::terminate);
         sleep(SHUTDOWN_FLUSH_MILLIS);
         LogEvent.info(LOG, "edge.stopped").with("host", settings.host()).write();
     }
@@ -254,7 +259,7 @@
                             context.stopPlan()
                                     .mayTerminate(EventLoop.nowMillis(), server.openRequests());
                     if (mayTerminate) {
-                        server.terminate();
+                        terminate();
                     }
                     terminated.complete(mayTerminate);
                 });
@@ -270,6 +275,19 @@
         }
     }
 
+    private void terminate() {
+        if (terminating) {
+            return;
+        }
+        terminating = true;
+        LogEvent.info(LOG, "edge.terminating")
+                .with("host", settings.host())
+                .with("connections", server.connections())
+                .with("open", server.openRequests())
+                .write();
+        server.terminate();
+    }
+
     /** Returns a random seed that differs between hosts that start at the same moment. */
     private static long randomSeed(String host) {
         return System.nanoTime() ^ ((long) host.hashCode() << Integer.SIZE);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -82,6 +82,11 @@
         client.abort();
     }
 
+    /** Returns the request ID, {@code -} if it is unknown. */
+    final String requestId() {
+        return call.requestId();
+    }
+
     /** Returns the size of the request body, which is buffered for retries, in bytes. */
     final int bodyBytes() {
         return call.body().length;
