Count a request as open until its answer has left

What callers saw: an edge that was asked to stop closed connections whose last answer was still being written, and ended while answers waited for slow readers: the answer ended early. With a further request sent behind such an answer the edge passed that one on and closed the connection when the earlier answer had left: neither an answer nor a refusal for a request that was passed on.

Cause: a connection counted as idle, and a request as over, when its answer was handed to the channel, not when the socket had taken it. The stop, the idle limit and the end of the process all rely on that.

Evidence: both tests failed before. answerThatAClientReadsSlowlyIsWholeWhenTheEdgeStops: 2,809,930 of 7,340,032 bytes arrived. callBehindASlowlyReadAnswerIsAnsweredWhenTheEdgeStops: the second call was passed on and its connection closed (expected true, was false).

Change: a connection is idle when nothing is left to write; the next request starts when the answer before it was sent; a connection closes when the client was told so, or when a stopping edge has nothing left on it; the process waits for unsent answers within its grace. A client that stops reading is cut off after the idle limit without progress.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -15,11 +15,13 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.siskintrail.lib.Failure;
 import io.siskintrail.lib.ResultCode;
@@ -50,6 +52,13 @@
     private Exchange current;
     private boolean keepAlive = true;
     private boolean closing;
+
+    /** Whether the last bytes of a response are still to be written to the socket. */
+    private boolean responsePending;
+
+    /** Whether a response told the client that the connection closes behind it. */
+    private boolean closeAnnounced;
+
     private String closeCause = "client";
 
     ClientConnection(ClientServer server) {
@@ -108,7 +117,11 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof IdleStateEvent && isIdle()) {
+        if (!(event instanceof IdleStateEvent idle)) {
+            return;
+        }
+        boolean stoppedReading = idle.state() == IdleState.WRITER_IDLE && responsePending;
+        if (stoppedReading || isIdle()) {
             ctx.close();
         }
     }
@@ -119,14 +132,13 @@
         ctx.close();
     }
 
-    /** Returns whether no request is being processed or queued. */
+    /** Returns whether no request is being processed or queued, and all responses were sent. */
     boolean isIdle() {
-        return current == null && pending.isEmpty();
+        return current == null && !responsePending && pending.isEmpty();
     }
 
-    /** Closes the connection after the current response, or at once if there is none. */
-    void closeWhenIdle() {
-        keepAlive = false;
+    /** Closes the connection if it is idle; otherwise its last response will. */
+    void closeIfIdle() {
         if (isIdle()) {
             ctx.close();
         }
@@ -188,8 +200,7 @@
 
     /** Ends a chunked response. */
     void endChunked() {
-        current = null;
-        ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(f -> onResponseSent());
+        writeEnd(LastHttpContent.EMPTY_LAST_CONTENT);
     }
 
     /**
@@ -203,11 +214,11 @@
     }
 
     private void startNext() {
-        if (current != null || closing || pending.isEmpty()) {
+        if (current != null || responsePending || closing || pending.isEmpty()) {
             return;
         }
         CallContext call = pending.poll();
-        keepAlive = pendingKeepAlive.poll() && !server.isStopping();
+        keepAlive = pendingKeepAlive.poll();
         ctx.channel().config().setAutoRead(true);
         Optional<Failure> rejection = server.filter(call);
         if (rejection.isPresent()) {
@@ -233,13 +244,27 @@
     }
 
     private void sendFinal(FullHttpResponse response) {
-        current = null;
         setConnectionHeader(response);
-        ctx.writeAndFlush(response).addListener(f -> onResponseSent());
+        writeEnd(response);
     }
 
-    private void onResponseSent() {
-        if (!keepAlive) {
+    /** Writes the last part of a response; the request is over once the socket has taken it. */
+    private void writeEnd(HttpObject lastPart) {
+        current = null;
+        responsePending = true;
+        server.addUnsentResponse();
+        ctx.writeAndFlush(lastPart).addListener(write -> onResponseSent(write.isSuccess()));
+    }
+
+    private void onResponseSent(boolean success) {
+        responsePending = false;
+        server.removeUnsentResponse();
+        if (!success) {
+            closing = true;
+            ctx.close();
+            return;
+        }
+        if (closeAnnounced || server.isStopping() && pending.isEmpty()) {
             closing = true;
             closeCause = "last response sent";
             ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
@@ -260,7 +285,7 @@
 
     private void setConnectionHeader(HttpResponse response) {
         if (!keepAlive || server.isStopping()) {
-            keepAlive = false;
+            closeAnnounced = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -59,6 +59,7 @@
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final TcpServer server;
     private int openRequests;
+    private int unsentResponses;
     private long bufferedBodyBytes;
     private boolean stopping;
 
@@ -89,7 +90,7 @@
     @Override
     public void stop() {
         stopping = true;
-        List.copyOf(connections).forEach(ClientConnection::closeWhenIdle);
+        List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
     }
 
     /**
@@ -117,6 +118,19 @@
         return connections.size();
     }
 
+    /** Returns the number of responses that are complete but not yet written to their sockets. */
+    int unsentResponses() {
+        return unsentResponses;
+    }
+
+    void addUnsentResponse() {
+        unsentResponses++;
+    }
+
+    void removeUnsentResponse() {
+        unsentResponses--;
+    }
+
     void addConnection(ClientConnection connection) {
         connections.add(connection);
     }
@@ -204,7 +218,9 @@
             ClientLimits limits = current == null ? ClientLimits.DEFAULT : current.limits();
             long idleMillis = limits.idleTimeoutMillis() + IDLE_GRACE_MILLIS;
             channel.pipeline()
-                    .addLast(new IdleStateHandler(idleMillis, 0, 0, TimeUnit.MILLISECONDS))
+                    .addLast(
+                            new IdleStateHandler(
+                                    true, idleMillis, idleMillis, 0, TimeUnit.MILLISECONDS))
                     .addLast(new StrictServerCodec(limits.maxHeaderBytes()))
                     .addLast(new HttpObjectAggregator(limits.maxBodyBytes(), true))
                     .addLast(new ClientConnection(ClientServer.this));
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -255,9 +255,9 @@
         CompletableFuture<Boolean> terminated = new CompletableFuture<>();
         loop.execute(
                 () -> {
+                    int unfinished = server.openRequests() + server.unsentResponses();
                     boolean mayTerminate =
-                            context.stopPlan()
-                                    .mayTerminate(EventLoop.nowMillis(), server.openRequests());
+                            context.stopPlan().mayTerminate(EventLoop.nowMillis(), unfinished);
                     if (mayTerminate) {
                         terminate();
                     }
@@ -284,6 +284,7 @@
                 .with("host", settings.host())
                 .with("connections", server.connections())
                 .with("open", server.openRequests())
+                .with("unsent", server.unsentResponses())
                 .write();
         server.terminate();
     }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeStopTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeStopTest.java
@@ -11,9 +11,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Requests of clients, and their effects on endpoints, while an edge is stopping. */
+@Timeout(60)
 class EdgeStopTest {
     private static final String CONFIGURATION =
             """
@@ -29,6 +31,9 @@
              "tenants":[{"name":"acme","apiKeys":["key-1"]}]}
             """;
 
+    /** More than the socket buffers of both ends hold, and less than an edge buffers. */
+    private static final int UNSENT_BODY_BYTES = 7 << 20;
+
     private final CountDownLatch requestReceived = new CountDownLatch(1);
     private final CountDownLatch responseReleased = new CountDownLatch(1);
     private LoopbackSystem system;
@@ -176,6 +181,80 @@
         }
     }
 
+    /** Guards against an edge that exits while a client still reads its last answer. */
+    @Test
+    void answerThatAClientReadsSlowlyIsWholeWhenTheEdgeStops() throws Exception {
+        String body = "x".repeat(UNSENT_BODY_BYTES);
+        try (ScriptedEndpoint app =
+                        new ScriptedEndpoint(
+                                (number, request, out) -> {
+                                    out.write(
+                                            ScriptedEndpoint.signedResponse(
+                                                    request, 200, "", body));
+                                    return true;
+                                });
+                Socket client = system.connectWithSmallWindow()) {
+            system.register("app", "app", app.address(), "a");
+            system.awaitReady("llm");
+            client.getOutputStream().write(Http.toBytes(keepAliveCall("r1")));
+            byte[] firstBytes = client.getInputStream().readNBytes(12);
+
+            var stopping = CompletableFuture.runAsync(system::stopEdge);
+            while (system.readinessStatus() == 200) {
+                Http.sleep(10);
+            }
+            byte[] remainder = client.getInputStream().readAllBytes();
+            stopping.get();
+
+            assertThat(new String(firstBytes, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 200");
+            assertThat(remainder.length).isAtLeast(UNSENT_BODY_BYTES);
+        }
+    }
+
+    /** Guards against an edge that closes a connection with a further call inside. */
+    @Test
+    void callBehindASlowlyReadAnswerIsAnsweredWhenTheEdgeStops() throws Exception {
+        String body = "x".repeat(UNSENT_BODY_BYTES);
+        try (ScriptedEndpoint app =
+                        new ScriptedEndpoint(
+                                (number, request, out) -> {
+                                    boolean isSecond = "r2".equals(request.header("X-Request-Id"));
+                                    if (isSecond) {
+                                        Http.sleep(500);
+                                    }
+                                    out.write(
+                                            ScriptedEndpoint.signedResponse(
+                                                    request, 200, "", isSecond ? "second" : body));
+                                    return true;
+                                });
+                Socket client = system.connectWithSmallWindow()) {
+            system.register("app", "app", app.address(), "a");
+            system.awaitReady("llm");
+            client.getOutputStream().write(Http.toBytes(keepAliveCall("r1")));
+            client.getInputStream().readNBytes(12);
+            client.getOutputStream().write(Http.toBytes(keepAliveCall("r2")));
+            Http.sleep(100);
+
+            var stopping = CompletableFuture.runAsync(system::stopEdge);
+            while (system.readinessStatus() == 200) {
+                Http.sleep(10);
+            }
+            byte[] remainder = client.getInputStream().readAllBytes();
+            stopping.get();
+
+            String text = new String(remainder, StandardCharsets.US_ASCII);
+            assertThat(text.length()).isAtLeast(UNSENT_BODY_BYTES);
+            boolean wasPassedOn = app.requests().size() == 2;
+            assertThat(text.endsWith("second")).isEqualTo(wasPassedOn);
+        }
+    }
+
+    private static String keepAliveCall(String id) {
+        return Http.request("POST", "/once/x", "key-1", "")
+                .replace("Connection: close\r\n", "")
+                .replace("X-Request-Id: r1", "X-Request-Id: " + id);
+    }
+
     private CompletableFuture<String> sendRawAsync(String request) {
         return CompletableFuture.supplyAsync(
                 () -> {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
@@ -6,6 +6,7 @@
 import io.siskintrail.testkit.FreePorts;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -20,6 +21,7 @@
 final class LoopbackSystem implements AutoCloseable {
     private static final int MAX_POLLS = 600;
     private static final long POLL_INTERVAL_MILLIS = 50;
+    private static final int SMALL_WINDOW_BYTES = 4 << 10;
 
     private final HttpClient http = HttpClient.newHttpClient();
     private final RegistryService registry;
@@ -131,6 +133,15 @@
         return socket;
     }
 
+    /** Opens a client connection whose receive buffer holds a few kilobytes. */
+    Socket connectWithSmallWindow() throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(SMALL_WINDOW_BYTES);
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(30));
+        socket.connect(new InetSocketAddress("127.0.0.1", frontPort));
+        return socket;
+    }
+
     /** Sends a raw request to the edge; returns all bytes until the connection is closed. */
     String sendRaw(String request) throws IOException {
         try (Socket socket = connect()) {
