Answer requests that a stopping edge cuts off before their answer has begun

What callers saw: a request that was passed on and had no answer when the grace of its edge ended found its connection closed, with neither an answer nor a refusal.

Cause: the end of an open exchange was the same for a request whose answer is on its way, which only a closed connection can end truthfully, and for one whose answer had not begun.

Evidence: requestThatOutlastsTheGraceIsAnswered failed before for a call and for a stream: nothing but the end of the connection arrived (expected a status, was empty).

Change: such a request ends with code 5010, 502, which promises nothing. Requests that no endpoint can have received are refused as not run, as before, and answers that have begun are broken off.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -77,6 +77,10 @@
             reject(ResultCode.NOT_RUN_SHUTTING_DOWN, "the host ends", SHUTDOWN_RETRY_MILLIS);
             return;
         }
+        if (!hasResponseStarted()) {
+            reject(ResultCode.CALL_OUTCOME_UNKNOWN, "the host ends", 0);
+            return;
+        }
         releaseResources();
         end("broken-off", ResultCode.GENERATION_MOVED.number(), "the host ends");
         client.abort();
@@ -98,6 +102,9 @@
     /** Returns whether an endpoint may have received the request. */
     protected abstract boolean mayHaveArrived();
 
+    /** Returns whether the client has received a part of the response. */
+    protected abstract boolean hasResponseStarted();
+
     /** Cancels the attempts and leaves the queue. */
     protected abstract void releaseResources();
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -107,6 +107,11 @@
         return sentAttempts > 0;
     }
 
+    @Override
+    protected boolean hasResponseStarted() {
+        return responseStarted;
+    }
+
     @Override
     protected void releaseResources() {
         leaveQueue();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -81,6 +81,11 @@
         return sentAttempts > 0;
     }
 
+    @Override
+    protected boolean hasResponseStarted() {
+        return false;
+    }
+
     @Override
     protected void releaseResources() {
         if (hedgeTimer != null) {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeStopTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeStopTest.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Requests of clients, and their effects on endpoints, while an edge is stopping. */
 @Timeout(60)
@@ -249,6 +251,36 @@
         }
     }
 
+    /** Guards against a call that an edge cuts off at the end of its grace without an answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/once/x", "/gen/x"})
+    void requestThatOutlastsTheGraceIsAnswered(String path) throws Exception {
+        ScriptedEndpoint.Script silent =
+                (number, request, out) -> {
+                    requestReceived.countDown();
+                    await(responseReleased);
+                    return false;
+                };
+        try (ScriptedEndpoint app = new ScriptedEndpoint(silent);
+                ScriptedEndpoint engine = new ScriptedEndpoint(silent)) {
+            system.register("app", "app", app.address(), "a");
+            system.register("e1", "llm", engine.address(), "a");
+            while (system.readinessStatus() != 200) {
+                Http.sleep(10);
+            }
+            String request =
+                    Http.request("POST", path, "key-1", "p")
+                            .replace("Deadline-Ms: 2000", "Deadline-Ms: 60000");
+            var openCall = sendRawAsync(request);
+            await(requestReceived);
+
+            system.stopEdge();
+
+            assertThat(openCall.get()).startsWith("HTTP/1.1 502");
+            assertThat(openCall.get()).contains("5010");
+        }
+    }
+
     private static String keepAliveCall(String id) {
         return Http.request("POST", "/once/x", "key-1", "")
                 .replace("Connection: close\r\n", "")
