Answer a request during which the edge itself fails

What callers saw: a whole request whose connection was closed with neither an answer nor a refusal.

Cause: an exception while a request was read, filtered or placed reached the end of the connection's pipeline, which closed the connection. One from a queued request also ended the queue's polling, so that the first in the queue kept back all behind it.

A way to one is an endpoint that reports a port out of range.

Change: such a request ends with code 1099, 500, which promises nothing; the exception is logged with the request (request.failed); a queued request that fails leaves its queue.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/AdmissionQueues.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/AdmissionQueues.java
@@ -113,7 +113,7 @@
     private void placeFirst(WaitingRoom<Exchange> queue) {
         queue.removeTooLate(EventLoop.nowMillis()).forEach(Exchange::handleTimeout);
         Exchange first = queue.peekFirst();
-        if (first != null && first.tryPlace()) {
+        if (first != null && first.tryPlaceQueued()) {
             queue.removeFirst();
         }
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -220,6 +220,14 @@
         CallContext call = pending.poll();
         keepAlive = pendingKeepAlive.poll();
         ctx.channel().config().setAutoRead(true);
+        try {
+            process(call);
+        } catch (RuntimeException e) {
+            fail(call, e);
+        }
+    }
+
+    private void process(CallContext call) {
         Optional<Failure> rejection = server.filter(call);
         if (rejection.isPresent()) {
             sendFailure(rejection.get(), server.retryAfterMillis(rejection.get().code()));
@@ -229,6 +237,19 @@
         current.start();
     }
 
+    /** Answers a request during which this edge failed. */
+    private void fail(CallContext call, RuntimeException cause) {
+        if (current != null) {
+            current.fail(cause);
+            return;
+        }
+        LOG.log(
+                System.Logger.Level.ERROR,
+                "event=request.failed request=" + call.requestId(),
+                cause);
+        sendFailure(new Failure(ResultCode.INTERNAL, cause.toString()), 0);
+    }
+
     private void rejectUnreadable(FullHttpRequest request) {
         boolean headerTooLong = server.isFrameTooLong(request.decoderResult().cause());
         ResultCode code = headerTooLong ? ResultCode.INPUT_TOO_LONG : ResultCode.BAD_HEADER;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -86,6 +86,37 @@
         client.abort();
     }
 
+    /** Ends the request because this host failed while processing it. */
+    final void fail(RuntimeException cause) {
+        if (ended) {
+            return;
+        }
+        LOG.log(
+                System.Logger.Level.ERROR,
+                "event=request.failed request=" + call.requestId(),
+                cause);
+        if (!hasResponseStarted()) {
+            reject(ResultCode.INTERNAL, cause.toString(), 0);
+            return;
+        }
+        releaseResources();
+        end("broken-off", ResultCode.INTERNAL.number(), cause.toString());
+        client.abort();
+    }
+
+    /**
+     * Tries to place a queued request; returns whether it no longer needs to wait, which is also
+     * the case when that failed.
+     */
+    final boolean tryPlaceQueued() {
+        try {
+            return tryPlace();
+        } catch (RuntimeException e) {
+            fail(e);
+            return true;
+        }
+    }
+
     /** Returns the request ID, {@code -} if it is unknown. */
     final String requestId() {
         return call.requestId();
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
@@ -2,6 +2,7 @@
 
 import io.siskintrail.edge.EdgeService;
 import io.siskintrail.edge.EdgeSettings;
+import io.siskintrail.edge.TrafficProtocol;
 import io.siskintrail.registry.RegistryService;
 import io.siskintrail.testkit.FreePorts;
 import java.io.IOException;
@@ -35,6 +36,11 @@
         this(folder, 1);
     }
 
+    /** Starts both; the edge reads and writes requests with {@code protocol}. */
+    LoopbackSystem(Path folder, TrafficProtocol protocol) throws IOException {
+        this(folder, 1, 0, protocol);
+    }
+
     /** Starts both; the edge has {@code graceSeconds} to stop. */
     LoopbackSystem(Path folder, double graceSeconds) throws IOException {
         this(folder, graceSeconds, 0);
@@ -43,6 +49,12 @@
     /** Starts both; a stopping edge still serves clients for {@code outOfRotationSeconds}. */
     LoopbackSystem(Path folder, double graceSeconds, double outOfRotationSeconds)
             throws IOException {
+        this(folder, graceSeconds, outOfRotationSeconds, new PlatformTrafficProtocol());
+    }
+
+    private LoopbackSystem(
+            Path folder, double graceSeconds, double outOfRotationSeconds, TrafficProtocol protocol)
+            throws IOException {
         int linkPort = FreePorts.next();
         registry =
                 LoopbackRegistry.start(
@@ -63,7 +75,7 @@
                                 0.8,
                                 100,
                                 10),
-                        new PlatformTrafficProtocol());
+                        protocol);
         edge.start();
     }
 
