Answer an unreadable request in its turn

What callers saw: a malformed request sent behind another one on the same connection was answered first, so that its 400 took the place of the answer before it; in the middle of a stream the connection was closed and the stream cut off, and the engine worked on.

Cause: the refusal was written as soon as the request was read, whatever was being processed. In a started stream the encoder does not take it, and the failed write closed the connection.

Evidence: refusalOfAPipelinedRequestComesBehindTheAnswerBeforeIt failed before: "expected to start with: HTTP/1.1 200 but was: HTTP/1.1 400 Bad Request"; behind a stream the second event was missing.

Change: an unreadable request waits in the queue of its connection like any other, and the connection closes behind its answer.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -46,8 +46,7 @@
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final ClientServer server;
-    private final Deque<CallContext> pending = new ArrayDeque<>();
-    private final Deque<Boolean> pendingKeepAlive = new ArrayDeque<>();
+    private final Deque<ReceivedRequest> pending = new ArrayDeque<>();
     private ChannelHandlerContext ctx;
     private Exchange current;
     private boolean keepAlive = true;
@@ -61,6 +60,16 @@
 
     private String closeCause = "client";
 
+    /**
+     * Request that waits for its turn.
+     *
+     * @param call the request; null if it is unreadable
+     * @param keepAlive whether the connection may stay open behind its response
+     * @param unreadableCause why it is unreadable; null if it is not
+     */
+    private record ReceivedRequest(
+            CallContext call, boolean keepAlive, Throwable unreadableCause) {}
+
     ClientConnection(ClientServer server) {
         this.server = server;
     }
@@ -81,10 +90,17 @@
         if (closing) {
             return;
         }
+        pending.add(receive(request));
+        if (pending.size() > MAX_PENDING) {
+            ctx.channel().config().setAutoRead(false);
+        }
+        startNext();
+    }
+
+    private static ReceivedRequest receive(FullHttpRequest request) {
         if (request.decoderResult().isFailure()) {
-            keepAlive = false;
-            rejectUnreadable(request);
-            return;
+            Throwable cause = request.decoderResult().cause();
+            return new ReceivedRequest(null, false, cause);
         }
         CallContext call =
                 new CallContext(
@@ -93,12 +109,7 @@
                         request.headers(),
                         ByteBufUtil.getBytes(request.content()),
                         EventLoop.nowMillis());
-        pending.add(call);
-        pendingKeepAlive.add(HttpUtil.isKeepAlive(request));
-        if (pending.size() > MAX_PENDING) {
-            ctx.channel().config().setAutoRead(false);
-        }
-        startNext();
+        return new ReceivedRequest(call, HttpUtil.isKeepAlive(request), null);
     }
 
     @Override
@@ -217,13 +228,17 @@
         if (current != null || responsePending || closing || pending.isEmpty()) {
             return;
         }
-        CallContext call = pending.poll();
-        keepAlive = pendingKeepAlive.poll();
+        ReceivedRequest next = pending.poll();
+        keepAlive = next.keepAlive();
         ctx.channel().config().setAutoRead(true);
+        if (next.unreadableCause() != null) {
+            rejectUnreadable(next.unreadableCause());
+            return;
+        }
         try {
-            process(call);
+            process(next.call());
         } catch (RuntimeException e) {
-            fail(call, e);
+            fail(next.call(), e);
         }
     }
 
@@ -250,18 +265,16 @@
         sendFailure(new Failure(ResultCode.INTERNAL, cause.toString()), 0);
     }
 
-    private void rejectUnreadable(FullHttpRequest request) {
-        boolean headerTooLong = server.isFrameTooLong(request.decoderResult().cause());
-        ResultCode code = headerTooLong ? ResultCode.INPUT_TOO_LONG : ResultCode.BAD_HEADER;
-        server.recordUnreadable(code, request.decoderResult().cause());
-        HttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        headerTooLong
-                                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                                : HttpResponseStatus.BAD_REQUEST);
+    private void rejectUnreadable(Throwable cause) {
+        boolean tooLong = server.isFrameTooLong(cause);
+        server.recordUnreadable(tooLong ? ResultCode.INPUT_TOO_LONG : ResultCode.BAD_HEADER, cause);
+        HttpResponseStatus status =
+                tooLong
+                        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                        : HttpResponseStatus.BAD_REQUEST;
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
         HttpUtil.setContentLength(response, 0);
-        sendFinal((FullHttpResponse) response);
+        sendFinal(response);
     }
 
     private void sendFinal(FullHttpResponse response) {
