Answer a request with too large a body in its turn

What callers saw: the 413 for a request with too large a body came before the answer to the request in front of it. Behind a running stream that 413, and the 100 for a request with "Expect: 100-continue", cut the stream off and closed its connection.

Cause: the aggregator writes both by itself, past the queue of the connection.

Evidence: the new cases of refusalOfAPipelinedRequestComesBehindTheAnswerBeforeIt failed before: "expected to start with: HTTP/1.1 200 but was: HTTP/1.1 413 Request Entity Too Large"; behind a stream the second event was missing, for 413 and for 100.

Change: too large a body makes a request unreadable, and it is answered in its turn.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.siskintrail.lib.Failure;
@@ -100,7 +101,8 @@
     private static ReceivedRequest receive(FullHttpRequest request) {
         if (request.decoderResult().isFailure()) {
             Throwable cause = request.decoderResult().cause();
-            return new ReceivedRequest(null, false, cause);
+            boolean keepAlive = isBodyTooLong(cause) && HttpUtil.isKeepAlive(request);
+            return new ReceivedRequest(null, keepAlive, cause);
         }
         CallContext call =
                 new CallContext(
@@ -268,15 +270,21 @@
     private void rejectUnreadable(Throwable cause) {
         boolean tooLong = server.isFrameTooLong(cause);
         server.recordUnreadable(tooLong ? ResultCode.INPUT_TOO_LONG : ResultCode.BAD_HEADER, cause);
-        HttpResponseStatus status =
-                tooLong
-                        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                        : HttpResponseStatus.BAD_REQUEST;
+        HttpResponseStatus status = HttpResponseStatus.BAD_REQUEST;
+        if (isBodyTooLong(cause)) {
+            status = HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
+        } else if (tooLong) {
+            status = HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
         HttpUtil.setContentLength(response, 0);
         sendFinal(response);
     }
 
+    private static boolean isBodyTooLong(Throwable cause) {
+        return cause instanceof TooLongHttpContentException;
+    }
+
     private void sendFinal(FullHttpResponse response) {
         setConnectionHeader(response);
         writeEnd(response);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.siskintrail.internal.traffic.ClientLimits;
 import io.siskintrail.internal.traffic.RouteKind;
@@ -217,13 +216,14 @@
             RouteTable current = table.get();
             ClientLimits limits = current == null ? ClientLimits.DEFAULT : current.limits();
             long idleMillis = limits.idleTimeoutMillis() + IDLE_GRACE_MILLIS;
+            ClientConnection connection = new ClientConnection(ClientServer.this);
             channel.pipeline()
                     .addLast(
                             new IdleStateHandler(
                                     true, idleMillis, idleMillis, 0, TimeUnit.MILLISECONDS))
                     .addLast(new StrictServerCodec(limits.maxHeaderBytes()))
-                    .addLast(new HttpObjectAggregator(limits.maxBodyBytes(), true))
-                    .addLast(new ClientConnection(ClientServer.this));
+                    .addLast(new RequestAggregator(limits.maxBodyBytes(), connection))
+                    .addLast(connection);
         }
     }
 }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeConnectionTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeConnectionTest.java
@@ -52,7 +52,13 @@
 
     /** Guards against the refusal of a request that takes the place of the answer before it. */
     @ParameterizedTest
-    @CsvSource({"once, malformed, HTTP/1.1 400", "gen, malformed, HTTP/1.1 400"})
+    @CsvSource({
+        "once, malformed, HTTP/1.1 400",
+        "once, oversized, HTTP/1.1 413",
+        "gen, malformed, HTTP/1.1 400",
+        "gen, oversized, HTTP/1.1 413",
+        "gen, expecting, HTTP/1.1 400"
+    })
     void refusalOfAPipelinedRequestComesBehindTheAnswerBeforeIt(
             String route, String second, String refusal) throws Exception {
         boolean streaming = route.equals("gen");
@@ -108,7 +114,12 @@
     private static String unusable(String kind) {
         return switch (kind) {
             case "malformed" -> "POST /once/x HTTP/1.1\r\nno colon\r\n\r\n";
-            default -> throw new IllegalArgumentException(kind);
+            case "expecting" ->
+                    "POST /once/x HTTP/1.1\r\nHost: h.example\r\nExpect: 100-continue\r\n"
+                            + "Content-Length: 1\r\n\r\nx";
+            default ->
+                    "POST /once/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 100000\r\n\r\n"
+                            + "x".repeat(100_000);
         };
     }
 
