Answer what a client sent behind a request before a stopping edge closes

What callers saw: a request that was read whole while the one before it was processed got neither an answer nor a refusal when the edge was asked to stop.

Cause: the answer before it said that the connection closes, and closed it, with requests waiting.

Evidence: pipelinedRequestIsAnsweredWhenTheEdgeStops failed before: one response where two were due.

Change: a stopping edge announces the close on the answer behind which nothing waits.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -326,7 +326,7 @@
     }
 
     private void setConnectionHeader(HttpResponse response) {
-        if (!keepAlive || server.isStopping()) {
+        if (!keepAlive || server.isStopping() && pending.isEmpty()) {
             closeAnnounced = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeConnectionTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeConnectionTest.java
@@ -7,9 +7,12 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -98,6 +101,38 @@
         }
     }
 
+    /** Guards against a request that was read behind another one and is dropped by a stop. */
+    @Test
+    void pipelinedRequestIsAnsweredWhenTheEdgeStops() throws Exception {
+        try (ScriptedEndpoint app =
+                        new ScriptedEndpoint(
+                                (number, request, out) -> {
+                                    requestReceived.countDown();
+                                    await(responseReleased);
+                                    out.write(
+                                            ScriptedEndpoint.signedResponse(
+                                                    request, 200, "", "fine"));
+                                    return true;
+                                });
+                Socket client = connectWhenReady(app)) {
+            client.getOutputStream().write(Http.toBytes(keepAlive("/once/x", "r1")));
+            await(requestReceived);
+            client.getOutputStream().write(Http.toBytes(keepAlive("/once/x", "r2")));
+            Http.sleep(200);
+
+            var stopping = CompletableFuture.runAsync(system::stopEdge);
+            while (system.readinessStatus() == 200) {
+                Http.sleep(10);
+            }
+            responseReleased.countDown();
+            String text = readAll(client);
+            stopping.get();
+
+            assertThat(text.split("HTTP/1.1 ", -1)).hasLength(3);
+            assertThat(text).containsMatch("(?i)connection: close");
+        }
+    }
+
     private void awaitEndpoint(ScriptedEndpoint app) throws Exception {
         system.register("app", "app", app.address(), "a");
         while (system.readinessStatus() != 200) {
