Keep a connection whose client still reads its answer

What callers saw: an answer that took longer to read than the idle limit ended early, although the client read all the time.

Cause: the first idle event after a completed write comes whether or not bytes have left since; only later ones compare. An answer counted as not read on that first one.

Evidence: answerThatIsReadForLongerThanTheIdleLimitIsWhole failed before: 5,957,737 and, in another run, 6,430,825 of 7,340,032 bytes arrived.

Change: the first event of a silence does not close a connection with an answer on its way; the next one, after an idle limit without progress, does.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -133,7 +133,9 @@
         if (!(event instanceof IdleStateEvent idle)) {
             return;
         }
-        boolean stoppedReading = idle.state() == IdleState.WRITER_IDLE && responsePending;
+        // The first event of a silence comes also where bytes are leaving.
+        boolean stoppedReading =
+                idle.state() == IdleState.WRITER_IDLE && !idle.isFirst() && responsePending;
         if (stoppedReading || isIdle()) {
             ctx.close();
         }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeConnectionTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeConnectionTest.java
@@ -35,6 +35,8 @@
              "tenants":[{"name":"acme","apiKeys":["key-1"]}]}
             """;
 
+    private static final int LARGE_BODY_BYTES = 7 << 20;
+
     private final CountDownLatch requestReceived = new CountDownLatch(1);
     private final CountDownLatch responseReleased = new CountDownLatch(1);
     private LoopbackSystem system;
@@ -133,6 +135,38 @@
         }
     }
 
+    /** Guards against a client that reads slowly but steadily and is cut off as idle. */
+    @Test
+    void answerThatIsReadForLongerThanTheIdleLimitIsWhole() throws Exception {
+        String body = "x".repeat(LARGE_BODY_BYTES);
+        try (ScriptedEndpoint app =
+                        new ScriptedEndpoint(
+                                (number, request, out) -> {
+                                    out.write(
+                                            ScriptedEndpoint.signedResponse(
+                                                    request, 200, "", body));
+                                    return true;
+                                });
+                Socket client = connectWhenReady(app)) {
+            client.getOutputStream()
+                    .write(
+                            Http.toBytes(
+                                    keepAlive("/once/x", "r1")
+                                            .replace("r1\r\n", "r1\r\nConnection: close\r\n")));
+            InputStream in = client.getInputStream();
+            long read = 0;
+            int pieces = 60;
+            byte[] piece = new byte[LARGE_BODY_BYTES / pieces];
+            for (int i = 0; i < pieces; i++) {
+                read += in.readNBytes(piece, 0, piece.length);
+                Http.sleep(80);
+            }
+            read += in.readAllBytes().length;
+
+            assertThat(read).isAtLeast((long) LARGE_BODY_BYTES);
+        }
+    }
+
     private void awaitEndpoint(ScriptedEndpoint app) throws Exception {
         system.register("app", "app", app.address(), "a");
         while (system.readinessStatus() != 200) {
