Log what ran on an endpoint that died, with its shared prompt parts

The line endpoint.died told how many contents ran there. It did not name them, nor whether an answer had begun, so that requests which share a prompt part could not be told from the others on the endpoint.

It now names each attempt as fingerprint, number of shared prompt parts and progress, and content.quarantined the deaths it rests on. The parts come from the header that lists them, of which only the last entry was read; malformed entries are left out and do not fail the request.

--- a/siskintrail.edge/src/io/siskintrail/edge/CallMetadata.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/CallMetadata.java
@@ -1,6 +1,8 @@
 package io.siskintrail.edge;
 
 import io.siskintrail.internal.traffic.PromptId;
+import io.siskintrail.internal.traffic.PromptPart;
+import java.util.List;
 
 /**
  * Call metadata from the headers of a client request.
@@ -10,6 +12,7 @@
  * @param apiKey the API key of the client account; null if absent
  * @param lastEventId the ID of the last stream event that the client received; -1 if none
  * @param prompt the part of the prompt that only this request has; null if absent
+ * @param sharedParts the parts of the prompt that other requests may have too, at most 32
  * @param promptTokens the prompt size in tokens; 0 if unknown
  * @param outputTokens the maximum response size in tokens; 0 if unknown
  */
@@ -19,5 +22,6 @@
         String apiKey,
         long lastEventId,
         PromptId prompt,
+        List<PromptPart> sharedParts,
         int promptTokens,
         int outputTokens) {}
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/CallContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/CallContext.java
@@ -4,10 +4,12 @@
 import io.siskintrail.edge.CallMetadata;
 import io.siskintrail.internal.generation.Fingerprint;
 import io.siskintrail.internal.traffic.Account;
+import io.siskintrail.internal.traffic.PromptPart;
 import io.siskintrail.internal.traffic.Route;
 import io.siskintrail.internal.traffic.RouteTable;
 import io.siskintrail.lib.AccountId;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 
 /** A client request and what the request filters learned about it. Confined to the event loop. */
 final class CallContext {
@@ -24,6 +26,7 @@
     private Route route;
     private Account account;
     private Fingerprint fingerprint;
+    private Set<PromptPart> sharedParts;
 
     /** Wraps a request that arrived at {@code arrivedAtMillis}, in monotonic milliseconds. */
     CallContext(
@@ -128,6 +131,14 @@
         return fingerprint;
     }
 
+    /** Returns the parts of the prompt that other requests may have too. */
+    Set<PromptPart> sharedParts() {
+        if (sharedParts == null) {
+            sharedParts = Set.copyOf(metadata.sharedParts());
+        }
+        return sharedParts;
+    }
+
     /** Returns the request ID, {@code -} if it is unknown. */
     String requestId() {
         return metadata == null || metadata.requestId() == null ? "-" : metadata.requestId();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/QuarantineCoordinator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/QuarantineCoordinator.java
@@ -12,8 +12,10 @@
 import io.siskintrail.wire.registry.RegistryMessage;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Finds, together with the other edges, requests that crash the endpoints that run them: reports to
@@ -24,13 +26,17 @@
     private static final System.Logger LOG =
             System.getLogger(QuarantineCoordinator.class.getName());
 
+    /** Maximum number of attempts that the log line of a death names. */
+    private static final int MAX_LOGGED_ATTEMPTS = 16;
+
     private final HostId localHost;
     private final EndpointPool pool;
     private final RegistryFollower registries;
     private final Quarantine quarantine = new Quarantine();
     private final Set<Fingerprint> quarantinedContent = new HashSet<>();
-    private final Map<EndpointId, Map<Fingerprint, Integer>> runningByEndpoint = new HashMap<>();
-    private final Map<EndpointId, Set<Fingerprint>> pendingProbes = new HashMap<>();
+    private final Map<EndpointId, Set<RunningAttempt>> runningByEndpoint = new HashMap<>();
+    private final Map<EndpointId, Set<RunningAttempt>> pendingProbes = new HashMap<>();
+    private final RecentCrashes recentCrashes = new RecentCrashes();
     private boolean hasDeaths;
 
     QuarantineCoordinator(HostId localHost, EndpointPool pool, RegistryFollower registries) {
@@ -44,22 +50,22 @@
         return quarantinedContent.contains(content);
     }
 
-    /** Records that a request was sent to an endpoint. */
-    void recordSent(EndpointView endpoint, Fingerprint content) {
+    /** Records that an attempt was sent to its endpoint. */
+    void recordSent(RunningAttempt attempt) {
         runningByEndpoint
-                .computeIfAbsent(endpoint.record().id(), e -> new HashMap<>())
-                .merge(content, 1, Integer::sum);
+                .computeIfAbsent(attempt.endpointId(), e -> new LinkedHashSet<>())
+                .add(attempt);
     }
 
     /** Records that an attempt ended. */
-    void recordEnded(EndpointView endpoint, Fingerprint content) {
-        Map<Fingerprint, Integer> contents = runningByEndpoint.get(endpoint.record().id());
-        if (contents == null) {
+    void recordEnded(RunningAttempt attempt) {
+        Set<RunningAttempt> running = runningByEndpoint.get(attempt.endpointId());
+        if (running == null) {
             return;
         }
-        contents.computeIfPresent(content, (c, count) -> count == 1 ? null : count - 1);
-        if (contents.isEmpty()) {
-            runningByEndpoint.remove(endpoint.record().id());
+        running.remove(attempt);
+        if (running.isEmpty()) {
+            runningByEndpoint.remove(attempt.endpointId());
         }
     }
 
@@ -74,24 +80,25 @@
      * Records that an attempt failed before its response was complete, and probes whether the
      * endpoint is still reachable.
      */
-    void recordFailure(EndpointView endpoint, Fingerprint content) {
-        EndpointId id = endpoint.record().id();
-        Set<Fingerprint> pendingContents = pendingProbes.get(id);
-        if (pendingContents != null) {
-            pendingContents.add(content);
+    void recordFailure(RunningAttempt attempt) {
+        EndpointId id = attempt.endpointId();
+        Set<RunningAttempt> pending = pendingProbes.get(id);
+        if (pending != null) {
+            pending.add(attempt);
             return;
         }
-        Set<Fingerprint> contents = new HashSet<>(runningAt(id));
-        contents.add(content);
-        pendingProbes.put(id, contents);
+        Set<RunningAttempt> running = new LinkedHashSet<>(runningAt(id));
+        running.add(attempt);
+        pendingProbes.put(id, running);
+        EndpointView endpoint = attempt.endpoint();
         pool.probe(endpoint.record().address(), reached -> handleProbeResult(endpoint, reached));
     }
 
     /** Reports an endpoint that is silent or unreachable as dead if requests run on it. */
     void reportDeath(EndpointView endpoint) {
-        Set<Fingerprint> contents = runningAt(endpoint.record().id());
-        if (!contents.isEmpty()) {
-            recordDeath(endpoint.record().id(), contents);
+        Set<RunningAttempt> running = runningAt(endpoint.record().id());
+        if (!running.isEmpty()) {
+            recordDeath(endpoint.record().id(), running);
         }
     }
 
@@ -99,6 +106,7 @@
     void applyDeath(RegistryMessage.Death death) {
         if (!death.host().equals(localHost)) {
             hasDeaths = true;
+            recentCrashes.add(death.endpoint(), death.running());
             step(new QuarantineInput.Reported(death.host(), death.endpoint(), death.running()));
         }
     }
@@ -115,25 +123,37 @@
         }
     }
 
-    private Set<Fingerprint> runningAt(EndpointId id) {
-        return runningByEndpoint.getOrDefault(id, Map.of()).keySet();
+    private Set<RunningAttempt> runningAt(EndpointId id) {
+        return runningByEndpoint.getOrDefault(id, Set.of());
     }
 
     private void handleProbeResult(EndpointView endpoint, boolean reached) {
-        Set<Fingerprint> contents = pendingProbes.remove(endpoint.record().id());
-        if (!reached && contents != null) {
+        Set<RunningAttempt> running = pendingProbes.remove(endpoint.record().id());
+        if (!reached && running != null) {
             endpoint.health().recordUnreachable(EventLoop.nowMillis());
-            recordDeath(endpoint.record().id(), contents);
+            recordDeath(endpoint.record().id(), running);
         }
     }
 
-    private void recordDeath(EndpointId endpoint, Set<Fingerprint> contents) {
+    private void recordDeath(EndpointId endpoint, Set<RunningAttempt> running) {
         hasDeaths = true;
         LogEvent.info(LOG, "endpoint.died")
                 .with("endpoint", endpoint)
-                .with("running", contents.size())
+                .with("running", running.size())
+                .with("contents", describe(running))
                 .write();
-        step(new QuarantineInput.Died(endpoint, Set.copyOf(contents)));
+        Set<Fingerprint> contents =
+                running.stream().map(RunningAttempt::content).collect(Collectors.toSet());
+        recentCrashes.add(endpoint, contents);
+        step(new QuarantineInput.Died(endpoint, contents));
+    }
+
+    /** Returns what the attempts ran, as {@code fingerprint/shared parts/progress} each. */
+    private static String describe(Set<RunningAttempt> running) {
+        return running.stream()
+                .limit(MAX_LOGGED_ATTEMPTS)
+                .map(RunningAttempt::toString)
+                .collect(Collectors.joining(","));
     }
 
     private void step(QuarantineInput input) {
@@ -159,6 +179,7 @@
         LogEvent.warning(LOG, "content.quarantined")
                 .with("fingerprint", Long.toHexString(quarantined.fingerprint().high()))
                 .with("on", quarantined.on())
+                .with("died", recentCrashes.describeThoseOf(quarantined.fingerprint()))
                 .write();
     }
 }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -28,6 +28,7 @@
     private final double expectedMillis;
     private final boolean engineIdle;
     private final Attempt attempt;
+    private final RunningAttempt evidence;
     private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
     private final ByteArrayOutputStream errorBuffer = new ByteArrayOutputStream();
     private final long sentAtMillis = EventLoop.nowMillis();
@@ -39,6 +40,7 @@
     /**
      * Creates an attempt without sending it.
      *
+     * @param call the request of the client
      * @param copyHolder the engine that stores a copy of the KV cache; null for none
      * @param tokens the KV cache size of the request on each engine, in tokens
      * @param prefillMillis the expected prefill time in milliseconds
@@ -51,7 +53,7 @@
             EndpointView engine,
             EndpointView copyHolder,
             EndpointRequest request,
-            String requestId,
+            CallContext call,
             long tokens,
             long prefillMillis,
             double expectedMillis,
@@ -65,14 +67,15 @@
         this.expectedMillis = expectedMillis;
         this.silence = new SilenceTracker(silenceRule, sentAtMillis, expectedMillis);
         this.engineIdle = engine.totalLoad(sentAtMillis).running() == 0;
-        this.attempt = new Attempt(engine, request, requestId, this);
+        this.attempt = new Attempt(engine, request, call.requestId(), this);
+        this.evidence = new RunningAttempt(attempt, call);
     }
 
     void start() {
         engine.beginRequest(tokens);
         engine.beginPrefill(sentAtMillis, prefillMillis);
         edge.loadExchange().recordChange(engine);
-        edge.quarantine().recordSent(engine, exchange.fingerprint());
+        edge.quarantine().recordSent(evidence);
         if (copyHolder != null) {
             copyHolder.beginCopy(tokens);
             edge.loadExchange().recordChange(copyHolder);
@@ -106,6 +109,11 @@
         return silence.hasEvents();
     }
 
+    /** Returns what the attempt proves if the engine crashes. */
+    RunningAttempt evidence() {
+        return evidence;
+    }
+
     double expectedMillis() {
         return expectedMillis;
     }
@@ -197,6 +205,7 @@
     }
 
     private void handleFirstEvent() {
+        evidence.markAnswered();
         long now = EventLoop.nowMillis();
         engine.endPrefill(now, prefillMillis);
         edge.loadExchange().recordChange(engine);
@@ -214,7 +223,7 @@
             engine.endPrefill(EventLoop.nowMillis(), prefillMillis);
         }
         edge.loadExchange().recordChange(engine);
-        edge.quarantine().recordEnded(engine, exchange.fingerprint());
+        edge.quarantine().recordEnded(evidence);
         if (copyHolder != null) {
             copyHolder.endCopy(tokens);
             edge.loadExchange().recordChange(copyHolder);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.siskintrail.edge.CopySource;
 import io.siskintrail.edge.EndpointResponse;
-import io.siskintrail.internal.generation.Fingerprint;
 import io.siskintrail.internal.traffic.EndpointView;
 import io.siskintrail.internal.traffic.EngineSpec;
 import io.siskintrail.internal.traffic.PrefillRate;
@@ -253,7 +252,7 @@
             return;
         }
         source.engine().health().recordFailure(EventLoop.nowMillis());
-        edge.quarantine().recordFailure(source.engine(), call.fingerprint());
+        edge.quarantine().recordFailure(source.evidence());
         failedEngines.add(source.engine().record().id());
         resume(source, cause);
     }
@@ -290,11 +289,6 @@
         edge.prefillRate(service).recordPrefill(call.metadata().promptTokens(), elapsedMillis);
     }
 
-    /** Returns the fingerprint of client account and content. */
-    Fingerprint fingerprint() {
-        return call.fingerprint();
-    }
-
     /** Records the gap before an event, or the time to the first event. */
     private void recordEventGap() {
         long now = EventLoop.nowMillis();
@@ -359,7 +353,7 @@
                         target,
                         copy,
                         request,
-                        call.requestId(),
+                        call,
                         tokens,
                         (long) rate.prefillMillis(unreadTokens),
                         expectedMillis,
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -277,6 +277,7 @@
     /** Transmission of the call to one endpoint; buffers the response. */
     private final class UnaryAttempt implements AttemptListener {
         private final Attempt attempt;
+        private final RunningAttempt evidence;
         private final long startedAtMillis = EventLoop.nowMillis();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private EndpointResponse endpointResponse;
@@ -286,11 +287,12 @@
             // Event ID, copy target, copy source and weight version apply only to streams.
             EndpointRequest request = buildForwardedRequest(endpoint, -1, null, null, -1);
             attempt = new Attempt(endpoint, request, call.requestId(), this);
+            evidence = new RunningAttempt(attempt, call);
         }
 
         void start() {
             attempt.endpoint().beginRequest(0);
-            edge.quarantine().recordSent(attempt.endpoint(), call.fingerprint());
+            edge.quarantine().recordSent(evidence);
             edge.pool().send(attempt, isIdempotent());
         }
 
@@ -309,6 +311,7 @@
 
         @Override
         public void onHead(HttpResponse response) {
+            evidence.markAnswered();
             endpointResponse = edge.protocol().readResponse(response);
             headers = HopByHopHeaders.strip(response.headers());
         }
@@ -334,7 +337,7 @@
         @Override
         public void onFailure(String cause) {
             finishAttempt();
-            edge.quarantine().recordFailure(attempt.endpoint(), call.fingerprint());
+            edge.quarantine().recordFailure(evidence);
             outcomeUnknown = true;
             handleFailure(this, cause);
         }
@@ -346,7 +349,7 @@
 
         private void releaseEndpoint() {
             attempt.endpoint().endRequest(0);
-            edge.quarantine().recordEnded(attempt.endpoint(), call.fingerprint());
+            edge.quarantine().recordEnded(evidence);
             edge.queues().releaseOne(service);
         }
     }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
@@ -2,6 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.siskintrail.edge.CallMetadata;
+import io.siskintrail.internal.traffic.PromptId;
+import io.siskintrail.lib.Result;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
@@ -10,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -410,6 +416,46 @@
         assertThat(system.callRegistry("GET", "/api/config", "").body()).contains("\"version\":9");
     }
 
+    /**
+     * Guards the shared prompt parts, from which crashes are told apart, and the request itself.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "'', '', 0",
+        "'a:10', a, 0",
+        "'s:200,a:10', a, 1",
+        "'s:200 , t:9,a:10', a, 2",
+        "'s:200,s:200,a:10', a, 1",
+        "'s,:5,,a', a, 1",
+        "'s:x:y,a:z', a, 1",
+        "',', '', 0",
+    })
+    void malformedPromptPartsDoNotFailTheRequest(String parts, String own, int shared) {
+        HttpHeaders headers =
+                new DefaultHttpHeaders().add("X-Request-Id", "r1").add("X-Prompt-Prefix", parts);
+
+        Result<CallMetadata> read = new PlatformTrafficProtocol().readMetadata(headers);
+
+        CallMetadata metadata = ((Result.Ok<CallMetadata>) read).value();
+        assertThat(metadata.prompt()).isEqualTo(PromptId.ofNullable(own));
+        assertThat(metadata.sharedParts()).hasSize(shared);
+    }
+
+    @Test
+    void sharedPromptPartsAreBounded() {
+        String parts = "p%d,".repeat(50).formatted((Object[]) numbers(50)) + "x".repeat(65) + ",a";
+        HttpHeaders headers =
+                new DefaultHttpHeaders().add("X-Request-Id", "r1").add("X-Prompt-Prefix", parts);
+
+        Result<CallMetadata> read = new PlatformTrafficProtocol().readMetadata(headers);
+
+        assertThat(((Result.Ok<CallMetadata>) read).value().sharedParts()).hasSize(32);
+    }
+
+    private static Integer[] numbers(int count) {
+        return IntStream.range(0, count).boxed().toArray(Integer[]::new);
+    }
+
     private static boolean respondOk(
             ScriptedEndpoint.ReceivedRequest request, OutputStream out, String body)
             throws IOException {
