Carry the prompt parts of crash suspects between hosts

A report of a death named whole contents only, and so did a refusal. Requests that share a prompt part and nothing else were strangers to each other. A death now names for each suspect its content and shared prompt parts, a refusal may name parts, and a new message tells parts whose requests were answered.

Older builds go on: a death lists the contents as before, a refusal of parts has a zero hash, which no request has, and an unknown message is dropped by the link that receives it.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/QuarantineCoordinator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/QuarantineCoordinator.java
@@ -4,6 +4,8 @@
 import io.siskintrail.internal.generation.Quarantine;
 import io.siskintrail.internal.generation.QuarantineEffect;
 import io.siskintrail.internal.generation.QuarantineInput;
+import io.siskintrail.internal.traffic.CrashSignature;
+import io.siskintrail.internal.traffic.CrashSuspect;
 import io.siskintrail.internal.traffic.EndpointView;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
@@ -13,6 +15,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -106,14 +109,20 @@
     void applyDeath(RegistryMessage.Death death) {
         if (!death.host().equals(localHost)) {
             hasDeaths = true;
-            recentCrashes.add(death.endpoint(), death.running());
-            step(new QuarantineInput.Reported(death.host(), death.endpoint(), death.running()));
+            Set<Fingerprint> contents =
+                    death.suspects().stream()
+                            .map(CrashSuspect::content)
+                            .collect(Collectors.toSet());
+            recentCrashes.add(death.endpoint(), contents);
+            step(new QuarantineInput.Reported(death.host(), death.endpoint(), contents));
         }
     }
 
     /** Applies a quarantine decision of another edge. */
     void applyRefusal(RegistryMessage.Refusal refusal) {
-        step(new QuarantineInput.Announced(refusal.content(), refusal.millis()));
+        if (refusal.signature() instanceof CrashSignature.OfContent signature) {
+            step(new QuarantineInput.Announced(signature.content(), refusal.millis()));
+        }
     }
 
     /** Advances the quarantine timers. */
@@ -160,16 +169,23 @@
         for (QuarantineEffect effect : quarantine.step(EventLoop.nowMillis(), input)) {
             if (effect instanceof QuarantineEffect.Report report) {
                 registries.sendToRelay(
-                        new RegistryMessage.Death(localHost, report.endpoint(), report.running()));
+                        new RegistryMessage.Death(
+                                localHost, report.endpoint(), suspects(report.running())));
             } else if (effect instanceof QuarantineEffect.Announce announce) {
                 registries.sendToRelay(
-                        new RegistryMessage.Refusal(announce.fingerprint(), announce.millis()));
+                        new RegistryMessage.Refusal(
+                                new CrashSignature.OfContent(announce.fingerprint()),
+                                announce.millis()));
             } else if (effect instanceof QuarantineEffect.Quarantined quarantined) {
                 applyQuarantine(quarantined);
             }
         }
     }
 
+    private static List<CrashSuspect> suspects(Set<Fingerprint> contents) {
+        return contents.stream().map(content -> new CrashSuspect(content, Set.of())).toList();
+    }
+
     private void applyQuarantine(QuarantineEffect.Quarantined quarantined) {
         if (quarantined.on()) {
             quarantinedContent.add(quarantined.fingerprint());
--- a/siskintrail.wire/idl/registry.thrift
+++ b/siskintrail.wire/idl/registry.thrift
@@ -48,16 +48,33 @@
   2: required i64 low
 }
 
+/** A request that had not begun to be answered, and the prompt parts that others may share. */
+struct SuspectData {
+  1: required ContentHashData content,
+  2: required list<string> parts
+}
+
 /** What an edge had running on an endpoint that died. */
 struct DeathData {
   1: required string host,
   2: required string endpoint,
-  3: required list<ContentHashData> running
+  /** The contents of the suspects, for builds that do not know them. */
+  3: required list<ContentHashData> running,
+  4: optional list<SuspectData> suspects
 }
 
 struct RefusalData {
+  /** Zero if prompt parts are refused. */
   1: required ContentHashData content,
-  2: required i64 millis
+  2: required i64 millis,
+  /** Requests with all of these prompt parts are refused; a content if not set or empty. */
+  3: optional list<string> parts
+}
+
+/** Prompt parts whose requests an edge saw answered. */
+struct SoundData {
+  1: required string host,
+  2: required list<string> parts
 }
 
 /** What an edge has placed on one endpoint. */
@@ -96,5 +113,6 @@
   8: ReplyData readAt,
   9: DeathData death,
   10: RefusalData refusal,
-  11: AllLoadsData loads
+  11: AllLoadsData loads,
+  12: SoundData sound
 }
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/AllLoadsData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/AllLoadsData.java
@@ -339,14 +339,14 @@
           case 1: // HOSTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
-                struct.hosts = new java.util.ArrayList<LoadsData>(_list40.size);
-                @org.apache.thrift.annotation.Nullable LoadsData _elem41;
-                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
+                struct.hosts = new java.util.ArrayList<LoadsData>(_list72.size);
+                @org.apache.thrift.annotation.Nullable LoadsData _elem73;
+                for (int _i74 = 0; _i74 < _list72.size; ++_i74)
                 {
-                  _elem41 = new LoadsData();
-                  _elem41.read(iprot);
-                  struct.hosts.add(_elem41);
+                  _elem73 = new LoadsData();
+                  _elem73.read(iprot);
+                  struct.hosts.add(_elem73);
                 }
                 iprot.readListEnd();
               }
@@ -375,9 +375,9 @@
         oprot.writeFieldBegin(HOSTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.hosts.size()));
-          for (LoadsData _iter43 : struct.hosts)
+          for (LoadsData _iter75 : struct.hosts)
           {
-            _iter43.write(oprot);
+            _iter75.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -403,9 +403,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.hosts.size());
-        for (LoadsData _iter44 : struct.hosts)
+        for (LoadsData _iter76 : struct.hosts)
         {
-          _iter44.write(oprot);
+          _iter76.write(oprot);
         }
       }
     }
@@ -414,14 +414,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, AllLoadsData struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.hosts = new java.util.ArrayList<LoadsData>(_list45.size);
-        @org.apache.thrift.annotation.Nullable LoadsData _elem46;
-        for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+        org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.hosts = new java.util.ArrayList<LoadsData>(_list77.size);
+        @org.apache.thrift.annotation.Nullable LoadsData _elem78;
+        for (int _i79 = 0; _i79 < _list77.size; ++_i79)
         {
-          _elem46 = new LoadsData();
-          _elem46.read(iprot);
-          struct.hosts.add(_elem46);
+          _elem78 = new LoadsData();
+          _elem78.read(iprot);
+          struct.hosts.add(_elem78);
         }
       }
       struct.setHostsIsSet(true);
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/DeathData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/DeathData.java
@@ -16,19 +16,28 @@
   private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField ENDPOINT_FIELD_DESC = new org.apache.thrift.protocol.TField("endpoint", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.LIST, (short)3);
+  private static final org.apache.thrift.protocol.TField SUSPECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspects", org.apache.thrift.protocol.TType.LIST, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DeathDataStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DeathDataTupleSchemeFactory();
 
   public @org.apache.thrift.annotation.Nullable java.lang.String host; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String endpoint; // required
+  /**
+   * The contents of the suspects, for builds that do not know them.
+   */
   public @org.apache.thrift.annotation.Nullable java.util.List<ContentHashData> running; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<SuspectData> suspects; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     HOST((short)1, "host"),
     ENDPOINT((short)2, "endpoint"),
-    RUNNING((short)3, "running");
+    /**
+     * The contents of the suspects, for builds that do not know them.
+     */
+    RUNNING((short)3, "running"),
+    SUSPECTS((short)4, "suspects");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,6 +59,8 @@
           return ENDPOINT;
         case 3: // RUNNING
           return RUNNING;
+        case 4: // SUSPECTS
+          return SUSPECTS;
         default:
           return null;
       }
@@ -93,6 +104,7 @@
   }
 
   // isset id assignments
+  private static final _Fields optionals[] = {_Fields.SUSPECTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -103,6 +115,9 @@
     tmpMap.put(_Fields.RUNNING, new org.apache.thrift.meta_data.FieldMetaData("running", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ContentHashData.class))));
+    tmpMap.put(_Fields.SUSPECTS, new org.apache.thrift.meta_data.FieldMetaData("suspects", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SuspectData.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DeathData.class, metaDataMap);
   }
@@ -138,6 +153,13 @@
       }
       this.running = __this__running;
     }
+    if (other.isSetSuspects()) {
+      java.util.List<SuspectData> __this__suspects = new java.util.ArrayList<SuspectData>(other.suspects.size());
+      for (SuspectData other_element : other.suspects) {
+        __this__suspects.add(new SuspectData(other_element));
+      }
+      this.suspects = __this__suspects;
+    }
   }
 
   @Override
@@ -150,6 +172,7 @@
     this.host = null;
     this.endpoint = null;
     this.running = null;
+    this.suspects = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -218,11 +241,17 @@
     this.running.add(elem);
   }
 
+  /**
+   * The contents of the suspects, for builds that do not know them.
+   */
   @org.apache.thrift.annotation.Nullable
   public java.util.List<ContentHashData> getRunning() {
     return this.running;
   }
 
+  /**
+   * The contents of the suspects, for builds that do not know them.
+   */
   public DeathData setRunning(@org.apache.thrift.annotation.Nullable java.util.List<ContentHashData> running) {
     this.running = running;
     return this;
@@ -243,6 +272,47 @@
     }
   }
 
+  public int getSuspectsSize() {
+    return (this.suspects == null) ? 0 : this.suspects.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<SuspectData> getSuspectsIterator() {
+    return (this.suspects == null) ? null : this.suspects.iterator();
+  }
+
+  public void addToSuspects(SuspectData elem) {
+    if (this.suspects == null) {
+      this.suspects = new java.util.ArrayList<SuspectData>();
+    }
+    this.suspects.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<SuspectData> getSuspects() {
+    return this.suspects;
+  }
+
+  public DeathData setSuspects(@org.apache.thrift.annotation.Nullable java.util.List<SuspectData> suspects) {
+    this.suspects = suspects;
+    return this;
+  }
+
+  public void unsetSuspects() {
+    this.suspects = null;
+  }
+
+  /** Returns true if field suspects is set (has been assigned a value) and false otherwise */
+  public boolean isSetSuspects() {
+    return this.suspects != null;
+  }
+
+  public void setSuspectsIsSet(boolean value) {
+    if (!value) {
+      this.suspects = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -270,6 +340,14 @@
       }
       break;
 
+    case SUSPECTS:
+      if (value == null) {
+        unsetSuspects();
+      } else {
+        setSuspects((java.util.List<SuspectData>)value);
+      }
+      break;
+
     }
   }
 
@@ -286,6 +364,9 @@
     case RUNNING:
       return getRunning();
 
+    case SUSPECTS:
+      return getSuspects();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -304,6 +385,8 @@
       return isSetEndpoint();
     case RUNNING:
       return isSetRunning();
+    case SUSPECTS:
+      return isSetSuspects();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -348,6 +431,15 @@
         return false;
     }
 
+    boolean this_present_suspects = true && this.isSetSuspects();
+    boolean that_present_suspects = true && that.isSetSuspects();
+    if (this_present_suspects || that_present_suspects) {
+      if (!(this_present_suspects && that_present_suspects))
+        return false;
+      if (!this.suspects.equals(that.suspects))
+        return false;
+    }
+
     return true;
   }
 
@@ -367,6 +459,10 @@
     if (isSetRunning())
       hashCode = hashCode * 8191 + running.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetSuspects()) ? 131071 : 524287);
+    if (isSetSuspects())
+      hashCode = hashCode * 8191 + suspects.hashCode();
+
     return hashCode;
   }
 
@@ -408,6 +504,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSuspects(), other.isSetSuspects());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSuspects()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.suspects, other.suspects);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -455,6 +561,16 @@
       sb.append(this.running);
     }
     first = false;
+    if (isSetSuspects()) {
+      if (!first) sb.append(", ");
+      sb.append("suspects:");
+      if (this.suspects == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.suspects);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -528,14 +644,14 @@
           case 3: // RUNNING
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.running = new java.util.ArrayList<ContentHashData>(_list16.size);
-                @org.apache.thrift.annotation.Nullable ContentHashData _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.running = new java.util.ArrayList<ContentHashData>(_list24.size);
+                @org.apache.thrift.annotation.Nullable ContentHashData _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem17 = new ContentHashData();
-                  _elem17.read(iprot);
-                  struct.running.add(_elem17);
+                  _elem25 = new ContentHashData();
+                  _elem25.read(iprot);
+                  struct.running.add(_elem25);
                 }
                 iprot.readListEnd();
               }
@@ -544,6 +660,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // SUSPECTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list27 = iprot.readListBegin();
+                struct.suspects = new java.util.ArrayList<SuspectData>(_list27.size);
+                @org.apache.thrift.annotation.Nullable SuspectData _elem28;
+                for (int _i29 = 0; _i29 < _list27.size; ++_i29)
+                {
+                  _elem28 = new SuspectData();
+                  _elem28.read(iprot);
+                  struct.suspects.add(_elem28);
+                }
+                iprot.readListEnd();
+              }
+              struct.setSuspectsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -574,14 +709,28 @@
         oprot.writeFieldBegin(RUNNING_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.running.size()));
-          for (ContentHashData _iter19 : struct.running)
+          for (ContentHashData _iter30 : struct.running)
           {
-            _iter19.write(oprot);
+            _iter30.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      if (struct.suspects != null) {
+        if (struct.isSetSuspects()) {
+          oprot.writeFieldBegin(SUSPECTS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.suspects.size()));
+            for (SuspectData _iter31 : struct.suspects)
+            {
+              _iter31.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -604,9 +753,23 @@
       oprot.writeString(struct.endpoint);
       {
         oprot.writeI32(struct.running.size());
-        for (ContentHashData _iter20 : struct.running)
+        for (ContentHashData _iter32 : struct.running)
+        {
+          _iter32.write(oprot);
+        }
+      }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetSuspects()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetSuspects()) {
         {
-          _iter20.write(oprot);
+          oprot.writeI32(struct.suspects.size());
+          for (SuspectData _iter33 : struct.suspects)
+          {
+            _iter33.write(oprot);
+          }
         }
       }
     }
@@ -619,17 +782,32 @@
       struct.endpoint = iprot.readString();
       struct.setEndpointIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.running = new java.util.ArrayList<ContentHashData>(_list21.size);
-        @org.apache.thrift.annotation.Nullable ContentHashData _elem22;
-        for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+        org.apache.thrift.protocol.TList _list34 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.running = new java.util.ArrayList<ContentHashData>(_list34.size);
+        @org.apache.thrift.annotation.Nullable ContentHashData _elem35;
+        for (int _i36 = 0; _i36 < _list34.size; ++_i36)
         {
-          _elem22 = new ContentHashData();
-          _elem22.read(iprot);
-          struct.running.add(_elem22);
+          _elem35 = new ContentHashData();
+          _elem35.read(iprot);
+          struct.running.add(_elem35);
         }
       }
       struct.setRunningIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.suspects = new java.util.ArrayList<SuspectData>(_list37.size);
+          @org.apache.thrift.annotation.Nullable SuspectData _elem38;
+          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+          {
+            _elem38 = new SuspectData();
+            _elem38.read(iprot);
+            struct.suspects.add(_elem38);
+          }
+        }
+        struct.setSuspectsIsSet(true);
+      }
     }
   }
 
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/LoadsData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/LoadsData.java
@@ -616,14 +616,14 @@
           case 2: // LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.loads = new java.util.ArrayList<LoadData>(_list24.size);
-                @org.apache.thrift.annotation.Nullable LoadData _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
+                struct.loads = new java.util.ArrayList<LoadData>(_list56.size);
+                @org.apache.thrift.annotation.Nullable LoadData _elem57;
+                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
                 {
-                  _elem25 = new LoadData();
-                  _elem25.read(iprot);
-                  struct.loads.add(_elem25);
+                  _elem57 = new LoadData();
+                  _elem57.read(iprot);
+                  struct.loads.add(_elem57);
                 }
                 iprot.readListEnd();
               }
@@ -635,14 +635,14 @@
           case 3: // PROMPTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list27 = iprot.readListBegin();
-                struct.prompts = new java.util.ArrayList<ReadPromptData>(_list27.size);
-                @org.apache.thrift.annotation.Nullable ReadPromptData _elem28;
-                for (int _i29 = 0; _i29 < _list27.size; ++_i29)
+                org.apache.thrift.protocol.TList _list59 = iprot.readListBegin();
+                struct.prompts = new java.util.ArrayList<ReadPromptData>(_list59.size);
+                @org.apache.thrift.annotation.Nullable ReadPromptData _elem60;
+                for (int _i61 = 0; _i61 < _list59.size; ++_i61)
                 {
-                  _elem28 = new ReadPromptData();
-                  _elem28.read(iprot);
-                  struct.prompts.add(_elem28);
+                  _elem60 = new ReadPromptData();
+                  _elem60.read(iprot);
+                  struct.prompts.add(_elem60);
                 }
                 iprot.readListEnd();
               }
@@ -684,9 +684,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (LoadData _iter30 : struct.loads)
+          for (LoadData _iter62 : struct.loads)
           {
-            _iter30.write(oprot);
+            _iter62.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -697,9 +697,9 @@
           oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-            for (ReadPromptData _iter31 : struct.prompts)
+            for (ReadPromptData _iter63 : struct.prompts)
             {
-              _iter31.write(oprot);
+              _iter63.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -732,9 +732,9 @@
       oprot.writeString(struct.host);
       {
         oprot.writeI32(struct.loads.size());
-        for (LoadData _iter32 : struct.loads)
+        for (LoadData _iter64 : struct.loads)
         {
-          _iter32.write(oprot);
+          _iter64.write(oprot);
         }
       }
       java.util.BitSet optionals = new java.util.BitSet();
@@ -748,9 +748,9 @@
       if (struct.isSetPrompts()) {
         {
           oprot.writeI32(struct.prompts.size());
-          for (ReadPromptData _iter33 : struct.prompts)
+          for (ReadPromptData _iter65 : struct.prompts)
           {
-            _iter33.write(oprot);
+            _iter65.write(oprot);
           }
         }
       }
@@ -765,28 +765,28 @@
       struct.host = iprot.readString();
       struct.setHostIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list34 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.loads = new java.util.ArrayList<LoadData>(_list34.size);
-        @org.apache.thrift.annotation.Nullable LoadData _elem35;
-        for (int _i36 = 0; _i36 < _list34.size; ++_i36)
+        org.apache.thrift.protocol.TList _list66 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.loads = new java.util.ArrayList<LoadData>(_list66.size);
+        @org.apache.thrift.annotation.Nullable LoadData _elem67;
+        for (int _i68 = 0; _i68 < _list66.size; ++_i68)
         {
-          _elem35 = new LoadData();
-          _elem35.read(iprot);
-          struct.loads.add(_elem35);
+          _elem67 = new LoadData();
+          _elem67.read(iprot);
+          struct.loads.add(_elem67);
         }
       }
       struct.setLoadsIsSet(true);
       java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.prompts = new java.util.ArrayList<ReadPromptData>(_list37.size);
-          @org.apache.thrift.annotation.Nullable ReadPromptData _elem38;
-          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+          org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.prompts = new java.util.ArrayList<ReadPromptData>(_list69.size);
+          @org.apache.thrift.annotation.Nullable ReadPromptData _elem70;
+          for (int _i71 = 0; _i71 < _list69.size; ++_i71)
           {
-            _elem38 = new ReadPromptData();
-            _elem38.read(iprot);
-            struct.prompts.add(_elem38);
+            _elem70 = new ReadPromptData();
+            _elem70.read(iprot);
+            struct.prompts.add(_elem70);
           }
         }
         struct.setPromptsIsSet(true);
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/RefusalData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/RefusalData.java
@@ -12,17 +12,32 @@
 
   private static final org.apache.thrift.protocol.TField CONTENT_FIELD_DESC = new org.apache.thrift.protocol.TField("content", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("millis", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("parts", org.apache.thrift.protocol.TType.LIST, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RefusalDataStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RefusalDataTupleSchemeFactory();
 
+  /**
+   * Zero if prompt parts are refused.
+   */
   public @org.apache.thrift.annotation.Nullable ContentHashData content; // required
   public long millis; // required
+  /**
+   * Requests with all of these prompt parts are refused; a content if not set or empty.
+   */
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> parts; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    /**
+     * Zero if prompt parts are refused.
+     */
     CONTENT((short)1, "content"),
-    MILLIS((short)2, "millis");
+    MILLIS((short)2, "millis"),
+    /**
+     * Requests with all of these prompt parts are refused; a content if not set or empty.
+     */
+    PARTS((short)3, "parts");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +57,8 @@
           return CONTENT;
         case 2: // MILLIS
           return MILLIS;
+        case 3: // PARTS
+          return PARTS;
         default:
           return null;
       }
@@ -87,6 +104,7 @@
   // isset id assignments
   private static final int __MILLIS_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.PARTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -94,6 +112,9 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ContentHashData.class)));
     tmpMap.put(_Fields.MILLIS, new org.apache.thrift.meta_data.FieldMetaData("millis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.PARTS, new org.apache.thrift.meta_data.FieldMetaData("parts", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RefusalData.class, metaDataMap);
   }
@@ -120,6 +141,10 @@
       this.content = new ContentHashData(other.content);
     }
     this.millis = other.millis;
+    if (other.isSetParts()) {
+      java.util.List<java.lang.String> __this__parts = new java.util.ArrayList<java.lang.String>(other.parts);
+      this.parts = __this__parts;
+    }
   }
 
   @Override
@@ -132,13 +157,20 @@
     this.content = null;
     setMillisIsSet(false);
     this.millis = 0;
+    this.parts = null;
   }
 
+  /**
+   * Zero if prompt parts are refused.
+   */
   @org.apache.thrift.annotation.Nullable
   public ContentHashData getContent() {
     return this.content;
   }
 
+  /**
+   * Zero if prompt parts are refused.
+   */
   public RefusalData setContent(@org.apache.thrift.annotation.Nullable ContentHashData content) {
     this.content = content;
     return this;
@@ -182,6 +214,53 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MILLIS_ISSET_ID, value);
   }
 
+  public int getPartsSize() {
+    return (this.parts == null) ? 0 : this.parts.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getPartsIterator() {
+    return (this.parts == null) ? null : this.parts.iterator();
+  }
+
+  public void addToParts(java.lang.String elem) {
+    if (this.parts == null) {
+      this.parts = new java.util.ArrayList<java.lang.String>();
+    }
+    this.parts.add(elem);
+  }
+
+  /**
+   * Requests with all of these prompt parts are refused; a content if not set or empty.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getParts() {
+    return this.parts;
+  }
+
+  /**
+   * Requests with all of these prompt parts are refused; a content if not set or empty.
+   */
+  public RefusalData setParts(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> parts) {
+    this.parts = parts;
+    return this;
+  }
+
+  public void unsetParts() {
+    this.parts = null;
+  }
+
+  /** Returns true if field parts is set (has been assigned a value) and false otherwise */
+  public boolean isSetParts() {
+    return this.parts != null;
+  }
+
+  public void setPartsIsSet(boolean value) {
+    if (!value) {
+      this.parts = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -201,6 +280,14 @@
       }
       break;
 
+    case PARTS:
+      if (value == null) {
+        unsetParts();
+      } else {
+        setParts((java.util.List<java.lang.String>)value);
+      }
+      break;
+
     }
   }
 
@@ -214,6 +301,9 @@
     case MILLIS:
       return getMillis();
 
+    case PARTS:
+      return getParts();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -230,6 +320,8 @@
       return isSetContent();
     case MILLIS:
       return isSetMillis();
+    case PARTS:
+      return isSetParts();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -265,6 +357,15 @@
         return false;
     }
 
+    boolean this_present_parts = true && this.isSetParts();
+    boolean that_present_parts = true && that.isSetParts();
+    if (this_present_parts || that_present_parts) {
+      if (!(this_present_parts && that_present_parts))
+        return false;
+      if (!this.parts.equals(that.parts))
+        return false;
+    }
+
     return true;
   }
 
@@ -278,6 +379,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(millis);
 
+    hashCode = hashCode * 8191 + ((isSetParts()) ? 131071 : 524287);
+    if (isSetParts())
+      hashCode = hashCode * 8191 + parts.hashCode();
+
     return hashCode;
   }
 
@@ -309,6 +414,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetParts(), other.isSetParts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetParts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.parts, other.parts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -344,6 +459,16 @@
     sb.append("millis:");
     sb.append(this.millis);
     first = false;
+    if (isSetParts()) {
+      if (!first) sb.append(", ");
+      sb.append("parts:");
+      if (this.parts == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.parts);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -415,6 +540,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // PARTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
+                struct.parts = new java.util.ArrayList<java.lang.String>(_list40.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem41;
+                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                {
+                  _elem41 = iprot.readString();
+                  struct.parts.add(_elem41);
+                }
+                iprot.readListEnd();
+              }
+              struct.setPartsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -442,6 +585,20 @@
       oprot.writeFieldBegin(MILLIS_FIELD_DESC);
       oprot.writeI64(struct.millis);
       oprot.writeFieldEnd();
+      if (struct.parts != null) {
+        if (struct.isSetParts()) {
+          oprot.writeFieldBegin(PARTS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.parts.size()));
+            for (java.lang.String _iter43 : struct.parts)
+            {
+              oprot.writeString(_iter43);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -462,6 +619,20 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       struct.content.write(oprot);
       oprot.writeI64(struct.millis);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetParts()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetParts()) {
+        {
+          oprot.writeI32(struct.parts.size());
+          for (java.lang.String _iter44 : struct.parts)
+          {
+            oprot.writeString(_iter44);
+          }
+        }
+      }
     }
 
     @Override
@@ -472,6 +643,20 @@
       struct.setContentIsSet(true);
       struct.millis = iprot.readI64();
       struct.setMillisIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.parts = new java.util.ArrayList<java.lang.String>(_list45.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem46;
+          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          {
+            _elem46 = iprot.readString();
+            struct.parts.add(_elem46);
+          }
+        }
+        struct.setPartsIsSet(true);
+      }
     }
   }
 
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/RegistryBody.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/RegistryBody.java
@@ -20,6 +20,7 @@
   private static final org.apache.thrift.protocol.TField DEATH_FIELD_DESC = new org.apache.thrift.protocol.TField("death", org.apache.thrift.protocol.TType.STRUCT, (short)9);
   private static final org.apache.thrift.protocol.TField REFUSAL_FIELD_DESC = new org.apache.thrift.protocol.TField("refusal", org.apache.thrift.protocol.TType.STRUCT, (short)10);
   private static final org.apache.thrift.protocol.TField LOADS_FIELD_DESC = new org.apache.thrift.protocol.TField("loads", org.apache.thrift.protocol.TType.STRUCT, (short)11);
+  private static final org.apache.thrift.protocol.TField SOUND_FIELD_DESC = new org.apache.thrift.protocol.TField("sound", org.apache.thrift.protocol.TType.STRUCT, (short)12);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -33,7 +34,8 @@
     READ_AT((short)8, "readAt"),
     DEATH((short)9, "death"),
     REFUSAL((short)10, "refusal"),
-    LOADS((short)11, "loads");
+    LOADS((short)11, "loads"),
+    SOUND((short)12, "sound");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -71,6 +73,8 @@
           return REFUSAL;
         case 11: // LOADS
           return LOADS;
+        case 12: // SOUND
+          return SOUND;
         default:
           return null;
       }
@@ -138,6 +142,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RefusalData.class)));
     tmpMap.put(_Fields.LOADS, new org.apache.thrift.meta_data.FieldMetaData("loads", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AllLoadsData.class)));
+    tmpMap.put(_Fields.SOUND, new org.apache.thrift.meta_data.FieldMetaData("sound", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SoundData.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RegistryBody.class, metaDataMap);
   }
@@ -224,6 +230,12 @@
     return x;
   }
 
+  public static RegistryBody sound(SoundData value) {
+    RegistryBody x = new RegistryBody();
+    x.setSound(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -283,6 +295,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type AllLoadsData for field 'loads', but got " + value.getClass().getSimpleName());
+      case SOUND:
+        if (value instanceof SoundData) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type SoundData for field 'sound', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -401,6 +418,16 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case SOUND:
+          if (field.type == SOUND_FIELD_DESC.type) {
+            SoundData sound;
+            sound = new SoundData();
+            sound.read(iprot);
+            return sound;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -457,6 +484,10 @@
         AllLoadsData loads = (AllLoadsData)value_;
         loads.write(oprot);
         return;
+      case SOUND:
+        SoundData sound = (SoundData)value_;
+        sound.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -520,6 +551,11 @@
           loads = new AllLoadsData();
           loads.read(iprot);
           return loads;
+        case SOUND:
+          SoundData sound;
+          sound = new SoundData();
+          sound.read(iprot);
+          return sound;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -575,6 +611,10 @@
         AllLoadsData loads = (AllLoadsData)value_;
         loads.write(oprot);
         return;
+      case SOUND:
+        SoundData sound = (SoundData)value_;
+        sound.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -605,6 +645,8 @@
         return REFUSAL_FIELD_DESC;
       case LOADS:
         return LOADS_FIELD_DESC;
+      case SOUND:
+        return SOUND_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -770,6 +812,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.LOADS");
   }
 
+  public SoundData getSound() {
+    if (getSetField() == _Fields.SOUND) {
+      return (SoundData)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'sound' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setSound(SoundData value) {
+    setField_ = _Fields.SOUND;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SOUND");
+  }
+
   public boolean isSetEndpoints() {
     return setField_ == _Fields.ENDPOINTS;
   }
@@ -825,6 +880,11 @@
   }
 
 
+  public boolean isSetSound() {
+    return setField_ == _Fields.SOUND;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof RegistryBody) {
       return equals((RegistryBody)other);
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
@@ -1,6 +1,5 @@
 package io.siskintrail.wire.registry;
 
-import io.siskintrail.internal.generation.Fingerprint;
 import io.siskintrail.internal.traffic.EndpointRecord;
 import io.siskintrail.internal.traffic.EndpointState;
 import io.siskintrail.internal.traffic.PlacedLoad;
@@ -15,21 +14,17 @@
 import io.siskintrail.wire.gen.registry.AllLoadsData;
 import io.siskintrail.wire.gen.registry.CommandData;
 import io.siskintrail.wire.gen.registry.ContentData;
-import io.siskintrail.wire.gen.registry.ContentHashData;
-import io.siskintrail.wire.gen.registry.DeathData;
 import io.siskintrail.wire.gen.registry.EndpointRecordData;
 import io.siskintrail.wire.gen.registry.EndpointRecordsData;
 import io.siskintrail.wire.gen.registry.LoadData;
 import io.siskintrail.wire.gen.registry.LoadsData;
 import io.siskintrail.wire.gen.registry.ReadPromptData;
-import io.siskintrail.wire.gen.registry.RefusalData;
 import io.siskintrail.wire.gen.registry.RegistryBody;
 import io.siskintrail.wire.gen.registry.ReplyData;
 import io.siskintrail.wire.gen.registry.StatusData;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.stream.Collectors;
 import org.apache.thrift.TException;
 
 /** Converts {@link RegistryMessage}s to bytes and back. */
@@ -85,14 +80,13 @@
             return RegistryBody.readAt(new ReplyData(r.token(), r.index()));
         }
         if (message instanceof RegistryMessage.Death d) {
-            return RegistryBody.death(
-                    new DeathData(
-                            d.host().value(),
-                            d.endpoint().value(),
-                            d.running().stream().map(RegistryCodec::data).toList()));
+            return RegistryBody.death(CrashCodec.death(d));
         }
         if (message instanceof RegistryMessage.Refusal r) {
-            return RegistryBody.refusal(new RefusalData(data(r.content()), r.millis()));
+            return RegistryBody.refusal(CrashCodec.refusal(r));
+        }
+        if (message instanceof RegistryMessage.Sound w) {
+            return RegistryBody.sound(CrashCodec.sound(w));
         }
         RegistryMessage.Loads loads = (RegistryMessage.Loads) message;
         return RegistryBody.loads(
@@ -126,11 +120,9 @@
             case READ_AT ->
                     new RegistryMessage.ReadAt(
                             body.getReadAt().getToken(), body.getReadAt().getIndex());
-            case DEATH -> death(body.getDeath());
-            case REFUSAL ->
-                    new RegistryMessage.Refusal(
-                            fingerprint(body.getRefusal().getContent()),
-                            body.getRefusal().getMillis());
+            case DEATH -> CrashCodec.death(body.getDeath());
+            case REFUSAL -> CrashCodec.refusal(body.getRefusal());
+            case SOUND -> CrashCodec.sound(body.getSound());
             case LOADS ->
                     new RegistryMessage.Loads(
                             body.getLoads().getHosts().stream()
@@ -177,23 +169,6 @@
                 states[d.getState()]);
     }
 
-    private static RegistryMessage.Death death(DeathData d) {
-        return new RegistryMessage.Death(
-                new HostId(d.getHost()),
-                new EndpointId(d.getEndpoint()),
-                d.getRunning().stream()
-                        .map(RegistryCodec::fingerprint)
-                        .collect(Collectors.toUnmodifiableSet()));
-    }
-
-    private static ContentHashData data(Fingerprint f) {
-        return new ContentHashData(f.high(), f.low());
-    }
-
-    private static Fingerprint fingerprint(ContentHashData d) {
-        return new Fingerprint(d.getHigh(), d.getLow());
-    }
-
     private static LoadsData data(RegistryMessage.HostLoads h) {
         List<LoadData> loads =
                 h.loads().stream()
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
@@ -1,9 +1,11 @@
 package io.siskintrail.wire.registry;
 
-import io.siskintrail.internal.generation.Fingerprint;
+import io.siskintrail.internal.traffic.CrashSignature;
+import io.siskintrail.internal.traffic.CrashSuspect;
 import io.siskintrail.internal.traffic.EndpointRecord;
 import io.siskintrail.internal.traffic.PlacedLoad;
 import io.siskintrail.internal.traffic.PrefilledPrompt;
+import io.siskintrail.internal.traffic.PromptPart;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
 import java.util.List;
@@ -44,18 +46,27 @@
     /** Answers {@link Read}; the index is -1 when the receiver cannot tell. */
     record ReadAt(long token, long index) implements RegistryMessage {}
 
-    /** Tells what an edge had running on an endpoint that died. */
-    record Death(HostId host, EndpointId endpoint, Set<Fingerprint> running)
+    /** Tells which requests of an edge an endpoint that died had not begun to answer. */
+    record Death(HostId host, EndpointId endpoint, List<CrashSuspect> suspects)
             implements RegistryMessage {
 
-        /** Copies the set. */
+        /** Copies the list. */
         public Death {
-            running = Set.copyOf(running);
+            suspects = List.copyOf(suspects);
         }
     }
 
-    /** Tells that requests with this content are refused for a while. */
-    record Refusal(Fingerprint content, long millis) implements RegistryMessage {}
+    /** Tells that requests with this signature are refused for a while, or no longer if 0. */
+    record Refusal(CrashSignature signature, long millis) implements RegistryMessage {}
+
+    /** Tells that endpoints answered requests with each of these prompt parts for an edge. */
+    record Sound(HostId host, Set<PromptPart> parts) implements RegistryMessage {
+
+        /** Copies the set. */
+        public Sound {
+            parts = Set.copyOf(parts);
+        }
+    }
 
     /** Tells what edges have placed on endpoints. */
     record Loads(List<HostLoads> hosts) implements RegistryMessage {}
