--- /dev/null
+++ b/siskintrail/src/io/siskintrail/internal/traffic/SoundParts.java
@@ -0,0 +1,156 @@
+package io.siskintrail.internal.traffic;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Remembers the parts of prompts that were answered, here or at another host. A part that crashes
+ * endpoints does so whatever else the request holds, so an answered request clears all its parts. A
+ * host vouches only for parts that it saw answered itself, so that no two hosts keep each other's
+ * word alive. Not thread-safe.
+ */
+final class SoundParts {
+    /** Period for which an answer clears a part. */
+    static final long SOUND_MILLIS = 600_000;
+
+    static final int MAX_PARTS = 16_384;
+
+    private static final long NEVER = Long.MIN_VALUE / 2;
+    private static final long TELL_INTERVAL_MILLIS = 1_000;
+    private static final int MIN_CRASHES_AFTER_ANSWER = 4;
+    private static final int MIN_MOMENTS_AFTER_ANSWER = 3;
+
+    private final CrashMemory crashes;
+    private final Map<PromptPart, Entry> entries = new LinkedHashMap<>(16, 0.75f, true);
+
+    private static final class Entry {
+        private long answeredAt = NEVER;
+        private long vouchedSince = NEVER;
+        private long vouchedAt = NEVER;
+        private long toldAt = NEVER;
+        private long objectedAt = NEVER;
+    }
+
+    SoundParts(CrashMemory crashes) {
+        this.crashes = crashes;
+    }
+
+    /** Records that an endpoint began to answer a request of this host with these parts. */
+    void recordAnswered(Set<PromptPart> parts, long nowMillis) {
+        parts.forEach(part -> touch(part).answeredAt = nowMillis);
+        evict();
+    }
+
+    /** Records that another host saw requests with these parts answered. */
+    void recordVouched(Set<PromptPart> parts, long nowMillis) {
+        for (PromptPart part : parts) {
+            boolean sound = isSound(part, nowMillis);
+            Entry entry = touch(part);
+            entry.vouchedAt = nowMillis;
+            if (!sound) {
+                entry.vouchedSince = nowMillis;
+            }
+        }
+        evict();
+    }
+
+    /** Drops the word of other hosts for these parts: one of them has refused them since. */
+    void dropVouched(Set<PromptPart> parts) {
+        for (PromptPart part : parts) {
+            Entry entry = entries.get(part);
+            if (entry != null) {
+                entry.vouchedAt = NEVER;
+                entry.vouchedSince = NEVER;
+            }
+        }
+    }
+
+    /** Returns whether the part was answered anywhere and has not crashed endpoints since. */
+    boolean isSound(PromptPart part, long nowMillis) {
+        Entry entry = entries.get(part);
+        return isRecent(entry, nowMillis) && !crashedSince(part, baseline(entry));
+    }
+
+    /** Returns whether the part was answered anywhere, whatever crashed since. */
+    boolean isRecentlyAnswered(PromptPart part, long nowMillis) {
+        return isRecent(entries.get(part), nowMillis);
+    }
+
+    /**
+     * Returns whether this host itself answered the part and it has not crashed endpoints since.
+     */
+    boolean isSoundHere(PromptPart part, long nowMillis) {
+        Entry entry = entries.get(part);
+        return entry != null
+                && nowMillis - entry.answeredAt < SOUND_MILLIS
+                && !crashedSince(part, entry.answeredAt);
+    }
+
+    /** Returns whether the part was answered here after the given time. */
+    boolean isAnsweredSince(PromptPart part, long atMillis) {
+        Entry entry = entries.get(part);
+        return entry != null && entry.answeredAt >= atMillis;
+    }
+
+    /** Returns the parts that this host may vouch for and has not within the last second. */
+    Set<PromptPart> takeWord(Set<PromptPart> parts, long nowMillis) {
+        Set<PromptPart> taken = new HashSet<>();
+        for (PromptPart part : parts) {
+            if (isSoundHere(part, nowMillis)
+                    && nowMillis - entries.get(part).toldAt >= TELL_INTERVAL_MILLIS) {
+                entries.get(part).toldAt = nowMillis;
+                taken.add(part);
+            }
+        }
+        return taken;
+    }
+
+    /** Returns the parts that this host vouches for against a refusal, at most once a second. */
+    Set<PromptPart> takeObjection(Set<PromptPart> parts, long nowMillis) {
+        Set<PromptPart> taken = new HashSet<>();
+        for (PromptPart part : parts) {
+            if (isSoundHere(part, nowMillis)
+                    && nowMillis - entries.get(part).objectedAt >= TELL_INTERVAL_MILLIS) {
+                entries.get(part).objectedAt = nowMillis;
+                taken.add(part);
+            }
+        }
+        return taken;
+    }
+
+    int size() {
+        return entries.size();
+    }
+
+    private Entry touch(PromptPart part) {
+        return entries.computeIfAbsent(part, p -> new Entry());
+    }
+
+    private void evict() {
+        var oldest = entries.keySet().iterator();
+        while (entries.size() > MAX_PARTS) {
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
+    private boolean crashedSince(PromptPart part, long sinceMillis) {
+        return isEnough(crashes.findSuspected(part, sinceMillis));
+    }
+
+    private static boolean isEnough(List<Crash> after) {
+        return after.size() >= MIN_CRASHES_AFTER_ANSWER
+                && CrashMoments.count(after) >= MIN_MOMENTS_AFTER_ANSWER;
+    }
+
+    private static boolean isRecent(Entry entry, long now) {
+        return entry != null && now - Math.max(entry.answeredAt, entry.vouchedAt) < SOUND_MILLIS;
+    }
+
+    private static long baseline(Entry entry) {
+        return Math.max(entry.answeredAt, entry.vouchedSince);
+    }
+}
