--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashSuspect.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CrashSuspect.java
@@ -6,12 +6,12 @@
 /**
  * A request that an endpoint had received, and had not begun to answer, when the endpoint crashed.
  *
- * @param content the hash of client account and content
- * @param parts the parts of its prompt without the last one, which belongs to the request
+ * @param content the digest of the request's account and content
+ * @param parts the parts of its prompt that other requests may share; without its own, last part
  */
 public record CrashSuspect(Fingerprint content, Set<PromptPart> parts) {
 
-    /** Copies the set. */
+    /** Copies the parts. */
     public CrashSuspect {
         parts = Set.copyOf(parts);
     }
