Refuse requests by the prompt part that crashes endpoints

Callers with sound requests lost engine after engine to requests that shared a prompt part and differed in everything else: only whole contents were refused, the decision waited for a check every 500 ms, and attempts that ran at the decision went on.

Suspects are requests that were written to the endpoint and had not begun to be answered, also for 500 ms after they ended; a refusal of the endpoint itself is no answer. A decision is evaluated when it is due and goes to every registry that can be reached. When a signature begins to be refused, requests with it that are not yet answered end at once and their attempts are cancelled; 7007 is said only where no endpoint can have run the request, also for retries and hedges of calls. An endpoint to which nothing could be sent is no longer reported as dead: that was no evidence, and it hid real evidence beside it.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/CallContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/CallContext.java
@@ -4,7 +4,7 @@
 import io.siskintrail.edge.CallMetadata;
 import io.siskintrail.internal.generation.Fingerprint;
 import io.siskintrail.internal.traffic.Account;
-import io.siskintrail.internal.traffic.PromptPart;
+import io.siskintrail.internal.traffic.CrashSuspect;
 import io.siskintrail.internal.traffic.Route;
 import io.siskintrail.internal.traffic.RouteTable;
 import io.siskintrail.lib.AccountId;
@@ -26,7 +26,7 @@
     private Route route;
     private Account account;
     private Fingerprint fingerprint;
-    private Set<PromptPart> sharedParts;
+    private CrashSuspect suspect;
 
     /** Wraps a request that arrived at {@code arrivedAtMillis}, in monotonic milliseconds. */
     CallContext(
@@ -131,12 +131,12 @@
         return fingerprint;
     }
 
-    /** Returns the parts of the prompt that other requests may have too. */
-    Set<PromptPart> sharedParts() {
-        if (sharedParts == null) {
-            sharedParts = Set.copyOf(metadata.sharedParts());
+    /** Returns the content and the shared prompt parts, by which crashes are told apart. */
+    CrashSuspect suspect() {
+        if (suspect == null) {
+            suspect = new CrashSuspect(fingerprint(), Set.copyOf(metadata.sharedParts()));
         }
-        return sharedParts;
+        return suspect;
     }
 
     /** Returns the request ID, {@code -} if it is unknown. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -85,7 +85,7 @@
                         registries,
                         randomSeed(settings.host()));
         RequestFilters filters =
-                new RequestFilters(protocol, () -> table, context.quarantine(), context.stopPlan());
+                new RequestFilters(protocol, () -> table, context.crashes(), context.stopPlan());
         server = new ClientServer(loop, settings.frontAddress(), context, filters, () -> table);
         readiness =
                 new HttpService(
@@ -121,7 +121,7 @@
         metrics.start();
         loop.every(CLEANUP_INTERVAL_MILLIS, pool::closeExpired);
         loop.every(LOAD_REPORT_INTERVAL_MILLIS, context.loadExchange()::reportAll);
-        loop.every(CLEANUP_INTERVAL_MILLIS, context.quarantine()::expire);
+        loop.every(CLEANUP_INTERVAL_MILLIS, context.crashes()::expire);
     }
 
     /** Applies changed settings. Only the seeds can change while the process runs. */
@@ -186,10 +186,10 @@
         if (message instanceof RegistryMessage.Loads loads) {
             context.loadExchange().applyReport(loads, endpoints);
         } else if (message instanceof RegistryMessage.Death death) {
-            context.quarantine().applyDeath(death);
+            context.crashes().apply(death);
             context.handleReportedDeath(death.endpoint());
-        } else if (message instanceof RegistryMessage.Refusal refusal) {
-            context.quarantine().applyRefusal(refusal);
+        } else {
+            context.crashes().apply(message);
         }
     }
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -7,6 +7,7 @@
 import io.siskintrail.edge.ForwardParameters;
 import io.siskintrail.edge.TrafficProtocol;
 import io.siskintrail.internal.traffic.CallPlacement;
+import io.siskintrail.internal.traffic.CrashSignature;
 import io.siskintrail.internal.traffic.EndpointView;
 import io.siskintrail.internal.traffic.PrefillRate;
 import io.siskintrail.internal.traffic.RetryBudget;
@@ -19,7 +20,10 @@
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.LogEvent;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /** Components and policies that the exchanges of an edge share. Confined to the event loop. */
@@ -39,13 +43,14 @@
     private final EdgeSettings settings;
     private final RegistryFollower registryFollower;
     private final LoadExchange loadExchange;
-    private final QuarantineCoordinator quarantine;
+    private final CrashCoordinator crashes;
     private final SplittableRandom random;
     private final CallPlacement callPlacement;
     private final StreamPlacement streamPlacement;
     private final AdmissionQueues queues;
     private final Map<ServiceName, PrefillRate> prefillRates = new HashMap<>();
     private final StreamMonitor monitor;
+    private final Set<Exchange> exchanges = new LinkedHashSet<>();
     private final StopPlan stopPlan = new StopPlan();
     private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
 
@@ -67,7 +72,9 @@
         this.registryFollower = registryFollower;
         HostId localHost = new HostId(settings.host());
         this.loadExchange = new LoadExchange(loop, localHost, registryFollower::sendToRelay);
-        this.quarantine = new QuarantineCoordinator(localHost, pool, registryFollower);
+        this.crashes =
+                new CrashCoordinator(
+                        loop, localHost, pool, registryFollower, this::endUnansweredRequests);
         this.random = new SplittableRandom(seed);
         FailureDomain localDomain = new FailureDomain(settings.domain());
         this.callPlacement = new CallPlacement(localDomain);
@@ -100,8 +107,8 @@
         return loadExchange;
     }
 
-    QuarantineCoordinator quarantine() {
-        return quarantine;
+    CrashCoordinator crashes() {
+        return crashes;
     }
 
     /** Returns the measured prefill rate of the engines of a service; never null. */
@@ -146,15 +153,17 @@
         return settings.retryReserve() / registryFollower.edgeCount();
     }
 
-    /** Adds an exchange to the stream monitor if it is a stream. */
+    /** Adds an exchange that starts. */
     void add(Exchange exchange) {
+        exchanges.add(exchange);
         if (exchange instanceof StreamExchange stream) {
             monitor.add(stream);
         }
     }
 
-    /** Removes an exchange that ended from the stream monitor. */
+    /** Removes an exchange that ended. */
     void remove(Exchange exchange) {
+        exchanges.remove(exchange);
         monitor.remove(exchange);
     }
 
@@ -180,7 +189,7 @@
     /** Marks a silent or unreachable engine as unreachable and moves its streams elsewhere. */
     void handleUnreachableEngine(EndpointView engine, String cause) {
         engine.health().recordUnreachable(EventLoop.nowMillis());
-        quarantine.reportDeath(engine);
+        crashes.reportDeath(engine);
         pool.closeIdle(engine.record().address());
         moveStreams(engine, cause);
     }
@@ -207,6 +216,11 @@
                 });
     }
 
+    /** Ends the requests with a signature that begins to be refused and are not yet answered. */
+    private void endUnansweredRequests(CrashSignature signature) {
+        List.copyOf(exchanges).forEach(exchange -> exchange.endIfRefused(signature));
+    }
+
     /** Builds the endpoint request for {@code call}, with headers for {@code parameters}. */
     EndpointRequest buildForwardedRequest(CallContext call, ForwardParameters parameters) {
         HttpHeaders clientHeaders = HopByHopHeaders.strip(call.headers());
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -3,6 +3,8 @@
 import io.netty.util.concurrent.Future;
 import io.siskintrail.edge.CopySource;
 import io.siskintrail.edge.ForwardParameters;
+import io.siskintrail.internal.traffic.CrashSignature;
+import io.siskintrail.internal.traffic.CrashSuspect;
 import io.siskintrail.internal.traffic.EndpointView;
 import io.siskintrail.internal.traffic.WaitingRoom;
 import io.siskintrail.lib.Failure;
@@ -21,6 +23,12 @@
     /** Retry-After of a host that stops; the next attempt of the client reaches another host. */
     static final long SHUTDOWN_RETRY_MILLIS = 10;
 
+    /** Detail of a request that is refused because others like it crashed endpoints. */
+    static final String CRASHED_ENDPOINTS = "requests like this crashed endpoints";
+
+    /** Retry-After of a request that is refused because others like it crashed endpoints. */
+    static final long QUARANTINED_RETRY_MILLIS = 60_000;
+
     /** Shared components of the edge that received the request. */
     protected final EdgeContext edge;
 
@@ -82,6 +90,18 @@
         client.abort();
     }
 
+    /**
+     * Ends the request if it has the signature, which begins to be refused, and no endpoint has
+     * begun to answer it. Its attempts are cancelled, so that they crash no more endpoints.
+     */
+    final void endIfRefused(CrashSignature signature) {
+        CrashSuspect request = call.suspect();
+        if (!ended && !isAnswered() && signature.matches(request.content(), request.parts())) {
+            edge.crashes().recordRefused(signature);
+            endRefused();
+        }
+    }
+
     /** Returns the size of the request body, which is buffered for retries, in bytes. */
     final int bodyBytes() {
         return call.body().length;
@@ -93,6 +113,15 @@
     /** Returns whether an endpoint may have received the request. */
     protected abstract boolean mayHaveArrived();
 
+    /** Returns whether an endpoint has begun to answer the request. */
+    protected abstract boolean isAnswered();
+
+    /**
+     * Ends a request that is refused because others like it crashed endpoints; as not run only if
+     * no endpoint can have run it.
+     */
+    protected abstract void endRefused();
+
     /** Cancels the attempts and leaves the queue. */
     protected abstract void releaseResources();
 
@@ -147,6 +176,11 @@
         return edge.retryBudget(service).tryAcquire(EventLoop.nowMillis(), edge.retryReserve());
     }
 
+    /** Ends a refused request that no endpoint can have run. */
+    protected final void rejectRefused() {
+        reject(ResultCode.NOT_RUN_QUARANTINED, CRASHED_ENDPOINTS, QUARANTINED_RETRY_MILLIS);
+    }
+
     /** Ends the request with an error response of this system. */
     protected final void reject(ResultCode code, String detail, long retryAfterMillis) {
         releaseResources();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
@@ -19,6 +19,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * Follows the registries: keeps a link to each, receives endpoint changes from all of them, and
@@ -125,6 +126,15 @@
                                         .send(MessageKind.REGISTRY, RegistryCodec.encode(message)));
     }
 
+    /** Sends a message to each registry whose link is open. */
+    void sendToAll(RegistryMessage message) {
+        byte[] body = RegistryCodec.encode(message);
+        dialers.values().stream()
+                .map(LinkDialer::link)
+                .filter(Objects::nonNull)
+                .forEach(link -> link.send(MessageKind.REGISTRY, body));
+    }
+
     @Override
     public void opened(Link link) {
         if (statuses.isEmpty()) {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RequestFilters.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestFilters.java
@@ -18,7 +18,7 @@
 final class RequestFilters {
     private final TrafficProtocol protocol;
     private final Supplier<RouteTable> table;
-    private final QuarantineCoordinator quarantine;
+    private final CrashCoordinator crashes;
     private final StopPlan stopPlan;
     private final List<RequestFilter> chain;
 
@@ -30,11 +30,11 @@
     RequestFilters(
             TrafficProtocol protocol,
             Supplier<RouteTable> table,
-            QuarantineCoordinator quarantine,
+            CrashCoordinator crashes,
             StopPlan stopPlan) {
         this.protocol = protocol;
         this.table = table;
-        this.quarantine = quarantine;
+        this.crashes = crashes;
         this.stopPlan = stopPlan;
         this.chain =
                 List.of(
@@ -115,10 +115,8 @@
     }
 
     private Optional<Failure> checkQuarantine(CallContext call) {
-        return quarantine.isQuarantined(call.fingerprint())
-                ? reject(
-                        ResultCode.NOT_RUN_QUARANTINED,
-                        "requests with this content crashed endpoints")
+        return crashes.refuse(call)
+                ? reject(ResultCode.NOT_RUN_QUARANTINED, Exchange.CRASHED_ENDPOINTS)
                 : Optional.empty();
     }
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RunningAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RunningAttempt.java
@@ -1,6 +1,5 @@
 package io.siskintrail.edge.internal;
 
-import io.siskintrail.internal.generation.Fingerprint;
 import io.siskintrail.internal.traffic.CrashSuspect;
 import io.siskintrail.internal.traffic.EndpointView;
 import io.siskintrail.lib.EndpointId;
@@ -17,7 +16,7 @@
     /** Wraps {@code attempt}, which transmits {@code call}. */
     RunningAttempt(Attempt attempt, CallContext call) {
         this.attempt = attempt;
-        this.request = new CrashSuspect(call.fingerprint(), call.sharedParts());
+        this.request = call.suspect();
     }
 
     EndpointView endpoint() {
@@ -28,15 +27,26 @@
         return attempt.endpoint().record().id();
     }
 
-    Fingerprint content() {
-        return request.content();
+    /** Returns the content and the shared prompt parts of the request. */
+    CrashSuspect request() {
+        return request;
     }
 
-    /** Records that the endpoint has begun to answer. */
+    /** Records that the endpoint has begun to answer, or has refused the request. */
     void markAnswered() {
         answered = true;
     }
 
+    /** Returns whether the endpoint may have received the request. */
+    boolean isSent() {
+        return attempt.isWritten();
+    }
+
+    /** Returns whether the endpoint may have received the request and has not begun to answer. */
+    boolean isSuspect() {
+        return attempt.isWritten() && !answered;
+    }
+
     /** Returns fingerprint, number of shared prompt parts and progress for the log. */
     @Override
     public String toString() {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -75,7 +75,7 @@
         engine.beginRequest(tokens);
         engine.beginPrefill(sentAtMillis, prefillMillis);
         edge.loadExchange().recordChange(engine);
-        edge.quarantine().recordSent(evidence);
+        edge.crashes().recordSent(evidence);
         if (copyHolder != null) {
             copyHolder.beginCopy(tokens);
             edge.loadExchange().recordChange(copyHolder);
@@ -105,6 +105,11 @@
         return attempt.isWritten();
     }
 
+    /** Returns whether the engine may have run the request, as far as its answer tells. */
+    boolean mayHaveExecuted() {
+        return attempt.isWritten() && (endpointResponse == null || !endpointResponse.notRun());
+    }
+
     boolean hasEvents() {
         return silence.hasEvents();
     }
@@ -161,6 +166,9 @@
     public void onHead(HttpResponse response) {
         endpointResponse = edge.protocol().readResponse(response);
         headers = HopByHopHeaders.strip(response.headers());
+        if (endpointResponse.notRun()) {
+            evidence.markAnswered();
+        }
         engine.health().recordActivity(EventLoop.nowMillis());
     }
 
@@ -190,6 +198,7 @@
 
     @Override
     public void onComplete() {
+        evidence.markAnswered();
         releaseLoad();
         if (endpointResponse.isSuccess() && endpointResponse.signed() && splitter.isInsideEvent()) {
             exchange.handleFailure(this, "response ended inside an event");
@@ -206,6 +215,7 @@
 
     private void handleFirstEvent() {
         evidence.markAnswered();
+        exchange.recordAnswered();
         long now = EventLoop.nowMillis();
         engine.endPrefill(now, prefillMillis);
         edge.loadExchange().recordChange(engine);
@@ -223,7 +233,7 @@
             engine.endPrefill(EventLoop.nowMillis(), prefillMillis);
         }
         edge.loadExchange().recordChange(engine);
-        edge.quarantine().recordEnded(evidence);
+        edge.crashes().recordEnded(evidence);
         if (copyHolder != null) {
             copyHolder.endCopy(tokens);
             edge.loadExchange().recordChange(copyHolder);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -68,6 +68,7 @@
     private final StreamKvCacheCopies copies;
     private final Set<EndpointId> failedEngines = new HashSet<>();
     private StreamAttempt attempt;
+    private boolean answered;
     private boolean responseStarted;
     private boolean searchScheduled;
     private boolean requestWritten;
@@ -106,6 +107,22 @@
         return sentAttempts > 0;
     }
 
+    @Override
+    protected boolean isAnswered() {
+        return answered;
+    }
+
+    @Override
+    protected void endRefused() {
+        boolean mayHaveExecuted =
+                executedAttempts > 0 || attempt != null && attempt.mayHaveExecuted();
+        if (responseStarted || mayHaveExecuted) {
+            fail(CRASHED_ENDPOINTS);
+        } else {
+            rejectRefused();
+        }
+    }
+
     @Override
     protected void releaseResources() {
         leaveQueue();
@@ -228,7 +245,6 @@
             source.engine()
                     .health()
                     .recordSuccess(EventLoop.nowMillis(), (long) source.expectedMillis());
-            edge.quarantine().recordSuccess(call.fingerprint());
             edge.stopPlan().recordStreamDuration(EventLoop.nowMillis() - call.arrivedAtMillis());
             startResponse(source);
             end(
@@ -252,7 +268,7 @@
             return;
         }
         source.engine().health().recordFailure(EventLoop.nowMillis());
-        edge.quarantine().recordFailure(source.evidence());
+        edge.crashes().recordFailure(source.evidence());
         failedEngines.add(source.engine().record().id());
         resume(source, cause);
     }
@@ -269,6 +285,14 @@
         }
     }
 
+    /** Records that an engine has begun to answer, as its first event shows. */
+    void recordAnswered() {
+        if (!answered) {
+            answered = true;
+            edge.crashes().recordAnswered(call);
+        }
+    }
+
     /** Records that an engine has prefilled the prompt, as its first event shows. */
     void recordPromptPrefilled(EndpointView prefillingEngine) {
         if (call.metadata().prompt() != null) {
@@ -422,11 +446,7 @@
         }
         logAttempt("stream.lost", source.engine(), cause);
         requestWritten |= source.isWritten();
-        boolean mayHaveExecuted =
-                source.isWritten()
-                        && !(source.endpointResponse() != null
-                                && source.endpointResponse().notRun());
-        if (mayHaveExecuted) {
+        if (source.mayHaveExecuted()) {
             executedAttempts++;
             copies.recordCopyOf(source);
         }
@@ -449,8 +469,8 @@
         if (hasEnded() || attempt != null) {
             return;
         }
-        if (edge.quarantine().isQuarantined(call.fingerprint())) {
-            fail("requests with this content crashed endpoints");
+        if (edge.crashes().refuse(call)) {
+            endRefused();
             return;
         }
         int maxAttempts = call.route().maxAttempts();
@@ -484,7 +504,7 @@
     private void fail(String detail) {
         if (responseStarted) {
             abortStream(detail);
-        } else if (executedAttempts > 0) {
+        } else if (executedAttempts > 0 || attempt != null && attempt.mayHaveExecuted()) {
             reject(ResultCode.ATTEMPTS_EXHAUSTED, detail, 0);
         } else {
             reject(ResultCode.NOT_RUN_UNREACHABLE, detail, UNAVAILABLE_RETRY_MILLIS);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -53,6 +53,7 @@
     private Future<?> hedgeTimer;
     private int sentAttempts;
     private int failedConnects;
+    private boolean answered;
     private boolean outcomeUnknown;
     private BufferedResponse lastErrorResponse;
 
@@ -81,6 +82,23 @@
         return sentAttempts > 0;
     }
 
+    @Override
+    protected boolean isAnswered() {
+        return answered;
+    }
+
+    @Override
+    protected void endRefused() {
+        if (lastErrorResponse != null) {
+            deliver(lastErrorResponse, null);
+        } else if (outcomeUnknown
+                || runningAttempts.stream().anyMatch(a -> a.attempt.isWritten())) {
+            reject(ResultCode.CALL_OUTCOME_UNKNOWN, CRASHED_ENDPOINTS, 0);
+        } else {
+            rejectRefused();
+        }
+    }
+
     @Override
     protected void releaseResources() {
         if (hedgeTimer != null) {
@@ -159,7 +177,7 @@
 
     /** Sends the call to another endpoint if a retry is allowed; returns whether it was sent. */
     private boolean trySendAgain() {
-        if (sentAttempts >= call.route().maxAttempts()) {
+        if (sentAttempts >= call.route().maxAttempts() || edge.crashes().refuse(call)) {
             return false;
         }
         long now = EventLoop.nowMillis();
@@ -212,7 +230,6 @@
                 .endpoint()
                 .health()
                 .recordSuccess(now, now - endedAttempt.startedAtMillis);
-        edge.quarantine().recordSuccess(call.fingerprint());
         deliver(response, endedAttempt);
     }
 
@@ -292,7 +309,7 @@
 
         void start() {
             attempt.endpoint().beginRequest(0);
-            edge.quarantine().recordSent(evidence);
+            edge.crashes().recordSent(evidence);
             edge.pool().send(attempt, isIdempotent());
         }
 
@@ -311,9 +328,19 @@
 
         @Override
         public void onHead(HttpResponse response) {
-            evidence.markAnswered();
             endpointResponse = edge.protocol().readResponse(response);
             headers = HopByHopHeaders.strip(response.headers());
+            recordProgress();
+        }
+
+        private void recordProgress() {
+            if (endpointResponse.signed() || endpointResponse.notRun()) {
+                evidence.markAnswered();
+            }
+            if (endpointResponse.signed() && !endpointResponse.notRun() && !answered) {
+                answered = true;
+                edge.crashes().recordAnswered(call);
+            }
         }
 
         @Override
@@ -337,7 +364,7 @@
         @Override
         public void onFailure(String cause) {
             finishAttempt();
-            edge.quarantine().recordFailure(evidence);
+            edge.crashes().recordFailure(evidence);
             outcomeUnknown = true;
             handleFailure(this, cause);
         }
@@ -349,7 +376,7 @@
 
         private void releaseEndpoint() {
             attempt.endpoint().endRequest(0);
-            edge.quarantine().recordEnded(evidence);
+            edge.crashes().recordEnded(evidence);
             edge.queues().releaseOne(service);
         }
     }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
@@ -22,7 +22,9 @@
     private static final long POLL_INTERVAL_MILLIS = 50;
 
     private final HttpClient http = HttpClient.newHttpClient();
-    private final RegistryService registry;
+    private final Path dataFolder;
+    private final int linkPort = FreePorts.next();
+    private RegistryService registry;
     private final EdgeService edge;
     private final int frontPort = FreePorts.next();
     private final int readinessPort = FreePorts.next();
@@ -41,10 +43,8 @@
     /** Starts both; a stopping edge still serves clients for {@code outOfRotationSeconds}. */
     LoopbackSystem(Path folder, double graceSeconds, double outOfRotationSeconds)
             throws IOException {
-        int linkPort = FreePorts.next();
-        registry =
-                LoopbackRegistry.start(
-                        callPort, linkPort, FreePorts.next(), folder.resolve("data"));
+        dataFolder = folder.resolve("data");
+        registry = LoopbackRegistry.start(callPort, linkPort, FreePorts.next(), dataFolder);
         edge =
                 new EdgeService(
                         new EdgeSettings(
@@ -117,6 +117,17 @@
         edge.stop();
     }
 
+    /** Starts a further edge, which the caller must close. */
+    LoopbackEdge startEdge(String host) {
+        return new LoopbackEdge(host, callPort, linkPort);
+    }
+
+    /** Stops the registry and starts it again with the same data and addresses. */
+    void restartRegistry() {
+        registry.stop();
+        registry = LoopbackRegistry.start(callPort, linkPort, FreePorts.next(), dataFolder);
+    }
+
     /** Returns the HTTP status of the edge's readiness endpoint. */
     int readinessStatus() throws Exception {
         URI uri = URI.create("http://127.0.0.1:" + readinessPort + "/api/ready");
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/ScriptedEndpoint.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/ScriptedEndpoint.java
@@ -18,6 +18,7 @@
     private final ServerSocket server;
     private final Script script;
     private final List<ReceivedRequest> requests = new CopyOnWriteArrayList<>();
+    private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
     /** Responds to a request. */
     @FunctionalInterface
@@ -66,6 +67,14 @@
         server.close();
     }
 
+    /** Closes the server socket and all connections, as the system does for a process that died. */
+    void crash() throws IOException {
+        server.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+
     /** Returns a response with a signature and a content length. */
     static byte[] signedResponse(
             ReceivedRequest request, int status, String extraHeaders, String body) {
@@ -84,6 +93,7 @@
         while (!server.isClosed()) {
             try {
                 Socket socket = server.accept();
+                connections.add(socket);
                 Thread thread = new Thread(() -> serve(socket), "scripted-endpoint-connection");
                 thread.setDaemon(true);
                 thread.start();
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -175,6 +175,7 @@
         } else if (message instanceof RegistryMessage.Loads l) {
             relay.gather(link, l);
         } else if (message instanceof RegistryMessage.Death
+                || message instanceof RegistryMessage.Sound
                 || message instanceof RegistryMessage.Refusal) {
             feed.broadcast(message);
         } else if (message instanceof RegistryMessage.Status s) {
