Unlock the data folder of a registry that ends

A registry that was stopped and started again in one process did not start: "4006 DATA_FOLDER_IN_USE". It closed its log store and kept the lock of the folder until the process ended. It now closes both.

registryStartsAgainOnItsFolder failed with that code before.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoadRelayTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoadRelayTest.java
@@ -151,6 +151,16 @@
         assertThat(observer.nextLoads()).isEqualTo(NEWER_LOADS);
     }
 
+    /** Guards against a data folder that stays locked after its registry ended. */
+    @Test
+    void registryStartsAgainOnItsFolder() throws Exception {
+        registry.stop();
+
+        registry = LoopbackRegistry.start(FreePorts.next(), linkPort, metricsPort, folder);
+
+        awaitEdges(0);
+    }
+
     /** Waits until the registry counts {@code count} links of edges. */
     private void awaitEdges(int count) throws Exception {
         String line = "siskintrail_registry_edges " + count + "\n";
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
@@ -147,6 +147,7 @@
     void closeDisk() {
         writer.stop();
         store.close();
+        disk.close();
     }
 
     /** Returns the newest configuration that is known to be committed. */
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/ReplicaDisk.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/ReplicaDisk.java
@@ -57,6 +57,11 @@
         return new FileLogStore(folder.files(), new ThriftRecordCodec(), SEGMENT_BYTES);
     }
 
+    /** Unlocks the folder; the last store must be closed. */
+    void close() {
+        folder.close();
+    }
+
     private static DataFolder openSound(Path path) {
         try {
             return DataFolder.open(path);
