--- a/siskintrail/src/io/siskintrail/internal/traffic/Crash.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/Crash.java
@@ -18,6 +18,9 @@
     final long atMillis;
     final Map<Fingerprint, Set<PromptPart>> suspects = new LinkedHashMap<>();
 
+    /** Whether other endpoints crashed at the same moment. */
+    boolean isOneOfMany;
+
     /** The refused parts that explained the crash at the last evaluation. */
     List<OfParts> causes = List.of();
 
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashAnalysis.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CrashAnalysis.java
@@ -27,12 +27,14 @@
     /** Period after the last matching request or crash for which a signature is refused. */
     public static final long QUIET_MILLIS = RefusedSignatures.QUIET_MILLIS;
 
+    private static final int MIN_EVIDENCE = 2;
     private static final long NEVER = Long.MAX_VALUE;
 
     private final List<CrashEffect> effects = new ArrayList<>();
     private final CrashMemory crashes = new CrashMemory();
     private final SoundParts soundParts = new SoundParts(crashes);
     private final RefusedSignatures refused = new RefusedSignatures(effects);
+    private final ContradictedParts contradicted = new ContradictedParts();
     private long firstChangeAt = NEVER;
     private long lastChangeAt = NEVER;
 
@@ -108,6 +110,7 @@
         soundParts.recordAnswered(parts, now);
         refused.lift(new OfContent(content));
         Set<PromptPart> cleared = refused.findRefusedParts(parts);
+        cleared.addAll(contradicted.take(parts, now));
         if (!cleared.isEmpty()) {
             refused.narrow(cleared, now);
             effects.add(new CrashEffect.ReportSound(Set.copyOf(cleared)));
@@ -119,10 +122,16 @@
             refused.accept(signature, now, millis);
             return;
         }
-        soundParts.dropVouched(announced.parts());
+        soundParts.dropVouched(announced.parts(), now);
         reportSound(soundParts.takeObjection(announced.parts(), now));
-        Set<PromptPart> rest = new HashSet<>(announced.parts());
-        rest.removeIf(part -> soundParts.isSoundHere(part, now));
+        Set<PromptPart> rest = new HashSet<>();
+        for (PromptPart part : announced.parts()) {
+            if (soundParts.isSound(part, now)) {
+                contradicted.add(part, now + Math.min(millis, QUIET_MILLIS));
+            } else {
+                rest.add(part);
+            }
+        }
         if (!rest.isEmpty()) {
             refused.accept(new OfParts(rest), now, millis);
         }
@@ -191,9 +200,8 @@
     private void liftUnfounded(List<Crash> all, List<CrashSignature> causes) {
         for (CrashSignature signature : refused.decidedHere()) {
             List<Crash> evidence = all.stream().filter(c -> c.matches(signature)).toList();
-            boolean founded =
-                    evidence.isEmpty()
-                            || evidence.stream().anyMatch(crash -> crash.causes.isEmpty());
+            long open = evidence.stream().filter(crash -> crash.causes.isEmpty()).count();
+            boolean founded = open == evidence.size() || open >= MIN_EVIDENCE;
             if (!founded && !isCause(signature, causes, evidence)) {
                 refused.lift(signature);
             }
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashCauses.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CrashCauses.java
@@ -15,7 +15,7 @@
  */
 final class CrashCauses {
     private static final long SAME_CAUSE_MILLIS = 1_000;
-    private static final long AT_ONCE_MILLIS = 300;
+    private static final long NEARBY_MILLIS = 10_000;
     private static final int MIN_OTHERS = 2;
     private static final int MIN_SUPPORT = 3;
     private static final int MIN_SUPPORT_ALONE = 2;
@@ -112,7 +112,8 @@
         BitSet counted = new BitSet();
         held.stream().filter(i -> !hasOtherCause(i, candidate)).forEach(counted::set);
         boolean cause =
-                counted.cardinality() >= MIN_SUPPORT || countMoments(held) >= MOMENTS_OF_CAUSE;
+                counted.cardinality() >= MIN_SUPPORT
+                        || candidate.isOfParts() && countMoments(held) >= MOMENTS_OF_CAUSE;
         BitSet counting = cause ? held : counted;
         return new Choice(candidate, counting, countContents(candidate, counting));
     }
@@ -133,7 +134,7 @@
             long distance = Math.abs(evidence.crashes.get(i).atMillis - at);
             boolean other = i != crash && distance < SAME_CAUSE_MILLIS;
             others += other && !candidate.holders().get(i) ? 1 : 0;
-            atOnce += other && distance <= AT_ONCE_MILLIS ? 1 : 0;
+            atOnce += other && distance <= CrashMemory.AT_ONCE_MILLIS ? 1 : 0;
         }
         return others >= MIN_OTHERS || atOnce >= MIN_OTHERS;
     }
@@ -142,7 +143,8 @@
         if (countMoments(choice.counted) < MIN_MOMENTS) {
             return false;
         }
-        boolean clear = choice.support() >= MIN_SUPPORT || isAlone(choice);
+        boolean clear =
+                choice.support() >= MIN_SUPPORT || isAlone(choice) && !hasOtherNearby(choice);
         return clear && (choice.candidate.isOfParts() ? isShared(choice) : isOnlyCommon(choice));
     }
 
@@ -152,6 +154,18 @@
         return choice.counted.stream().noneMatch(i -> evidence.hasOtherSuspect(i, signature));
     }
 
+    /** Returns whether another crash shows that a content is not the only cause of that time. */
+    private boolean hasOtherNearby(Choice choice) {
+        if (choice.candidate.isOfParts()) {
+            return false;
+        }
+        long last = evidence.crashes.get(choice.counted.length() - 1).atMillis;
+        return unexplained.stream()
+                .filter(i -> !choice.candidate.holders().get(i))
+                .mapToLong(i -> evidence.crashes.get(i).atMillis)
+                .anyMatch(at -> Math.abs(at - last) < NEARBY_MILLIS);
+    }
+
     /** Returns whether no single content with the parts explains the crashes as well. */
     private boolean isShared(Choice choice) {
         Set<Fingerprint> common = null;
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashMemory.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CrashMemory.java
@@ -16,6 +16,10 @@
 
     static final int MAX_CRASHES = 1_024;
 
+    /** Period within which the losses of a failure domain come. */
+    static final long AT_ONCE_MILLIS = 300;
+
+    private static final int MIN_AT_ONCE = 3;
     private static final long SAME_CRASH_MILLIS = 1_500;
 
     private final ArrayDeque<Crash> crashes = new ArrayDeque<>();
@@ -42,12 +46,29 @@
     Crash add(EndpointId endpoint, long nowMillis) {
         Crash crash = new Crash(endpoint, nowMillis);
         crashes.addLast(crash);
+        markAtOnce(nowMillis);
         if (crashes.size() > MAX_CRASHES) {
             removeFirst();
         }
         return crash;
     }
 
+    /** Marks the newest crashes when so many came at once that they share another cause. */
+    private void markAtOnce(long now) {
+        Iterator<Crash> newest = crashes.descendingIterator();
+        List<Crash> atOnce = new ArrayList<>();
+        while (newest.hasNext()) {
+            Crash crash = newest.next();
+            if (now - crash.atMillis > AT_ONCE_MILLIS) {
+                break;
+            }
+            atOnce.add(crash);
+        }
+        if (atOnce.size() >= MIN_AT_ONCE) {
+            atOnce.forEach(crash -> crash.isOneOfMany = true);
+        }
+    }
+
     void expire(long nowMillis) {
         while (!crashes.isEmpty() && nowMillis - crashes.peekFirst().atMillis >= EVIDENCE_MILLIS) {
             removeFirst();
--- a/siskintrail/src/io/siskintrail/internal/traffic/RefusedSignatures.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/RefusedSignatures.java
@@ -2,6 +2,7 @@
 
 import io.siskintrail.internal.traffic.CrashSignature.OfParts;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -207,16 +208,11 @@
     }
 
     private void evict(CrashSignature added) {
-        while (refusals.size() > MAX_SIGNATURES) {
-            CrashSignature first = null;
-            for (CrashSignature s : refusals.keySet()) {
-                boolean sooner =
-                        first == null || refusals.get(s).endsAt < refusals.get(first).endsAt;
-                if (!s.equals(added) && sooner) {
-                    first = s;
-                }
-            }
-            lift(first);
+        if (refusals.size() > MAX_SIGNATURES) {
+            refusals.entrySet().stream()
+                    .filter(e -> !e.getKey().equals(added))
+                    .min(Comparator.comparingLong(e -> e.getValue().endsAt))
+                    .ifPresent(e -> lift(e.getKey()));
         }
     }
 
--- a/siskintrail/src/io/siskintrail/internal/traffic/SoundParts.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/SoundParts.java
@@ -20,8 +20,9 @@
 
     private static final long NEVER = Long.MIN_VALUE / 2;
     private static final long TELL_INTERVAL_MILLIS = 1_000;
+    private static final long RECENT_WORD_MILLIS = 2_000;
     private static final int MIN_CRASHES_AFTER_ANSWER = 4;
-    private static final int MIN_MOMENTS_AFTER_ANSWER = 3;
+    private static final int MIN_MOMENTS_AFTER_ANSWER = 5;
 
     private final CrashMemory crashes;
     private final Map<PromptPart, Entry> entries = new LinkedHashMap<>(16, 0.75f, true);
@@ -44,26 +45,29 @@
         evict();
     }
 
-    /** Records that another host saw requests with these parts answered. */
+    /**
+     * Records that another host saw requests with these parts answered, and few crashes since. So
+     * crashes before those few are no evidence against the parts here either.
+     */
     void recordVouched(Set<PromptPart> parts, long nowMillis) {
         for (PromptPart part : parts) {
-            boolean sound = isSound(part, nowMillis);
             Entry entry = touch(part);
             entry.vouchedAt = nowMillis;
-            if (!sound) {
-                entry.vouchedSince = nowMillis;
+            List<Crash> after = crashes.findSuspected(part, baseline(entry));
+            while (isEnough(after)) {
+                entry.vouchedSince = after.get(0).atMillis;
+                after = after.subList(1, after.size());
             }
         }
         evict();
     }
 
-    /** Drops the word of other hosts for these parts: one of them has refused them since. */
-    void dropVouched(Set<PromptPart> parts) {
+    /** Drops old words of other hosts for these parts: one of the hosts has refused them since. */
+    void dropVouched(Set<PromptPart> parts, long nowMillis) {
         for (PromptPart part : parts) {
             Entry entry = entries.get(part);
-            if (entry != null) {
+            if (entry != null && nowMillis - entry.vouchedAt >= RECENT_WORD_MILLIS) {
                 entry.vouchedAt = NEVER;
-                entry.vouchedSince = NEVER;
             }
         }
     }
@@ -141,9 +145,11 @@
         return isEnough(crashes.findSuspected(part, sinceMillis));
     }
 
+    /** Returns whether the crashes, the loss of many endpoints at once apart, refute an answer. */
     private static boolean isEnough(List<Crash> after) {
         return after.size() >= MIN_CRASHES_AFTER_ANSWER
-                && CrashMoments.count(after) >= MIN_MOMENTS_AFTER_ANSWER;
+                && (after.stream().filter(c -> !c.isOneOfMany).count() >= MIN_CRASHES_AFTER_ANSWER
+                        || CrashMoments.count(after) >= MIN_MOMENTS_AFTER_ANSWER);
     }
 
     private static boolean isRecent(Entry entry, long now) {
