--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -28,6 +28,7 @@
     private final double expectedMillis;
     private final boolean engineIdle;
     private final Attempt attempt;
+    private final RunningAttempt evidence;
     private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
     private final ByteArrayOutputStream errorBuffer = new ByteArrayOutputStream();
     private final long sentAtMillis = EventLoop.nowMillis();
@@ -39,6 +40,7 @@
     /**
      * Creates an attempt without sending it.
      *
+     * @param call the request of the client
      * @param copyHolder the engine that stores a copy of the KV cache; null for none
      * @param tokens the KV cache size of the request on each engine, in tokens
      * @param prefillMillis the expected prefill time in milliseconds
@@ -51,7 +53,7 @@
             EndpointView engine,
             EndpointView copyHolder,
             EndpointRequest request,
-            String requestId,
+            CallContext call,
             long tokens,
             long prefillMillis,
             double expectedMillis,
@@ -65,14 +67,15 @@
         this.expectedMillis = expectedMillis;
         this.silence = new SilenceTracker(silenceRule, sentAtMillis, expectedMillis);
         this.engineIdle = engine.totalLoad(sentAtMillis).running() == 0;
-        this.attempt = new Attempt(engine, request, requestId, this);
+        this.attempt = new Attempt(engine, request, call.requestId(), this);
+        this.evidence = new RunningAttempt(attempt, call);
     }
 
     void start() {
         engine.beginRequest(tokens);
         engine.beginPrefill(sentAtMillis, prefillMillis);
         edge.loadExchange().recordChange(engine);
-        edge.quarantine().recordSent(engine, exchange.fingerprint());
+        edge.crashes().recordSent(evidence);
         if (copyHolder != null) {
             copyHolder.beginCopy(tokens);
             edge.loadExchange().recordChange(copyHolder);
@@ -102,10 +105,20 @@
         return attempt.isWritten();
     }
 
+    /** Returns whether the engine may have run the request, as far as its answer tells. */
+    boolean mayHaveExecuted() {
+        return attempt.isWritten() && (endpointResponse == null || !endpointResponse.notRun());
+    }
+
     boolean hasEvents() {
         return silence.hasEvents();
     }
 
+    /** Returns what the attempt proves if the engine crashes. */
+    RunningAttempt evidence() {
+        return evidence;
+    }
+
     double expectedMillis() {
         return expectedMillis;
     }
@@ -153,6 +166,9 @@
     public void onHead(HttpResponse response) {
         endpointResponse = edge.protocol().readResponse(response);
         headers = HopByHopHeaders.strip(response.headers());
+        if (endpointResponse.notRun()) {
+            evidence.markAnswered();
+        }
         engine.health().recordActivity(EventLoop.nowMillis());
     }
 
@@ -182,6 +198,7 @@
 
     @Override
     public void onComplete() {
+        evidence.markAnswered();
         releaseLoad();
         if (endpointResponse.isSuccess() && endpointResponse.signed() && splitter.isInsideEvent()) {
             exchange.handleFailure(this, "response ended inside an event");
@@ -197,6 +214,8 @@
     }
 
     private void handleFirstEvent() {
+        evidence.markAnswered();
+        exchange.recordAnswered();
         long now = EventLoop.nowMillis();
         engine.endPrefill(now, prefillMillis);
         edge.loadExchange().recordChange(engine);
@@ -214,7 +233,7 @@
             engine.endPrefill(EventLoop.nowMillis(), prefillMillis);
         }
         edge.loadExchange().recordChange(engine);
-        edge.quarantine().recordEnded(engine, exchange.fingerprint());
+        edge.crashes().recordEnded(evidence);
         if (copyHolder != null) {
             copyHolder.endCopy(tokens);
             edge.loadExchange().recordChange(copyHolder);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.siskintrail.edge.CopySource;
 import io.siskintrail.edge.EndpointResponse;
-import io.siskintrail.internal.generation.Fingerprint;
 import io.siskintrail.internal.traffic.EndpointView;
 import io.siskintrail.internal.traffic.EngineSpec;
 import io.siskintrail.internal.traffic.PrefillRate;
@@ -69,6 +68,7 @@
     private final StreamKvCacheCopies copies;
     private final Set<EndpointId> failedEngines = new HashSet<>();
     private StreamAttempt attempt;
+    private boolean answered;
     private boolean responseStarted;
     private boolean searchScheduled;
     private boolean requestWritten;
@@ -112,6 +112,22 @@
         return responseStarted;
     }
 
+    @Override
+    protected boolean isAnswered() {
+        return answered;
+    }
+
+    @Override
+    protected void endRefused() {
+        boolean mayHaveExecuted =
+                executedAttempts > 0 || attempt != null && attempt.mayHaveExecuted();
+        if (responseStarted || mayHaveExecuted) {
+            fail(CRASHED_ENDPOINTS);
+        } else {
+            rejectRefused();
+        }
+    }
+
     @Override
     protected void releaseResources() {
         leaveQueue();
@@ -234,7 +250,6 @@
             source.engine()
                     .health()
                     .recordSuccess(EventLoop.nowMillis(), (long) source.expectedMillis());
-            edge.quarantine().recordSuccess(call.fingerprint());
             edge.stopPlan().recordStreamDuration(EventLoop.nowMillis() - call.arrivedAtMillis());
             startResponse(source);
             end(
@@ -258,7 +273,7 @@
             return;
         }
         source.engine().health().recordFailure(EventLoop.nowMillis());
-        edge.quarantine().recordFailure(source.engine(), call.fingerprint());
+        edge.crashes().recordFailure(source.evidence());
         failedEngines.add(source.engine().record().id());
         resume(source, cause);
     }
@@ -275,6 +290,14 @@
         }
     }
 
+    /** Records that an engine has begun to answer, as its first event shows. */
+    void recordAnswered() {
+        if (!answered) {
+            answered = true;
+            edge.crashes().recordAnswered(call);
+        }
+    }
+
     /** Records that an engine has prefilled the prompt, as its first event shows. */
     void recordPromptPrefilled(EndpointView prefillingEngine) {
         if (call.metadata().prompt() != null) {
@@ -295,11 +318,6 @@
         edge.prefillRate(service).recordPrefill(call.metadata().promptTokens(), elapsedMillis);
     }
 
-    /** Returns the fingerprint of client account and content. */
-    Fingerprint fingerprint() {
-        return call.fingerprint();
-    }
-
     /** Records the gap before an event, or the time to the first event. */
     private void recordEventGap() {
         long now = EventLoop.nowMillis();
@@ -364,7 +382,7 @@
                         target,
                         copy,
                         request,
-                        call.requestId(),
+                        call,
                         tokens,
                         (long) rate.prefillMillis(unreadTokens),
                         expectedMillis,
@@ -433,11 +451,7 @@
         }
         logAttempt("stream.lost", source.engine(), cause);
         requestWritten |= source.isWritten();
-        boolean mayHaveExecuted =
-                source.isWritten()
-                        && !(source.endpointResponse() != null
-                                && source.endpointResponse().notRun());
-        if (mayHaveExecuted) {
+        if (source.mayHaveExecuted()) {
             executedAttempts++;
             copies.recordCopyOf(source);
         }
@@ -460,8 +474,8 @@
         if (hasEnded() || attempt != null) {
             return;
         }
-        if (edge.quarantine().isQuarantined(call.fingerprint())) {
-            fail("requests with this content crashed endpoints");
+        if (edge.crashes().refuse(call)) {
+            endRefused();
             return;
         }
         int maxAttempts = call.route().maxAttempts();
@@ -495,7 +509,7 @@
     private void fail(String detail) {
         if (responseStarted) {
             abortStream(detail);
-        } else if (executedAttempts > 0) {
+        } else if (executedAttempts > 0 || attempt != null && attempt.mayHaveExecuted()) {
             reject(ResultCode.ATTEMPTS_EXHAUSTED, detail, 0);
         } else {
             reject(ResultCode.NOT_RUN_UNREACHABLE, detail, UNAVAILABLE_RETRY_MILLIS);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -53,6 +53,7 @@
     private Future<?> hedgeTimer;
     private int sentAttempts;
     private int failedConnects;
+    private boolean answered;
     private boolean outcomeUnknown;
     private BufferedResponse lastErrorResponse;
 
@@ -86,6 +87,23 @@
         return false;
     }
 
+    @Override
+    protected boolean isAnswered() {
+        return answered;
+    }
+
+    @Override
+    protected void endRefused() {
+        if (lastErrorResponse != null) {
+            deliver(lastErrorResponse, null);
+        } else if (outcomeUnknown
+                || runningAttempts.stream().anyMatch(a -> a.attempt.isWritten())) {
+            reject(ResultCode.CALL_OUTCOME_UNKNOWN, CRASHED_ENDPOINTS, 0);
+        } else {
+            rejectRefused();
+        }
+    }
+
     @Override
     protected void releaseResources() {
         if (hedgeTimer != null) {
@@ -164,7 +182,7 @@
 
     /** Sends the call to another endpoint if a retry is allowed; returns whether it was sent. */
     private boolean trySendAgain() {
-        if (sentAttempts >= call.route().maxAttempts()) {
+        if (sentAttempts >= call.route().maxAttempts() || edge.crashes().refuse(call)) {
             return false;
         }
         long now = EventLoop.nowMillis();
@@ -217,7 +235,6 @@
                 .endpoint()
                 .health()
                 .recordSuccess(now, now - endedAttempt.startedAtMillis);
-        edge.quarantine().recordSuccess(call.fingerprint());
         deliver(response, endedAttempt);
     }
 
@@ -282,6 +299,7 @@
     /** Transmission of the call to one endpoint; buffers the response. */
     private final class UnaryAttempt implements AttemptListener {
         private final Attempt attempt;
+        private final RunningAttempt evidence;
         private final long startedAtMillis = EventLoop.nowMillis();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private EndpointResponse endpointResponse;
@@ -291,11 +309,12 @@
             // Event ID, copy target, copy source and weight version apply only to streams.
             EndpointRequest request = buildForwardedRequest(endpoint, -1, null, null, -1);
             attempt = new Attempt(endpoint, request, call.requestId(), this);
+            evidence = new RunningAttempt(attempt, call);
         }
 
         void start() {
             attempt.endpoint().beginRequest(0);
-            edge.quarantine().recordSent(attempt.endpoint(), call.fingerprint());
+            edge.crashes().recordSent(evidence);
             edge.pool().send(attempt, isIdempotent());
         }
 
@@ -316,6 +335,17 @@
         public void onHead(HttpResponse response) {
             endpointResponse = edge.protocol().readResponse(response);
             headers = HopByHopHeaders.strip(response.headers());
+            recordProgress();
+        }
+
+        private void recordProgress() {
+            if (endpointResponse.signed() || endpointResponse.notRun()) {
+                evidence.markAnswered();
+            }
+            if (endpointResponse.signed() && !endpointResponse.notRun() && !answered) {
+                answered = true;
+                edge.crashes().recordAnswered(call);
+            }
         }
 
         @Override
@@ -339,7 +369,7 @@
         @Override
         public void onFailure(String cause) {
             finishAttempt();
-            edge.quarantine().recordFailure(attempt.endpoint(), call.fingerprint());
+            edge.crashes().recordFailure(evidence);
             outcomeUnknown = true;
             handleFailure(this, cause);
         }
@@ -351,7 +381,7 @@
 
         private void releaseEndpoint() {
             attempt.endpoint().endRequest(0);
-            edge.quarantine().recordEnded(attempt.endpoint(), call.fingerprint());
+            edge.crashes().recordEnded(evidence);
             edge.queues().releaseOne(service);
         }
     }
