Tell what is refused to edges and registries that start

An edge that started after a prompt part was refused everywhere sent the first request with it to an engine: registries passed a refusal on and forgot it. What an edge lifts before its time registries forget.

edgeThatStartsLaterRefusesTheFirstSuchRequest failed before for an edge: the answer did not contain 7007. The case with a restarted registry could not start its registry then, so it was not seen to fail for this reason.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/CrashCoordinator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/CrashCoordinator.java
@@ -17,7 +17,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 
 /**
  * Finds, together with the other edges, requests that crash the endpoints that run them: tells the
@@ -27,9 +26,6 @@
 final class CrashCoordinator {
     private static final System.Logger LOG = System.getLogger(CrashCoordinator.class.getName());
 
-    /** Maximum number of attempts that the log line of a death names. */
-    private static final int MAX_LOGGED_ATTEMPTS = 16;
-
     /** Time in which an endpoint may still crash from a request that was cancelled. */
     private static final long LINGER_MILLIS = 500;
 
@@ -147,6 +143,13 @@
         }
     }
 
+    /** Returns what is refused, each with the remaining time, for a registry that may not know. */
+    List<RegistryMessage.Refusal> refusals() {
+        return analysis.refused(EventLoop.nowMillis()).entrySet().stream()
+                .map(refused -> new RegistryMessage.Refusal(refused.getKey(), refused.getValue()))
+                .toList();
+    }
+
     /** Advances the timers of the analysis. */
     void expire() {
         step(new CrashInput.Tick());
@@ -184,7 +187,7 @@
         LogEvent.info(LOG, "endpoint.died")
                 .with("endpoint", endpoint)
                 .with("running", running.size())
-                .with("contents", describe(running))
+                .with("contents", RunningAttempt.describe(running))
                 .write();
         List<CrashSuspect> suspects =
                 running.stream()
@@ -196,16 +199,21 @@
         step(new CrashInput.Crashed(endpoint, suspects));
     }
 
-    /** Returns what the attempts ran, as {@code fingerprint/shared parts/progress} each. */
-    private static String describe(Set<RunningAttempt> running) {
-        return running.stream()
-                .limit(MAX_LOGGED_ATTEMPTS)
-                .map(RunningAttempt::toString)
-                .collect(Collectors.joining(","));
-    }
-
     private void step(CrashInput input) {
-        analysis.step(EventLoop.nowMillis(), input).forEach(this::apply);
+        long now = EventLoop.nowMillis();
+        Set<CrashSignature> unexpired = analysis.refused(now).keySet();
+        List<CrashEffect> effects = analysis.step(now, input);
+        effects.forEach(this::apply);
+        effects.forEach(effect -> tellIfLifted(effect, unexpired));
+    }
+
+    /** Lets the registries forget a refusal that ended before its time. */
+    private void tellIfLifted(CrashEffect effect, Set<CrashSignature> unexpired) {
+        if (effect instanceof CrashEffect.SignatureRefused refused
+                && !refused.on()
+                && unexpired.contains(refused.signature())) {
+            registries.sendToAll(new RegistryMessage.Refusal(refused.signature(), 0));
+        }
     }
 
     private void apply(CrashEffect effect) {
@@ -225,26 +233,9 @@
     }
 
     private void applyRefused(CrashSignature signature, boolean on) {
-        refusedRequests.set(signature, on);
-        LogEvent.warning(LOG, "content.quarantined")
-                .with("fingerprint", describe(signature))
-                .with("on", on)
-                .with("died", recentCrashes.describeThoseOf(signature))
-                .write();
+        refusedRequests.set(signature, on, recentCrashes.describeThoseOf(signature));
         if (on) {
             loop.execute(() -> onRefused.accept(signature));
         }
     }
-
-    /** Returns the fingerprint of a content, or the prompt parts joined by a plus sign. */
-    private static String describe(CrashSignature signature) {
-        if (signature instanceof CrashSignature.OfContent content) {
-            return Long.toHexString(content.content().high());
-        }
-        return ((CrashSignature.OfParts) signature)
-                .parts().stream()
-                        .map(part -> part.value())
-                        .sorted()
-                        .collect(Collectors.joining("+", "parts:", ""));
-    }
 }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -193,6 +193,11 @@
         }
     }
 
+    @Override
+    public void onRegistryOpened(Consumer<RegistryMessage> registry) {
+        context.crashes().refusals().forEach(registry);
+    }
+
     @Override
     public void onRegistryLost() {
         loop.after(REGISTRY_FAILOVER_MILLIS, context.loadExchange()::reportAllAfterRegistryLoss);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Consumer;
 
 /**
  * Follows the registries: keeps a link to each, receives endpoint changes from all of them, and
@@ -56,6 +57,9 @@
          */
         void onRelayedMessage(RegistryMessage message);
 
+        /** Called when the link to a registry opened; {@code registry} sends it messages. */
+        void onRegistryOpened(Consumer<RegistryMessage> registry);
+
         /** Called when the link to a registry closed; messages sent to it may be lost. */
         void onRegistryLost();
     }
@@ -140,6 +144,8 @@
         if (statuses.isEmpty()) {
             LogEvent.info(LOG, "registry.regained").with("registry", link.peer()).write();
         }
+        listener.onRegistryOpened(
+                message -> link.send(MessageKind.REGISTRY, RegistryCodec.encode(message)));
     }
 
     @Override
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RunningAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RunningAttempt.java
@@ -3,12 +3,16 @@
 import io.siskintrail.internal.traffic.CrashSuspect;
 import io.siskintrail.internal.traffic.EndpointView;
 import io.siskintrail.lib.EndpointId;
+import java.util.Collection;
+import java.util.stream.Collectors;
 
 /**
  * An attempt of a request at an endpoint, as evidence if the endpoint crashes. Confined to the
  * event loop.
  */
 final class RunningAttempt {
+    private static final int MAX_LOGGED_ATTEMPTS = 16;
+
     private final Attempt attempt;
     private final CrashSuspect request;
     private boolean answered;
@@ -47,6 +51,14 @@
         return attempt.isWritten() && !answered;
     }
 
+    /** Returns the first few attempts for the log, separated by commas. */
+    static String describe(Collection<RunningAttempt> attempts) {
+        return attempts.stream()
+                .limit(MAX_LOGGED_ATTEMPTS)
+                .map(RunningAttempt::toString)
+                .collect(Collectors.joining(","));
+    }
+
     /** Returns fingerprint, number of shared prompt parts and progress for the log. */
     @Override
     public String toString() {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SharedPartCrashTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SharedPartCrashTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Requests whose only common part is one of their prompt, and which crash every engine. */
@@ -100,12 +101,63 @@
         }
     }
 
+    enum Restart {
+        EDGE,
+        REGISTRY_AND_EDGE
+    }
+
+    /** Guards against hosts that crash engines anew after a restart. */
+    @ParameterizedTest
+    @EnumSource(Restart.class)
+    void edgeThatStartsLaterRefusesTheFirstSuchRequest(Restart restart) throws Exception {
+        try (CrashingFleet fleet = new CrashingFleet(system, "crash:", ENGINES)) {
+            system.awaitReady("app");
+            secondEdge.awaitReady();
+            crashUntilRefused();
+            int arrivals = fleet.arrivals().size();
+
+            if (restart == Restart.REGISTRY_AND_EDGE) {
+                restartRegistry();
+            }
+            try (LoopbackEdge thirdEdge = system.startEdge("edge-3")) {
+                thirdEdge.awaitReady();
+                String refused = thirdEdge.sendRaw(request("crash:9,own-x:9", "bad third"));
+                String sound = thirdEdge.sendRaw(request("common:9,own-y:9", "ok third"));
+
+                assertThat(refused).contains("\r\n\r\n7007 ");
+                assertThat(sound).startsWith("HTTP/1.1 200");
+            }
+            assertThat(fleet.arrivals()).hasSize(arrivals);
+        }
+    }
+
+    /** Restarts the registry and waits until both edges follow it again. */
+    private void restartRegistry() throws InterruptedException {
+        try (LogLines log = new LogLines("io.siskintrail.registry")) {
+            system.restartRegistry();
+            assertThat(log.await("event=edge.connected")).isNotNull();
+            assertThat(log.await("event=edge.connected")).isNotNull();
+        }
+    }
+
+    private void crashUntilRefused() throws Exception {
+        for (int i = 0; i < ROUNDS; i++) {
+            String response = sendTo(i, request("crash:9,own-%d:9".formatted(i), "bad " + i));
+            if (response.contains("\r\n\r\n7007 ")) {
+                return;
+            }
+        }
+        throw new AssertionError("requests that crash engines are not refused");
+    }
+
     private Future<String> send(int edge, String parts, String body) {
-        String request =
-                Http.request("POST", "/gen/x", "key-1", body)
-                        .replace("Deadline-Ms: 2000", "Deadline-Ms: 20000")
-                        .replace("\r\n\r\n", "\r\nX-Prompt-Prefix: " + parts + "\r\n\r\n");
-        return clients.submit(() -> sendTo(edge, request));
+        return clients.submit(() -> sendTo(edge, request(parts, body)));
+    }
+
+    private static String request(String parts, String body) {
+        return Http.request("POST", "/gen/x", "key-1", body)
+                .replace("Deadline-Ms: 2000", "Deadline-Ms: 20000")
+                .replace("\r\n\r\n", "\r\nX-Prompt-Prefix: " + parts + "\r\n\r\n");
     }
 
     private String sendTo(int edge, String request) throws IOException {
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/EdgeFeed.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/EdgeFeed.java
@@ -21,10 +21,15 @@
     private RegistryMessage.Status told;
 
     /** Adds an edge and tells it all there is. */
-    void opened(Link edge, RegistryMessage.Status status, List<EndpointRecord> all) {
+    void opened(
+            Link edge,
+            RegistryMessage.Status status,
+            List<EndpointRecord> all,
+            List<RegistryMessage.Refusal> refusals) {
         edges.add(edge);
         LogEvent.info(LOG, "edge.connected").with("edge", edge.peer()).write();
         send(edge, status);
+        refusals.forEach(refusal -> send(edge, refusal));
         send(edge, new RegistryMessage.Endpoints(all));
     }
 
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -51,6 +51,7 @@
     private final RegistryReplica replica;
     private final LogAccess log;
     private final EdgeFeed feed = new EdgeFeed();
+    private final RefusalMemory refusals = new RefusalMemory();
     private final LoadRelay relay;
     private final Endpoints endpoints;
     private final HttpService calls;
@@ -125,7 +126,11 @@
     @Override
     public void opened(Link link) {
         if (link.role() == PeerRole.EDGE) {
-            feed.opened(link, status(), List.copyOf(endpoints.records()));
+            feed.opened(
+                    link,
+                    status(),
+                    List.copyOf(endpoints.records()),
+                    refusals.remaining(EventLoop.nowMillis()));
         } else {
             List<EndpointRecord> all = List.copyOf(endpoints.records());
             if (!all.isEmpty()) {
@@ -175,9 +180,11 @@
         } else if (message instanceof RegistryMessage.Loads l) {
             relay.gather(link, l);
         } else if (message instanceof RegistryMessage.Death
-                || message instanceof RegistryMessage.Sound
-                || message instanceof RegistryMessage.Refusal) {
+                || message instanceof RegistryMessage.Sound) {
             feed.broadcast(message);
+        } else if (message instanceof RegistryMessage.Refusal r) {
+            refusals.record(EventLoop.nowMillis(), r);
+            feed.broadcast(r);
         } else if (message instanceof RegistryMessage.Status s) {
             peers.add(s.registries());
         }
