Refuse endpoint reports with numbers or addresses out of range

Here a report with port 70000, a host name, a negative number of slots, a sequence at the end of its range or a start far in the future was accepted. Edges then threw when they dialed it, a host name would have been resolved on the event loop, and the sequence or start outranked every later report of the genuine endpoint of that id.

Cause: only the presence and the type of a field were checked. Nesting and long or non-finite numbers were refused already; tests show it now.

Such a report is refused with 400 before it reaches the directory, so the other entries hold.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryCallsTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryCallsTest.java
@@ -8,8 +8,13 @@
 import io.siskintrail.net.HttpService;
 import io.siskintrail.registry.RegistryCall;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Invalid endpoint reports and configurations are parsed to an error. */
@@ -19,7 +24,9 @@
                     + "\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":4,\"born\":1700,"
                     + "\"unknown\":[1]}";
 
-    private final PlatformRegistryProtocol protocol = new PlatformRegistryProtocol();
+    private final PlatformRegistryProtocol protocol =
+            new PlatformRegistryProtocol(
+                    Clock.fixed(Instant.ofEpochMilli(1_700_000_000_000L), ZoneOffset.UTC));
 
     @Test
     void validReportIsParsed() {
@@ -56,6 +63,95 @@
         assertThat(report.endpoint()).isInstanceOf(Result.Err.class);
     }
 
+    /** Guards against an odd entry among the reports that ended or misled its readers. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "'\"10.0.0.1:80\"' | '\"10.0.0.1:0\"'",
+                "'\"10.0.0.1:80\"' | '\"10.0.0.1:-1\"'",
+                "'\"10.0.0.1:80\"' | '\"10.0.0.1:+80\"'",
+                "'\"10.0.0.1:80\"' | '\"10.0.0.1:70000\"'",
+                "'\"10.0.0.1:80\"' | '\"10.0.0.1:99999999999\"'",
+                "'\"10.0.0.1:80\"' | '\"10.0.0.256:80\"'",
+                "'\"10.0.0.1:80\"' | '\"10.1:80\"'",
+                "'\"10.0.0.1:80\"' | '\"engine.example:80\"'",
+                "'\"10.0.0.1:80\"' | '\"::1:80\"'",
+                "'\"10.0.0.1:80\"' | '\"[::1]:70000\"'",
+                "'\"10.0.0.1:80\"' | '\"[1::2::3]:80\"'",
+                "'\"sequence\":4' | '\"sequence\":1e999999999'",
+                "'\"sequence\":4' | '\"sequence\":1180591620717411303424'",
+                "'\"sequence\":4' | '\"sequence\":9223372036854775807'",
+                "'\"sequence\":4' | '\"sequence\":9223372036854775808.0'",
+                "'\"sequence\":4' | '\"sequence\":-1'",
+                "'\"born\":1700' | '\"born\":1e999999999'",
+                "'\"born\":1700' | '\"born\":1180591620717411303424'",
+                "'\"born\":1700' | '\"born\":9223372036854775807'",
+                "'\"born\":1700' | '\"born\":1700086401001'",
+                "'\"born\":1700' | '\"born\":-1'",
+                "'\"slots\":4' | '\"slots\":1e999999999'",
+                "'\"slots\":4' | '\"slots\":1180591620717411303424'",
+                "'\"slots\":4' | '\"slots\":2147483647'",
+                "'\"slots\":4' | '\"slots\":-1'",
+                "'\"coldRemainingMs\":0' | '\"coldRemainingMs\":9223372036854775807'",
+            })
+    void reportWithAnOutOfRangeFieldIsRefused(String field, String odd) {
+        String body = VALID_REPORT.replace(field, odd);
+        assertThat(body).isNotEqualTo(VALID_REPORT);
+
+        assertThat(((RegistryCall.Report) put("/api/replicas/e1", body)).endpoint())
+                .isInstanceOf(Result.Err.class);
+    }
+
+    /** Guards against an odd entry among the reports that ended or misled its readers. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "born",
+                "sequence",
+                "slots",
+                "coldRemainingMs",
+                "unknown",
+                "service",
+                "state"
+            })
+    void reportWithADeeplyNestedOrVeryLongFieldIsRefused(String field) {
+        for (String value : List.of("[".repeat(100_000), "9".repeat(100_000))) {
+            String body = VALID_REPORT.replaceFirst("}$", ",\"" + field + "\":" + value + "}");
+
+            assertThat(((RegistryCall.Report) put("/api/replicas/e1", body)).endpoint())
+                    .isInstanceOf(Result.Err.class);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"10.0.0.1:65535", "127.0.0.1:1", "[::1]:80", "[fd00::1:2]:8080"})
+    void literalAddressIsAccepted(String address) {
+        String body = VALID_REPORT.replace("10.0.0.1:80", address);
+
+        assertThat(((RegistryCall.Report) put("/api/replicas/e1", body)).endpoint())
+                .isInstanceOf(Result.Ok.class);
+    }
+
+    @Test
+    void clocksThatDifferByHoursDoNotRefuseAReport() {
+        String body = VALID_REPORT.replace("\"born\":1700", "\"born\":1700036000000");
+
+        assertThat(((RegistryCall.Report) put("/api/replicas/e1", body)).endpoint())
+                .isInstanceOf(Result.Ok.class);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"a b", "\u00e9", "\u0000", "LONG"})
+    void oddIdNamesNoEndpoint(String text) {
+        String path = "/api/replicas/" + text.replace("LONG", "x".repeat(100_000));
+
+        assertThat(protocol.read(new HttpService.Call("DELETE", path, new byte[0])))
+                .isInstanceOf(RegistryCall.Unknown.class);
+        assertThat(((RegistryCall.Report) put(path, VALID_REPORT)).endpoint())
+                .isInstanceOf(Result.Err.class);
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "{}", "{\"version\":3", "{\"version\":\"3\",\"routes\":[]}"})
     void invalidConfigurationIsRefused(String body) {
