Skip an odd endpoint record without losing its message

What edges saw: a record that a registry passed on with a state that it does not know made the whole message unreadable, so that no endpoint in it was learned of or renewed; one with port 70000 or a host name was taken over.

Cause: records were converted as a whole list, and their addresses were not checked.

Each record is now converted by itself and skipped if it names no endpoint to use. Skipped ones are not logged here; the registry that refuses their report logs it.

--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
@@ -1,6 +1,7 @@
 package io.siskintrail.wire.registry;
 
 import io.siskintrail.internal.generation.Fingerprint;
+import io.siskintrail.internal.traffic.EndpointAddress;
 import io.siskintrail.internal.traffic.EndpointRecord;
 import io.siskintrail.internal.traffic.EndpointState;
 import io.siskintrail.internal.traffic.PlacedLoad;
@@ -29,6 +30,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import org.apache.thrift.TException;
 
@@ -107,7 +109,8 @@
             case ENDPOINTS ->
                     new RegistryMessage.Endpoints(
                             body.getEndpoints().getRecords().stream()
-                                    .map(RegistryCodec::record)
+                                    .map(RegistryCodec::readRecord)
+                                    .flatMap(Optional::stream)
                                     .toList());
             case STATUS -> status(body.getStatus());
             case FETCH_ABOVE -> new RegistryMessage.FetchAbove(body.getFetchAbove());
@@ -160,11 +163,24 @@
                 r.state().ordinal());
     }
 
+    /** Returns the record, empty if it names no endpoint to use; the others of its message hold. */
+    private static Optional<EndpointRecord> readRecord(EndpointRecordData d) {
+        try {
+            return Optional.of(record(d));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
     private static EndpointRecord record(EndpointRecordData d) {
         EndpointState[] states = EndpointState.values();
         if (d.getState() < 0 || d.getState() >= states.length) {
             throw new IllegalArgumentException("unknown endpoint state " + d.getState());
         }
+        if (d.getSlots() < 0) {
+            throw new IllegalArgumentException("negative number of slots " + d.getSlots());
+        }
+        EndpointAddress.validate(d.getAddress());
         return new EndpointRecord(
                 new EndpointId(d.getId()),
                 d.getIncarnation(),
