Treat an address that cannot be dialed as a connect failure

What a client would see: its connection closed without an answer, when the endpoint that was chosen had an address such as 10.0.0.1:70000.

Cause: the address is parsed when it is dialed, inside the handling of the client's request, and the exception reached the pipeline of the client's connection, which closes on any exception.

Dialing and probing such an address now end as a failed connect, later on the event loop like any other, so that the request goes elsewhere. Only literal addresses are dialed: no host name is resolved there.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -10,13 +10,16 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpResponse;
 import io.siskintrail.edge.TrafficProtocol;
+import io.siskintrail.internal.traffic.EndpointAddress;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.Addresses;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Pool of connections to endpoints. */
@@ -79,13 +82,18 @@
 
     /** Checks by opening a connection whether the endpoint at {@code address} is reachable. */
     void probe(String address, Consumer<Boolean> onResult) {
+        Optional<InetSocketAddress> socketAddress = parse(address);
+        if (socketAddress.isEmpty()) {
+            loop.execute(() -> onResult.accept(false));
+            return;
+        }
         openedConnections++;
         ChannelFuture connecting =
                 bootstrap
                         .clone()
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, PROBE_TIMEOUT_MILLIS)
                         .handler(new ChannelInboundHandlerAdapter())
-                        .connect(Addresses.parse(address));
+                        .connect(socketAddress.get());
         connecting.addListener(
                 result -> {
                     if (result.isSuccess()) {
@@ -159,7 +167,22 @@
         return null;
     }
 
+    /** Returns a literal IP address and port, empty if {@code address} is something else. */
+    private static Optional<InetSocketAddress> parse(String address) {
+        try {
+            EndpointAddress.validate(address);
+            return Optional.of(Addresses.parse(address));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
     private void connect(String address, Attempt attempt) {
+        Optional<InetSocketAddress> socketAddress = parse(address);
+        if (socketAddress.isEmpty()) {
+            loop.execute(() -> notifyConnectFailure(attempt, "address is not ip:port"));
+            return;
+        }
         openedConnections++;
         EndpointConnection connection = new EndpointConnection(address, this);
         ChannelFuture connecting =
@@ -178,7 +201,7 @@
                                                 .addLast(connection);
                                     }
                                 })
-                        .connect(Addresses.parse(address));
+                        .connect(socketAddress.get());
         connecting.addListener(
                 result -> onConnectResult(result.isSuccess(), result.cause(), connection, attempt));
     }
