Accept a refusal only as the answer to this sending

What callers saw: when an endpoint wrote an earlier refusal once more on a kept connection, clients were told 'not run' for a request that it was running, and a stream that must not be resumed was sent again while its first sending ran.

Cause: a response without a request ID was taken for the answer to any request, and a stream was sent again to an endpoint that had refused it on the connection of that refusal, where the ID tells nothing apart.

On a connection that carried a request before, a response without the ID is now no answer, unless the request is an order without an ID. A request goes a second time to an endpoint only on a new connection. An ID is used for one client attempt, so a refusal with it on a kept connection answers the only sending there. Connections stay in use after a refusal of another request: full endpoints refuse often and limit the connections they accept, and a refusal has the ID of its own request.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Attempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Attempt.java
@@ -7,18 +7,35 @@
     private final EndpointView endpoint;
     private final EndpointRequest request;
     private final String requestId;
+    private final boolean idEchoed;
     private AttemptListener listener;
     private EndpointConnection connection;
     private boolean written;
 
+    /** Creates an attempt of a client's request, whose response carries the request ID. */
     Attempt(
             EndpointView endpoint,
             EndpointRequest request,
             String requestId,
             AttemptListener listener) {
+        this(endpoint, request, requestId, true, listener);
+    }
+
+    /**
+     * Creates an attempt.
+     *
+     * @param idEchoed whether the request carries the request ID, so that its response does too
+     */
+    Attempt(
+            EndpointView endpoint,
+            EndpointRequest request,
+            String requestId,
+            boolean idEchoed,
+            AttemptListener listener) {
         this.endpoint = endpoint;
         this.request = request;
         this.requestId = requestId;
+        this.idEchoed = idEchoed;
         this.listener = listener;
     }
 
@@ -46,6 +63,10 @@
         return requestId;
     }
 
+    boolean isIdEchoed() {
+        return idEchoed;
+    }
+
     /** Returns whether any byte may have reached the endpoint. */
     boolean isWritten() {
         return written;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -36,6 +36,7 @@
     private boolean reusable;
     private boolean responseComplete;
     private boolean requestSent;
+    private boolean reused;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceMillis;
 
@@ -139,8 +140,9 @@
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             return;
         }
-        if (!pool.isAnswerTo(response, attempt.requestId())) {
-            failAttempt("response carries the ID of another request");
+        if (!pool.isAnswerTo(response, attempt, reused)) {
+            failAttempt(
+                    "response carries the ID of another request, or none on a reused connection");
             ctx.close();
             return;
         }
@@ -172,6 +174,7 @@
             ctx.close();
             return;
         }
+        reused = true;
         idleSinceMillis = EventLoop.nowMillis();
         pool.addIdle(this);
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -37,10 +37,7 @@
     /** Maximum number of idle connections kept per endpoint. */
     private static final int MAX_IDLE_PER_ENDPOINT = 4;
 
-    /**
-     * Maximum idle time of a connection for a request that must not be repeated: an endpoint may
-     * close an idle connection at any time, and a request sent while it does so is lost.
-     */
+    /** Maximum idle time of a connection for a request that must not be repeated. */
     private static final long MAX_IDLE_NON_REPEATABLE_MILLIS = 400;
 
     /** Maximum idle time of a connection for requests that can be repeated. */
@@ -66,13 +63,12 @@
     /**
      * Sends the request of {@code attempt}.
      *
-     * @param repeatable whether the request can be sent again if the connection turns out to be
-     *     closed
+     * @param use which connection the attempt may use
      */
-    void send(Attempt attempt, boolean repeatable) {
+    void send(Attempt attempt, ConnectionUse use) {
         String address = attempt.endpoint().record().address();
         EndpointConnection idleConnection =
-                takeIdle(address, repeatable ? MAX_IDLE_MILLIS : MAX_IDLE_NON_REPEATABLE_MILLIS);
+                use == ConnectionUse.NEW ? null : takeIdle(address, maxIdleMillis(use));
         if (idleConnection != null) {
             idleConnection.send(attempt);
             return;
@@ -132,9 +128,18 @@
         return openedConnections;
     }
 
-    boolean isAnswerTo(HttpResponse response, String requestId) {
+    /**
+     * Returns whether a response certainly answers the request of {@code attempt}.
+     *
+     * @param reused whether the connection carried another request before, whose response may have
+     *     been written once more
+     */
+    boolean isAnswerTo(HttpResponse response, Attempt attempt, boolean reused) {
         String responseId = protocol.readResponse(response).requestId();
-        return responseId == null || responseId.equals(requestId);
+        if (responseId == null) {
+            return !reused || !attempt.isIdEchoed();
+        }
+        return responseId.equals(attempt.requestId());
     }
 
     void addIdle(EndpointConnection connection) {
@@ -154,6 +159,10 @@
         }
     }
 
+    private static long maxIdleMillis(ConnectionUse use) {
+        return use == ConnectionUse.ANY ? MAX_IDLE_MILLIS : MAX_IDLE_NON_REPEATABLE_MILLIS;
+    }
+
     private EndpointConnection takeIdle(String address, long maxIdleMillis) {
         Deque<EndpointConnection> connections = idleByAddress.get(address);
         long now = EventLoop.nowMillis();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/KvCacheReplicator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/KvCacheReplicator.java
@@ -123,7 +123,8 @@
                         kvRequest.headers(),
                         kvRequest.body());
         CopyResponse response = new CopyResponse(onDone);
-        edge.pool().send(new Attempt(source, request, requestId, response), true);
+        edge.pool()
+                .send(new Attempt(source, request, requestId, false, response), ConnectionUse.ANY);
     }
 
     /** Collects the response to a copy request. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -68,7 +68,12 @@
         this.attempt = new Attempt(engine, request, requestId, this);
     }
 
-    void start() {
+    /**
+     * Sends the request.
+     *
+     * @param use which connection the attempt may use
+     */
+    void start(ConnectionUse use) {
         engine.beginRequest(tokens);
         engine.beginPrefill(sentAtMillis, prefillMillis);
         edge.loadExchange().recordChange(engine);
@@ -77,7 +82,7 @@
             copyHolder.beginCopy(tokens);
             edge.loadExchange().recordChange(copyHolder);
         }
-        edge.pool().send(attempt, false);
+        edge.pool().send(attempt, use);
     }
 
     /** Cancels the attempt; the engine sees a closed connection. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -68,6 +68,7 @@
     private final StreamJournal journal;
     private final StreamKvCacheCopies copies;
     private final Set<EndpointId> failedEngines = new HashSet<>();
+    private final Set<EndpointId> triedEngines = new HashSet<>();
     private StreamAttempt attempt;
     private boolean responseStarted;
     private boolean searchScheduled;
@@ -364,7 +365,8 @@
                         (long) rate.prefillMillis(unreadTokens),
                         expectedMillis,
                         silenceRule);
-        attempt.start();
+        boolean isFirst = triedEngines.add(target.record().id());
+        attempt.start(isFirst ? ConnectionUse.BRIEFLY_IDLE : ConnectionUse.NEW);
         scheduleSilenceCheck();
     }
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -291,7 +291,8 @@
         void start() {
             attempt.endpoint().beginRequest(0);
             edge.quarantine().recordSent(attempt.endpoint(), call.fingerprint());
-            edge.pool().send(attempt, isIdempotent());
+            edge.pool()
+                    .send(attempt, isIdempotent() ? ConnectionUse.ANY : ConnectionUse.BRIEFLY_IDLE);
         }
 
         void stop() {
