Don't report a stream as not run while an engine may run it

What clients saw: at the deadline of a stream whose first sending had not yet got an event, 503 with Retry-After, which promises that the request has not run and never will, though an engine had received it.

Cause: at the deadline only attempts that had ended counted as sent; the one in progress did not.

Evidence: streamThatMayRunAtItsDeadlineIsNotReportedAsNotRun failed before for both deadlines: 503 instead of 504.

An attempt in progress whose request was written now makes the outcome unknown. One that is still connecting does not.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -127,7 +127,7 @@
         }
         if (responseStarted) {
             abortStream("deadline exceeded");
-        } else if (executedAttempts > 0) {
+        } else if (executedAttempts > 0 || (attempt != null && attempt.isWritten())) {
             reject(ResultCode.CALL_TIMED_OUT, "attempts=%d".formatted(sentAttempts), 0);
         } else {
             reject(
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
@@ -382,6 +382,31 @@
         }
     }
 
+    /** Guards against a client that is told its stream does not run while an engine runs it. */
+    @ParameterizedTest
+    @ValueSource(ints = {300, 600})
+    void streamThatMayRunAtItsDeadlineIsNotReportedAsNotRun(int deadlineMillis) throws Exception {
+        CountDownLatch responded = new CountDownLatch(1);
+        try (ScriptedEndpoint engine =
+                new ScriptedEndpoint(
+                        (number, request, out) -> {
+                            await(responded);
+                            return false;
+                        })) {
+            system.register("e1", "llm", engine.address(), "a");
+            system.awaitReady("app");
+            String request = Http.request("POST", "/gen/x", "key-1", "p");
+
+            String response =
+                    system.sendRaw(
+                            request.replace("Deadline-Ms: 2000", "Deadline-Ms: " + deadlineMillis));
+
+            responded.countDown();
+            assertThat(engine.requests()).hasSize(1);
+            assertThat(response).startsWith("HTTP/1.1 504");
+        }
+    }
+
     private static boolean writeRefusal(OutputStream out) throws IOException {
         out.write(Http.toBytes("HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
         return true;
