Skip interim responses of endpoints

What callers saw: a request whose endpoint sent an interim (1xx) response first was never answered before its deadline, then with 504.

Cause: the decoder ends every response, interim ones too, with an empty last content, which was taken for the end of the final response. The handler then failed on the missing head, and the exchange kept waiting for an attempt that had ended.

Evidence: interimResponseIsNotTheAnswer failed before in all 6 cases, for calls of both kinds and streams: 504 instead of 200.

Contents of an interim response are now skipped with its head.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -37,6 +37,7 @@
     private boolean responseComplete;
     private boolean requestSent;
     private boolean reused;
+    private boolean interim;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceMillis;
 
@@ -131,13 +132,14 @@
         if (message instanceof HttpResponse response) {
             handleHead(response);
         }
-        if (attempt != null && message instanceof HttpContent content) {
+        if (attempt != null && !interim && message instanceof HttpContent content) {
             handleContent(content);
         }
     }
 
     private void handleHead(HttpResponse response) {
-        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (interim) {
             return;
         }
         if (!pool.isAnswerTo(response, attempt, reused)) {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
@@ -407,6 +407,28 @@
         }
     }
 
+    /** Guards against an interim response that is taken for the end of the response. */
+    @ParameterizedTest
+    @CsvSource({"/once/x, 1", "/safe/x, 1", "/gen/x, 1", "/once/x, 3", "/safe/x, 3", "/gen/x, 3"})
+    void interimResponseIsNotTheAnswer(String path, int count) throws Exception {
+        boolean isStream = path.startsWith("/gen");
+        try (ScriptedEndpoint endpoint =
+                new ScriptedEndpoint(
+                        (number, request, out) -> {
+                            out.write(Http.toBytes("HTTP/1.1 102 X\r\n\r\n".repeat(count)));
+                            return isStream
+                                    ? writeStream(request, out, 1, 2, false)
+                                    : respondOk(request, out, "fine");
+                        })) {
+            system.register("e1", isStream ? "llm" : "app", endpoint.address(), "a");
+            system.awaitReady(isStream ? "app" : "llm");
+
+            assertThat(system.sendRaw(Http.request("POST", path, "key-1", "p")))
+                    .startsWith("HTTP/1.1 200");
+            assertThat(endpoint.requests()).hasSize(1);
+        }
+    }
+
     private static boolean writeRefusal(OutputStream out) throws IOException {
         out.write(Http.toBytes("HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
         return true;
