Stop reading interim and error responses without end

What would be seen: an endpoint that sends interim responses, or the body of an error response to a stream or of an answer to a copy order, without end kept its attempt open until the deadline, a copy order for ever, while the edge read at full speed.

Cause: interim responses were not counted, and bytes of a body beyond its limit were dropped while the edge read on.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -26,6 +26,9 @@
     private static final String TIMEOUT_PREFIX = "timeout=";
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    /** Maximum number of interim responses to a request; the head of each is limited by itself. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
     /** Assumed keep-alive timeout of an endpoint that does not announce one. */
     private static final long DEFAULT_KEEP_ALIVE_MILLIS = 2_000;
 
@@ -38,6 +41,7 @@
     private boolean requestSent;
     private boolean reused;
     private boolean interim;
+    private int interimResponses;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceMillis;
 
@@ -50,6 +54,7 @@
     void send(Attempt next) {
         attempt = next;
         responseComplete = false;
+        interimResponses = 0;
         reusable = true;
         next.markWritten(this);
         EndpointRequest request = next.request();
@@ -140,6 +145,7 @@
     private void handleHead(HttpResponse response) {
         interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (interim) {
+            countInterimResponse();
             return;
         }
         if (!pool.isAnswerTo(response, attempt, reused)) {
@@ -156,6 +162,14 @@
         attempt.listener().onHead(response);
     }
 
+    private void countInterimResponse() {
+        interimResponses++;
+        if (interimResponses > MAX_INTERIM_RESPONSES) {
+            failAttempt("too many interim responses");
+            ctx.close();
+        }
+    }
+
     private void handleContent(HttpContent content) {
         if (content.content().isReadable()) {
             attempt.listener().onBody(ByteBufUtil.getBytes(content.content()));
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/KvCacheReplicator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/KvCacheReplicator.java
@@ -123,14 +123,15 @@
                         kvRequest.headers(),
                         kvRequest.body());
         CopyResponse response = new CopyResponse(onDone);
-        edge.pool()
-                .send(new Attempt(source, request, requestId, false, response), ConnectionUse.ANY);
+        response.attempt = new Attempt(source, request, requestId, false, response);
+        edge.pool().send(response.attempt, ConnectionUse.ANY);
     }
 
     /** Collects the response to a copy request. */
     private static final class CopyResponse implements AttemptListener {
         private final Consumer<CopyResponse> onDone;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private Attempt attempt;
         private int status;
 
         CopyResponse(Consumer<CopyResponse> onDone) {
@@ -149,9 +150,12 @@
 
         @Override
         public void onBody(byte[] bytes) {
-            if (body.size() + bytes.length <= MAX_RESPONSE_BYTES) {
-                body.writeBytes(bytes);
+            if (body.size() + bytes.length > MAX_RESPONSE_BYTES) {
+                attempt.cancel();
+                onFailure("response exceeds the size limit");
+                return;
             }
+            body.writeBytes(bytes);
         }
 
         @Override
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -165,9 +165,7 @@
     public void onBody(byte[] bytes) {
         engine.health().recordActivity(EventLoop.nowMillis());
         if (!endpointResponse.isSuccess() || !endpointResponse.signed()) {
-            if (errorBuffer.size() + bytes.length <= MAX_ERROR_BYTES) {
-                errorBuffer.writeBytes(bytes);
-            }
+            bufferErrorBody(bytes);
             return;
         }
         for (StreamEvent event : splitter.add(bytes)) {
@@ -201,6 +199,15 @@
         exchange.handleFailure(this, cause);
     }
 
+    private void bufferErrorBody(byte[] bytes) {
+        if (errorBuffer.size() + bytes.length > MAX_ERROR_BYTES) {
+            attempt.cancel();
+            onFailure("error response exceeds the size limit");
+            return;
+        }
+        errorBuffer.writeBytes(bytes);
+    }
+
     private void handleFirstEvent() {
         long now = EventLoop.nowMillis();
         engine.endPrefill(now, prefillMillis);
