Count a refusal of a stream only if its response is complete

What clients saw: 503, which promises that the request has not run, for a stream whose endpoint broke off in the middle of a refusal; a stream that is not resumable was sent again after it.

Cause: when an attempt failed, the head of its response was believed, though its body was cut short or without end. Calls did not do so.

Evidence: StaleRefusalTest.refusalThatIsCutShortIsNoAnswer failed before for the stream that is not resumable (503 instead of 502), and EndlessResponseTest with REFUSAL_BODY on a stream (503 instead of 502).

Streams now believe a refusal only in a complete response, as calls do.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -33,6 +33,7 @@
     private final long sentAtMillis = EventLoop.nowMillis();
     private final SilenceTracker silence;
     private boolean ended;
+    private boolean complete;
     private EndpointResponse endpointResponse;
     private HttpHeaders headers;
 
@@ -107,6 +108,11 @@
         return attempt.isWritten();
     }
 
+    /** Returns whether the engine reported, in a complete response, that it did not run this. */
+    boolean isRefused() {
+        return complete && endpointResponse.notRun();
+    }
+
     boolean hasEvents() {
         return silence.hasEvents();
     }
@@ -185,6 +191,7 @@
 
     @Override
     public void onComplete() {
+        complete = true;
         releaseLoad();
         if (endpointResponse.isSuccess() && endpointResponse.signed() && splitter.isInsideEvent()) {
             exchange.handleFailure(this, "response ended inside an event");
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -430,10 +430,7 @@
         }
         logAttempt("stream.lost", source.engine(), cause);
         requestWritten |= source.isWritten();
-        boolean mayHaveExecuted =
-                source.isWritten()
-                        && !(source.endpointResponse() != null
-                                && source.endpointResponse().notRun());
+        boolean mayHaveExecuted = source.isWritten() && !source.isRefused();
         if (mayHaveExecuted) {
             executedAttempts++;
             copies.recordCopyOf(source);
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EndlessResponseTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EndlessResponseTest.java
@@ -109,6 +109,7 @@
         "ERROR_BODY, once",
         "ERROR_BODY, gen",
         "REFUSAL_BODY, once",
+        "REFUSAL_BODY, gen",
         "CHUNKS, once",
         "CHUNKS, gen",
         "CHUNK_EXTENSION, once",
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/StaleRefusalTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/StaleRefusalTest.java
@@ -96,6 +96,28 @@
         }
     }
 
+    /** Guards against a refusal that counts although its response never completes. */
+    @ParameterizedTest
+    @CsvSource({"/once/x, app", "/safe/x, app", "/gen-once/x, llm"})
+    void refusalThatIsCutShortIsNoAnswer(String path, String service) throws Exception {
+        try (ScriptedEndpoint faulty =
+                new ScriptedEndpoint(
+                        (number, request, out) -> {
+                            out.write(
+                                    Http.toBytes(
+                                            "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n"
+                                                    + "X-Request-Id: r1\r\n"
+                                                    + "Content-Length: 9\r\n\r\nfull"));
+                            return false;
+                        })) {
+            system.register("e1", service, faulty.address(), "a");
+            system.awaitReady(service.equals("app") ? "llm" : "app");
+
+            assertThat(send(path)).startsWith("HTTP/1.1 502");
+            assertThat(faulty.requests()).hasSize(1);
+        }
+    }
+
     private String send(String path) throws IOException {
         return system.sendRaw(Http.request("POST", path, "key-1", "p"));
     }
