Bound the response bodies of all attempts together

What would be seen: an edge that runs out of its 64 MB heap, when a dozen attempts get bodies without end at the same time, each below the limit of 8 MiB for one response.

Cause: bodies were bounded one by one only, and a growing buffer took up to twice their size.

Evidence: EndlessResponseTest.bodiesOfManyAttemptsAreBoundedTogether failed before for both kinds of calls: with 12 attempts of 7.5 MiB each none had failed after 10 s.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -47,6 +47,7 @@
     private final Map<ServiceName, PrefillRate> prefillRates = new HashMap<>();
     private final StreamMonitor monitor;
     private final StopPlan stopPlan = new StopPlan();
+    private final ResponseMemory responseMemory = new ResponseMemory();
     private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
 
     EdgeContext(
@@ -104,6 +105,11 @@
         return quarantine;
     }
 
+    /** Returns the memory for the response bodies that attempts buffer. */
+    ResponseMemory responseMemory() {
+        return responseMemory;
+    }
+
     /** Returns the measured prefill rate of the engines of a service; never null. */
     PrefillRate prefillRate(ServiceName service) {
         return prefillRates.computeIfAbsent(service, s -> new PrefillRate());
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -9,7 +9,6 @@
 import io.siskintrail.internal.traffic.SilenceTracker;
 import io.siskintrail.internal.traffic.StreamEvent;
 import io.siskintrail.net.EventLoop;
-import java.io.ByteArrayOutputStream;
 
 /**
  * One attempt of a stream at an engine. Accounts for the load that the attempt puts on the engine
@@ -29,7 +28,7 @@
     private final boolean engineIdle;
     private final Attempt attempt;
     private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
-    private final ByteArrayOutputStream errorBuffer = new ByteArrayOutputStream();
+    private final ResponseBuffer errorBuffer;
     private final long sentAtMillis = EventLoop.nowMillis();
     private final SilenceTracker silence;
     private boolean ended;
@@ -58,6 +57,7 @@
             double expectedMillis,
             SilenceRule silenceRule) {
         this.edge = edge;
+        this.errorBuffer = new ResponseBuffer(edge.responseMemory(), MAX_ERROR_BYTES);
         this.exchange = exchange;
         this.engine = engine;
         this.copyHolder = copyHolder;
@@ -207,12 +207,10 @@
     }
 
     private void bufferErrorBody(byte[] bytes) {
-        if (errorBuffer.size() + bytes.length > MAX_ERROR_BYTES) {
+        if (!errorBuffer.tryAdd(bytes)) {
             attempt.cancel();
             onFailure("error response exceeds the size limit");
-            return;
         }
-        errorBuffer.writeBytes(bytes);
     }
 
     private void handleFirstEvent() {
@@ -228,6 +226,7 @@
 
     private void releaseLoad() {
         ended = true;
+        errorBuffer.release();
         engine.endRequest(tokens);
         if (!hasEvents()) {
             engine.endPrefill(EventLoop.nowMillis(), prefillMillis);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -9,7 +9,6 @@
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -278,7 +277,8 @@
     private final class UnaryAttempt implements AttemptListener {
         private final Attempt attempt;
         private final long startedAtMillis = EventLoop.nowMillis();
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final ResponseBuffer body =
+                new ResponseBuffer(edge.responseMemory(), MAX_RESPONSE_BYTES);
         private EndpointResponse endpointResponse;
         private HttpHeaders headers;
 
@@ -316,8 +316,7 @@
 
         @Override
         public void onBody(byte[] bytes) {
-            body.writeBytes(bytes);
-            if (body.size() > MAX_RESPONSE_BYTES) {
+            if (!body.tryAdd(bytes)) {
                 attempt.cancel();
                 onFailure("response exceeds the size limit");
             }
@@ -346,6 +345,7 @@
         }
 
         private void releaseEndpoint() {
+            body.release();
             attempt.endpoint().endRequest(0);
             edge.quarantine().recordEnded(attempt.endpoint(), call.fingerprint());
             edge.queues().releaseOne(service);
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EndlessResponseTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EndlessResponseTest.java
@@ -5,6 +5,11 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
@@ -12,6 +17,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** An endpoint that sends bytes without end until its caller closes. */
 class EndlessResponseTest {
@@ -137,6 +143,62 @@
         }
     }
 
+    /** Guards against bodies that together exceed the memory, though none exceeds its limit. */
+    @ParameterizedTest
+    @ValueSource(strings = {"once", "safe"})
+    void bodiesOfManyAttemptsAreBoundedTogether(String route) throws Exception {
+        int clients = 12;
+        BlockingQueue<String> responses = new LinkedBlockingQueue<>();
+        CountDownLatch checked = new CountDownLatch(1);
+        List<ScriptedEndpoint> endpoints = new ArrayList<>();
+        for (int i = 0; i < clients; i++) {
+            ScriptedEndpoint endpoint =
+                    new ScriptedEndpoint((number, request, out) -> writeAndHold(out, checked));
+            endpoints.add(endpoint);
+            system.register("e" + i, "app", endpoint.address(), "a");
+        }
+        system.awaitReady("llm");
+
+        for (int i = 0; i < clients; i++) {
+            new Thread(() -> responses.add(sendLong(route)), "client").start();
+        }
+
+        for (int i = 0; i < clients / 2; i++) {
+            assertThat(responses.poll(MAX_MILLIS, TimeUnit.MILLISECONDS))
+                    .startsWith("HTTP/1.1 502");
+        }
+        checked.countDown();
+        for (ScriptedEndpoint endpoint : endpoints) {
+            endpoint.close();
+        }
+    }
+
+    private String sendLong(String route) {
+        try {
+            return system.sendRaw(
+                    Http.request("POST", "/" + route + "/x", "key-1", "p")
+                            .replace("Deadline-Ms: 2000", "Deadline-Ms: 20000"));
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    /** Writes a body just below the limit of one response, and does not end it. */
+    private static boolean writeAndHold(OutputStream out, CountDownLatch until) throws IOException {
+        out.write(Http.toBytes(Endless.BODY.beginning));
+        byte[] block = Http.toBytes("x".repeat(1 << 16));
+        for (int i = 0; i < 120; i++) {
+            out.write(block);
+        }
+        try {
+            until.await();
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     private boolean writeEndlessly(Endless endless, OutputStream out) throws IOException {
         out.write(Http.toBytes(endless.beginning));
         byte[] block = Http.toBytes(endless.repeated.repeat(4096 / endless.repeated.length()));
