Test responses with neither a length nor chunks

They end with their connection: a call and a stream are delivered, one that is reset is not complete, and a stream that ends inside an event is resumed, or broken off where it must not be resumed.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/ScriptedEndpoint.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/ScriptedEndpoint.java
@@ -17,6 +17,7 @@
 final class ScriptedEndpoint implements AutoCloseable {
     private final ServerSocket server;
     private final Script script;
+    private final boolean resets;
     private final List<ReceivedRequest> requests = new CopyOnWriteArrayList<>();
 
     /** Responds to a request. */
@@ -46,7 +47,13 @@
     }
 
     ScriptedEndpoint(Script script) throws IOException {
+        this(script, false);
+    }
+
+    /** Starts an endpoint that, if {@code resets}, ends connections by a reset. */
+    ScriptedEndpoint(Script script, boolean resets) throws IOException {
         this.script = script;
+        this.resets = resets;
         server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         Thread thread = new Thread(this::accept, "scripted-endpoint");
         thread.setDaemon(true);
@@ -95,6 +102,9 @@
 
     private void serve(Socket socket) {
         try (socket) {
+            if (resets) {
+                socket.setSoLinger(true, 0);
+            }
             InputStream in = new BufferedInputStream(socket.getInputStream());
             ReceivedRequest request = readRequest(in);
             while (request != null) {
