Stop reading a call whose body is too large

What would be seen: a writer that announces a large body and sends bytes without end kept its connection and a registry's event loop busy for as long as it liked; the bytes count as activity, so the connection did not time out.

Cause: on a connection that may be kept, the aggregator answers 413 and then drops the rest of the body as it comes.

Evidence: EndlessCallTest.connectionIsClosedWithinBounds failed before for BODY: 64 MiB were taken of a body limited to 1 MiB. The other seven kinds, such as endless heads and chunks, were bounded already.

After 413 nothing more is read, and the connection is closed a second later, so that the caller can read the refusal before the reset.

--- a/siskintrail.net/src/io/siskintrail/net/HttpService.java
+++ b/siskintrail.net/src/io/siskintrail/net/HttpService.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -18,6 +19,7 @@
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** HTTP server for small calls at one address: operator, endpoint, readiness and metrics calls. */
@@ -25,6 +27,9 @@
     private static final System.Logger LOG = System.getLogger(HttpService.class.getName());
     private static final int IDLE_TIMEOUT_SECONDS = 60;
 
+    /** Time for a caller to read a refusal before its connection, with unread bytes, is reset. */
+    private static final long REFUSAL_READ_TIME_MILLIS = 1_000;
+
     private final int maxBodyBytes;
     private final Handler handler;
     private final TcpServer server;
@@ -91,11 +96,32 @@
             channel.pipeline()
                     .addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_SECONDS))
                     .addLast(new HttpServerCodec())
-                    .addLast(new HttpObjectAggregator(maxBodyBytes))
+                    .addLast(new CallAggregator(maxBodyBytes))
                     .addLast(new CallHandler());
         }
     }
 
+    /** Collects calls; refuses a call whose body is too large and reads no more of it. */
+    private static final class CallAggregator extends HttpObjectAggregator {
+
+        CallAggregator(int maxBodyBytes) {
+            super(maxBodyBytes);
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+            ctx.channel().config().setAutoRead(false);
+            FullHttpResponse response =
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            HttpUtil.setContentLength(response, 0);
+            HttpUtil.setKeepAlive(response, false);
+            ctx.writeAndFlush(response);
+            ctx.executor()
+                    .schedule(() -> ctx.close(), REFUSAL_READ_TIME_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
