--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -52,6 +52,7 @@
     private final StreamMonitor monitor;
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
     private final StopPlan stopPlan = new StopPlan();
+    private final ResponseMemory responseMemory = new ResponseMemory();
     private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
 
     EdgeContext(
@@ -111,6 +112,11 @@
         return crashes;
     }
 
+    /** Returns the memory for the response bodies that attempts buffer. */
+    ResponseMemory responseMemory() {
+        return responseMemory;
+    }
+
     /** Returns the measured prefill rate of the engines of a service; never null. */
     PrefillRate prefillRate(ServiceName service) {
         return prefillRates.computeIfAbsent(service, s -> new PrefillRate());
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -26,6 +26,9 @@
     private static final String TIMEOUT_PREFIX = "timeout=";
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    /** Maximum number of interim responses to a request; the head of each is limited by itself. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
     /** Assumed keep-alive timeout of an endpoint that does not announce one. */
     private static final long DEFAULT_KEEP_ALIVE_MILLIS = 2_000;
 
@@ -36,6 +39,9 @@
     private boolean reusable;
     private boolean responseComplete;
     private boolean requestSent;
+    private boolean reused;
+    private boolean interim;
+    private int interimResponses;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceMillis;
 
@@ -48,6 +54,7 @@
     void send(Attempt next) {
         attempt = next;
         responseComplete = false;
+        interimResponses = 0;
         reusable = true;
         next.markWritten(this);
         EndpointRequest request = next.request();
@@ -130,17 +137,20 @@
         if (message instanceof HttpResponse response) {
             handleHead(response);
         }
-        if (attempt != null && message instanceof HttpContent content) {
+        if (attempt != null && !interim && message instanceof HttpContent content) {
             handleContent(content);
         }
     }
 
     private void handleHead(HttpResponse response) {
-        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (interim) {
+            countInterimResponse();
             return;
         }
-        if (!pool.isAnswerTo(response, attempt.requestId())) {
-            failAttempt("response carries the ID of another request");
+        if (!pool.isAnswerTo(response, attempt, reused)) {
+            failAttempt(
+                    "response carries the ID of another request, or none on a reused connection");
             ctx.close();
             return;
         }
@@ -152,6 +162,14 @@
         attempt.listener().onHead(response);
     }
 
+    private void countInterimResponse() {
+        interimResponses++;
+        if (interimResponses > MAX_INTERIM_RESPONSES) {
+            failAttempt("too many interim responses");
+            ctx.close();
+        }
+    }
+
     private void handleContent(HttpContent content) {
         if (content.content().isReadable()) {
             attempt.listener().onBody(ByteBufUtil.getBytes(content.content()));
@@ -172,6 +190,7 @@
             ctx.close();
             return;
         }
+        reused = true;
         idleSinceMillis = EventLoop.nowMillis();
         pool.addIdle(this);
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -10,13 +10,16 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpResponse;
 import io.siskintrail.edge.TrafficProtocol;
+import io.siskintrail.internal.traffic.EndpointAddress;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.Addresses;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Pool of connections to endpoints. */
@@ -34,10 +37,7 @@
     /** Maximum number of idle connections kept per endpoint. */
     private static final int MAX_IDLE_PER_ENDPOINT = 4;
 
-    /**
-     * Maximum idle time of a connection for a request that must not be repeated: an endpoint may
-     * close an idle connection at any time, and a request sent while it does so is lost.
-     */
+    /** Maximum idle time of a connection for a request that must not be repeated. */
     private static final long MAX_IDLE_NON_REPEATABLE_MILLIS = 400;
 
     /** Maximum idle time of a connection for requests that can be repeated. */
@@ -63,13 +63,12 @@
     /**
      * Sends the request of {@code attempt}.
      *
-     * @param repeatable whether the request can be sent again if the connection turns out to be
-     *     closed
+     * @param use which connection the attempt may use
      */
-    void send(Attempt attempt, boolean repeatable) {
+    void send(Attempt attempt, ConnectionUse use) {
         String address = attempt.endpoint().record().address();
         EndpointConnection idleConnection =
-                takeIdle(address, repeatable ? MAX_IDLE_MILLIS : MAX_IDLE_NON_REPEATABLE_MILLIS);
+                use == ConnectionUse.NEW ? null : takeIdle(address, maxIdleMillis(use));
         if (idleConnection != null) {
             idleConnection.send(attempt);
             return;
@@ -79,13 +78,18 @@
 
     /** Checks by opening a connection whether the endpoint at {@code address} is reachable. */
     void probe(String address, Consumer<Boolean> onResult) {
+        Optional<InetSocketAddress> socketAddress = parse(address);
+        if (socketAddress.isEmpty()) {
+            loop.execute(() -> onResult.accept(false));
+            return;
+        }
         openedConnections++;
         ChannelFuture connecting =
                 bootstrap
                         .clone()
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, PROBE_TIMEOUT_MILLIS)
                         .handler(new ChannelInboundHandlerAdapter())
-                        .connect(Addresses.parse(address));
+                        .connect(socketAddress.get());
         connecting.addListener(
                 result -> {
                     if (result.isSuccess()) {
@@ -124,9 +128,18 @@
         return openedConnections;
     }
 
-    boolean isAnswerTo(HttpResponse response, String requestId) {
+    /**
+     * Returns whether a response certainly answers the request of {@code attempt}.
+     *
+     * @param reused whether the connection carried another request before, whose response may have
+     *     been written once more
+     */
+    boolean isAnswerTo(HttpResponse response, Attempt attempt, boolean reused) {
         String responseId = protocol.readResponse(response).requestId();
-        return responseId == null || responseId.equals(requestId);
+        if (responseId == null) {
+            return !reused || !attempt.isIdEchoed();
+        }
+        return responseId.equals(attempt.requestId());
     }
 
     void addIdle(EndpointConnection connection) {
@@ -146,6 +159,10 @@
         }
     }
 
+    private static long maxIdleMillis(ConnectionUse use) {
+        return use == ConnectionUse.ANY ? MAX_IDLE_MILLIS : MAX_IDLE_NON_REPEATABLE_MILLIS;
+    }
+
     private EndpointConnection takeIdle(String address, long maxIdleMillis) {
         Deque<EndpointConnection> connections = idleByAddress.get(address);
         long now = EventLoop.nowMillis();
@@ -159,7 +176,22 @@
         return null;
     }
 
+    /** Returns a literal IP address and port, empty if {@code address} is something else. */
+    private static Optional<InetSocketAddress> parse(String address) {
+        try {
+            EndpointAddress.validate(address);
+            return Optional.of(Addresses.parse(address));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
     private void connect(String address, Attempt attempt) {
+        Optional<InetSocketAddress> socketAddress = parse(address);
+        if (socketAddress.isEmpty()) {
+            loop.execute(() -> notifyConnectFailure(attempt, "address is not ip:port"));
+            return;
+        }
         openedConnections++;
         EndpointConnection connection = new EndpointConnection(address, this);
         ChannelFuture connecting =
@@ -178,7 +210,7 @@
                                                 .addLast(connection);
                                     }
                                 })
-                        .connect(Addresses.parse(address));
+                        .connect(socketAddress.get());
         connecting.addListener(
                 result -> onConnectResult(result.isSuccess(), result.cause(), connection, attempt));
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -9,7 +9,6 @@
 import io.siskintrail.internal.traffic.SilenceTracker;
 import io.siskintrail.internal.traffic.StreamEvent;
 import io.siskintrail.net.EventLoop;
-import java.io.ByteArrayOutputStream;
 
 /**
  * One attempt of a stream at an engine. Accounts for the load that the attempt puts on the engine
@@ -30,10 +29,11 @@
     private final Attempt attempt;
     private final RunningAttempt evidence;
     private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
-    private final ByteArrayOutputStream errorBuffer = new ByteArrayOutputStream();
+    private final ResponseBuffer errorBuffer;
     private final long sentAtMillis = EventLoop.nowMillis();
     private final SilenceTracker silence;
     private boolean ended;
+    private boolean complete;
     private EndpointResponse endpointResponse;
     private HttpHeaders headers;
 
@@ -59,6 +59,7 @@
             double expectedMillis,
             SilenceRule silenceRule) {
         this.edge = edge;
+        this.errorBuffer = new ResponseBuffer(edge.responseMemory(), MAX_ERROR_BYTES);
         this.exchange = exchange;
         this.engine = engine;
         this.copyHolder = copyHolder;
@@ -71,7 +72,12 @@
         this.evidence = new RunningAttempt(attempt, call);
     }
 
-    void start() {
+    /**
+     * Sends the request.
+     *
+     * @param use which connection the attempt may use
+     */
+    void start(ConnectionUse use) {
         engine.beginRequest(tokens);
         engine.beginPrefill(sentAtMillis, prefillMillis);
         edge.loadExchange().recordChange(engine);
@@ -80,7 +86,7 @@
             copyHolder.beginCopy(tokens);
             edge.loadExchange().recordChange(copyHolder);
         }
-        edge.pool().send(attempt, false);
+        edge.pool().send(attempt, use);
     }
 
     /** Cancels the attempt; the engine sees a closed connection. */
@@ -105,9 +111,14 @@
         return attempt.isWritten();
     }
 
-    /** Returns whether the engine may have run the request, as far as its answer tells. */
+    /** Returns whether the engine may have run the request, as far as its complete answer tells. */
     boolean mayHaveExecuted() {
-        return attempt.isWritten() && (endpointResponse == null || !endpointResponse.notRun());
+        return attempt.isWritten() && !isRefused();
+    }
+
+    /** Returns whether the engine reported, in a complete response, that it did not run this. */
+    boolean isRefused() {
+        return complete && endpointResponse.notRun();
     }
 
     boolean hasEvents() {
@@ -176,9 +187,7 @@
     public void onBody(byte[] bytes) {
         engine.health().recordActivity(EventLoop.nowMillis());
         if (!endpointResponse.isSuccess() || !endpointResponse.signed()) {
-            if (errorBuffer.size() + bytes.length <= MAX_ERROR_BYTES) {
-                errorBuffer.writeBytes(bytes);
-            }
+            bufferErrorBody(bytes);
             return;
         }
         for (StreamEvent event : splitter.add(bytes)) {
@@ -198,6 +207,7 @@
 
     @Override
     public void onComplete() {
+        complete = true;
         evidence.markAnswered();
         releaseLoad();
         if (endpointResponse.isSuccess() && endpointResponse.signed() && splitter.isInsideEvent()) {
@@ -213,6 +223,13 @@
         exchange.handleFailure(this, cause);
     }
 
+    private void bufferErrorBody(byte[] bytes) {
+        if (!errorBuffer.tryAdd(bytes)) {
+            attempt.cancel();
+            onFailure("error response exceeds the size limit");
+        }
+    }
+
     private void handleFirstEvent() {
         evidence.markAnswered();
         exchange.recordAnswered();
@@ -228,6 +245,7 @@
 
     private void releaseLoad() {
         ended = true;
+        errorBuffer.release();
         engine.endRequest(tokens);
         if (!hasEvents()) {
             engine.endPrefill(EventLoop.nowMillis(), prefillMillis);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -67,6 +67,7 @@
     private final StreamJournal journal;
     private final StreamKvCacheCopies copies;
     private final Set<EndpointId> failedEngines = new HashSet<>();
+    private final Set<EndpointId> triedEngines = new HashSet<>();
     private StreamAttempt attempt;
     private boolean answered;
     private boolean responseStarted;
@@ -119,9 +120,7 @@
 
     @Override
     protected void endRefused() {
-        boolean mayHaveExecuted =
-                executedAttempts > 0 || attempt != null && attempt.mayHaveExecuted();
-        if (responseStarted || mayHaveExecuted) {
+        if (responseStarted || mayHaveExecuted()) {
             fail(CRASHED_ENDPOINTS);
         } else {
             rejectRefused();
@@ -147,7 +146,7 @@
         }
         if (responseStarted) {
             abortStream("deadline exceeded");
-        } else if (executedAttempts > 0) {
+        } else if (mayHaveExecuted()) {
             reject(ResultCode.CALL_TIMED_OUT, "attempts=%d".formatted(sentAttempts), 0);
         } else {
             reject(
@@ -387,7 +386,8 @@
                         (long) rate.prefillMillis(unreadTokens),
                         expectedMillis,
                         silenceRule);
-        attempt.start();
+        boolean isFirst = triedEngines.add(target.record().id());
+        attempt.start(isFirst ? ConnectionUse.BRIEFLY_IDLE : ConnectionUse.NEW);
         scheduleSilenceCheck();
     }
 
@@ -506,10 +506,14 @@
         }
     }
 
+    private boolean mayHaveExecuted() {
+        return executedAttempts > 0 || attempt != null && attempt.mayHaveExecuted();
+    }
+
     private void fail(String detail) {
         if (responseStarted) {
             abortStream(detail);
-        } else if (executedAttempts > 0 || attempt != null && attempt.mayHaveExecuted()) {
+        } else if (mayHaveExecuted()) {
             reject(ResultCode.ATTEMPTS_EXHAUSTED, detail, 0);
         } else {
             reject(ResultCode.NOT_RUN_UNREACHABLE, detail, UNAVAILABLE_RETRY_MILLIS);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -9,7 +9,6 @@
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -301,7 +300,8 @@
         private final Attempt attempt;
         private final RunningAttempt evidence;
         private final long startedAtMillis = EventLoop.nowMillis();
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final ResponseBuffer body =
+                new ResponseBuffer(edge.responseMemory(), MAX_RESPONSE_BYTES);
         private EndpointResponse endpointResponse;
         private HttpHeaders headers;
 
@@ -315,7 +315,8 @@
         void start() {
             attempt.endpoint().beginRequest(0);
             edge.crashes().recordSent(evidence);
-            edge.pool().send(attempt, isIdempotent());
+            edge.pool()
+                    .send(attempt, isIdempotent() ? ConnectionUse.ANY : ConnectionUse.BRIEFLY_IDLE);
         }
 
         void stop() {
@@ -350,8 +351,7 @@
 
         @Override
         public void onBody(byte[] bytes) {
-            body.writeBytes(bytes);
-            if (body.size() > MAX_RESPONSE_BYTES) {
+            if (!body.tryAdd(bytes)) {
                 attempt.cancel();
                 onFailure("response exceeds the size limit");
             }
@@ -380,6 +380,7 @@
         }
 
         private void releaseEndpoint() {
+            body.release();
             attempt.endpoint().endRequest(0);
             edge.crashes().recordEnded(evidence);
             edge.queues().releaseOne(service);
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
@@ -1,5 +1,6 @@
 package io.siskintrail.wire.registry;
 
+import io.siskintrail.internal.traffic.EndpointAddress;
 import io.siskintrail.internal.traffic.EndpointRecord;
 import io.siskintrail.internal.traffic.EndpointState;
 import io.siskintrail.internal.traffic.PlacedLoad;
@@ -25,6 +26,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import org.apache.thrift.TException;
 
 /** Converts {@link RegistryMessage}s to bytes and back. */
@@ -101,7 +103,8 @@
             case ENDPOINTS ->
                     new RegistryMessage.Endpoints(
                             body.getEndpoints().getRecords().stream()
-                                    .map(RegistryCodec::record)
+                                    .map(RegistryCodec::readRecord)
+                                    .flatMap(Optional::stream)
                                     .toList());
             case STATUS -> status(body.getStatus());
             case FETCH_ABOVE -> new RegistryMessage.FetchAbove(body.getFetchAbove());
@@ -152,11 +155,24 @@
                 r.state().ordinal());
     }
 
+    /** Returns the record, empty if it names no endpoint to use; the others of its message hold. */
+    private static Optional<EndpointRecord> readRecord(EndpointRecordData d) {
+        try {
+            return Optional.of(record(d));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
     private static EndpointRecord record(EndpointRecordData d) {
         EndpointState[] states = EndpointState.values();
         if (d.getState() < 0 || d.getState() >= states.length) {
             throw new IllegalArgumentException("unknown endpoint state " + d.getState());
         }
+        if (d.getSlots() < 0) {
+            throw new IllegalArgumentException("negative number of slots " + d.getSlots());
+        }
+        EndpointAddress.validate(d.getAddress());
         return new EndpointRecord(
                 new EndpointId(d.getId()),
                 d.getIncarnation(),
