--- a/siskintrail.platform.test/tst/io/siskintrail/platform/CrashingFleet.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/CrashingFleet.java
@@ -26,6 +26,7 @@
 
     private final LoopbackSystem system;
     private final String crashingPart;
+    private final String service;
     private final long bornMillis = System.currentTimeMillis();
     private final Map<String, ScriptedEndpoint> engines = new ConcurrentHashMap<>();
     private final AtomicInteger ids = new AtomicInteger();
@@ -35,8 +36,10 @@
     private final Set<String> arrivedBodies = ConcurrentHashMap.newKeySet();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
 
-    /** Starts {@code count} engines of service {@code llm} and registers them. */
-    CrashingFleet(LoopbackSystem system, String crashingPart, int count) throws Exception {
+    /** Starts {@code count} engines of {@code service} and registers them. */
+    CrashingFleet(LoopbackSystem system, String crashingPart, String service, int count)
+            throws Exception {
+        this.service = service;
         this.system = system;
         this.crashingPart = crashingPart;
         for (int i = 0; i < count; i++) {
@@ -135,10 +138,10 @@
     private void renew(String id, ScriptedEndpoint engine) throws Exception {
         String json =
                 """
-                {"service":"llm","address":"%s","zone":"a","version":"v1","slots":4,
+                {"service":"%s","address":"%s","zone":"a","version":"v1","slots":4,
                  "state":"ready","coldRemainingMs":0,"sequence":%d,"born":%d}
                 """
-                        .formatted(engine.address(), sequence.get(), bornMillis);
+                        .formatted(service, engine.address(), sequence.get(), bornMillis);
         system.callRegistry("PUT", "/api/replicas/" + id, json);
     }
 }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SharedPartCrashTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SharedPartCrashTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -23,6 +24,9 @@
     private static final String CONFIGURATION =
             """
             {"version":7,"routes":[
+             {"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe",
+              "timeoutMs":20000,"targetLatencyMs":8000,"priority":1,"service":"app",
+              "maxAttempts":3},
              {"name":"gen","host":"h.example","pathPrefix":"/gen/","kind":"streaming",
               "timeoutMs":20000,"targetLatencyMs":8000,"priority":0,"service":"llm",
               "maxAttempts":5,"resumable":true,"targetGapMs":700}],
@@ -66,7 +70,7 @@
     void requestsThatShareACrashingPartSoonReachNoEngine(String sharedParts) throws Exception {
         List<Future<String>> sound = new ArrayList<>();
         List<Future<String>> crashing = new ArrayList<>();
-        try (CrashingFleet fleet = new CrashingFleet(system, "crash:", ENGINES)) {
+        try (CrashingFleet fleet = new CrashingFleet(system, "crash:", "llm", ENGINES)) {
             system.awaitReady("app");
             secondEdge.awaitReady();
 
@@ -101,6 +105,34 @@
         }
     }
 
+    /** Guards calls, which are hedged and repeated: a refused one reaches no further endpoint. */
+    @Test
+    void callsThatShareACrashingPartSoonReachNoEndpoint() throws Exception {
+        try (CrashingFleet fleet = new CrashingFleet(system, "crash:", "app", ENGINES)) {
+            system.awaitReady("llm");
+            secondEdge.awaitReady();
+            List<Future<String>> crashing = new ArrayList<>();
+            for (int i = 0; i < ROUNDS; i++) {
+                int edge = i;
+                String request =
+                        request("common:200,crash:50,bad-%d:300".formatted(i), "bad " + i)
+                                .replace("/gen/", "/safe/");
+                crashing.add(clients.submit(() -> sendTo(edge, request)));
+                TimeUnit.MILLISECONDS.sleep(ROUND_MILLIS);
+            }
+
+            long graceEnd =
+                    fleet.crashes().get(COUNTED_CRASHES - 1)
+                            + TimeUnit.MILLISECONDS.toNanos(CONTACT_MILLIS);
+            assertThat(fleet.arrivalsAfter(graceEnd)).isAtMost(MAX_LATE_ARRIVALS);
+            for (int i = 0; i < ROUNDS; i++) {
+                boolean notRun = crashing.get(i).get().contains("\r\n\r\n7007 ");
+                assertThat(notRun).isEqualTo(!fleet.hasReceived("bad " + i));
+            }
+            assertThat(crashing.get(ROUNDS - 1).get()).contains("\r\n\r\n7007 ");
+        }
+    }
+
     enum Restart {
         EDGE,
         REGISTRY_AND_EDGE
@@ -110,7 +142,7 @@
     @ParameterizedTest
     @EnumSource(Restart.class)
     void edgeThatStartsLaterRefusesTheFirstSuchRequest(Restart restart) throws Exception {
-        try (CrashingFleet fleet = new CrashingFleet(system, "crash:", ENGINES)) {
+        try (CrashingFleet fleet = new CrashingFleet(system, "crash:", "llm", ENGINES)) {
             system.awaitReady("app");
             secondEdge.awaitReady();
             crashUntilRefused();
