Take a queued request out of its queue in one place

Cause: a request left the queue in two steps, its own and the queue's; had it failed between them, the queue would have dropped the request behind it. A reader of the code found it; no run shows it: requestQueuedBehindOneThatFailsIsServed passes before and after, since an exception while a request is written comes behind both steps.

A request now leaves the queue when it is placed or fails, in one step, and placing looks at a copy of the queues, since an answer can bring the next request of its connection into one.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/AdmissionQueues.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/AdmissionQueues.java
@@ -5,6 +5,7 @@
 import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.LongUnaryOperator;
 
@@ -103,7 +104,7 @@
     }
 
     private void place() {
-        queues.values().forEach(this::placeFirst);
+        List.copyOf(queues.values()).forEach(this::placeFirst);
     }
 
     /**
@@ -113,8 +114,8 @@
     private void placeFirst(WaitingRoom<Exchange> queue) {
         queue.removeTooLate(EventLoop.nowMillis()).forEach(Exchange::handleTimeout);
         Exchange first = queue.peekFirst();
-        if (first != null && first.tryPlaceQueued()) {
-            queue.removeFirst();
+        if (first != null) {
+            first.tryPlaceQueued();
         }
     }
 }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -112,16 +112,12 @@
         client.abort();
     }
 
-    /**
-     * Tries to place a queued request; returns whether it no longer needs to wait, which is also
-     * the case when that failed.
-     */
-    final boolean tryPlaceQueued() {
+    /** Tries to place a queued request, which leaves the queue unless it has to wait on. */
+    final void tryPlaceQueued() {
         try {
-            return tryPlace();
+            tryPlace();
         } catch (RuntimeException e) {
             fail(e);
-            return true;
         }
     }
 
@@ -196,11 +192,6 @@
         return queueEntry != null;
     }
 
-    /** Records that the request left the queue because it was placed. */
-    protected final void markPlaced() {
-        queueEntry = null;
-    }
-
     /** Removes the request from the queue, if it is queued. */
     protected final void leaveQueue() {
         if (queueEntry != null) {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -162,7 +162,7 @@
         if (target == null) {
             return false;
         }
-        markPlaced();
+        leaveQueue();
         send(target, null);
         return true;
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -147,7 +147,7 @@
         if (endpoint == null) {
             return false;
         }
-        markPlaced();
+        leaveQueue();
         send(endpoint);
         return true;
     }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeFailureTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeFailureTest.java
@@ -2,10 +2,16 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.siskintrail.edge.TrafficProtocol;
+import java.io.IOException;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.BiPredicate;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,6 +34,9 @@
              "tenants":[{"name":"acme","apiKeys":["key-1"]}]}
             """;
 
+    /** Slots of an endpoint that {@link LoopbackSystem} registers. */
+    private static final int SLOTS = 4;
+
     @TempDir Path folder;
 
     /** Guards against an exception of the edge that ends a connection without an answer. */
@@ -63,16 +72,89 @@
         }
     }
 
+    /** Guards against a queued request that takes the next one out of the queue when it fails. */
+    @Test
+    void requestQueuedBehindOneThatFailsIsServed() throws Exception {
+        CountDownLatch released = new CountDownLatch(1);
+        CountDownLatch running = new CountDownLatch(SLOTS);
+        try (LoopbackSystem system = new LoopbackSystem(folder, failingFor("x-fail"));
+                ScriptedEndpoint app =
+                        new ScriptedEndpoint(
+                                (number, request, out) -> {
+                                    running.countDown();
+                                    await(released);
+                                    out.write(
+                                            ScriptedEndpoint.signedResponse(
+                                                    request, 200, "", "fine"));
+                                    return true;
+                                })) {
+            system.configure(
+                    CONFIGURATION
+                            .replace("\"timeoutMs\":2000", "\"timeoutMs\":20000")
+                            .replace("\"targetLatencyMs\":500", "\"targetLatencyMs\":15000"));
+            system.register("app", "app", app.address(), "a");
+            system.awaitReady("llm");
+            String call =
+                    Http.request("POST", "/once/x", "key-1", "p")
+                            .replace("Deadline-Ms: 2000", "Deadline-Ms: 20000");
+            for (int i = 0; i < SLOTS; i++) {
+                sendAsync(system, call);
+            }
+            running.await();
+
+            var failing = sendAsync(system, call.replace("\r\n\r\n", "\r\nx-fail: 1\r\n\r\n"));
+            Http.sleep(100);
+            var behind = sendAsync(system, call);
+            Http.sleep(100);
+            released.countDown();
+
+            assertThat(failing.get()).startsWith("HTTP/1.1 500");
+            assertThat(behind.get()).startsWith("HTTP/1.1 200");
+        }
+    }
+
+    private static CompletableFuture<String> sendAsync(LoopbackSystem system, String request) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return system.sendRaw(request);
+                    } catch (IOException e) {
+                        return "no response: " + e;
+                    }
+                },
+                task -> new Thread(task, "client").start());
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Returns the platform's protocol, of which one method throws. */
     private static TrafficProtocol failingIn(String method) {
+        return failing((called, arguments) -> called.equals(method));
+    }
+
+    /** Returns the platform's protocol, which cannot write requests with a header. */
+    private static TrafficProtocol failingFor(String header) {
+        return failing(
+                (called, arguments) ->
+                        called.equals("writeForwardedHeaders")
+                                && ((HttpHeaders) arguments[0]).contains(header));
+    }
+
+    private static TrafficProtocol failing(BiPredicate<String, Object[]> condition) {
         TrafficProtocol protocol = new PlatformTrafficProtocol();
         return (TrafficProtocol)
                 Proxy.newProxyInstance(
                         TrafficProtocol.class.getClassLoader(),
                         new Class<?>[] {TrafficProtocol.class},
                         (proxy, called, arguments) -> {
-                            if (called.getName().equals(method)) {
-                                throw new IllegalStateException("injected into " + method);
+                            if (condition.test(called.getName(), arguments)) {
+                                throw new IllegalStateException("injected");
                             }
                             try {
                                 return called.invoke(protocol, arguments);
