Answer the open calls of a registry that stops

What callers saw: an operator's call that waited for a quorum when its registry was asked to stop got neither an answer nor a refusal, only the end of the connection.

Cause: the event loop ended at once, whatever calls were open.

Evidence: callThatWaitsForAQuorumIsAnsweredWhenTheRegistryStops failed before for PUT and GET: "expected: HTTP/1.1 but was an empty string"; it passes now. A first form of the test, which did not make sure that the registry had begun to read, failed once with the fix too: what is unread when the registry stops is still lost with its connection.

Change: the small HTTP servers count the calls whose answer has not left, and a stopping registry waits for them, for a bounded time; an idle one ends at once as before.

--- a/siskintrail.net/src/io/siskintrail/net/HttpService.java
+++ b/siskintrail.net/src/io/siskintrail/net/HttpService.java
@@ -1,6 +1,7 @@
 package io.siskintrail.net;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -20,6 +21,7 @@
 import io.siskintrail.service.Service;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 /** HTTP server for small calls at one address: operator, endpoint, readiness and metrics calls. */
@@ -33,6 +35,7 @@
     private final int maxBodyBytes;
     private final Handler handler;
     private final TcpServer server;
+    private final AtomicInteger openCalls = new AtomicInteger();
 
     /** Handles calls, on the event loop. */
     @FunctionalInterface
@@ -90,6 +93,11 @@
         server.close();
     }
 
+    /** Returns the number of calls whose answer has not left yet. May be called on any thread. */
+    public int openCalls() {
+        return openCalls.get();
+    }
+
     private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel channel) {
@@ -136,7 +144,17 @@
             byte[] body = new byte[request.content().readableBytes()];
             request.content().readBytes(body);
             Call call = new Call(request.method().name(), request.uri(), body);
-            handler.handle(call, answer -> write(ctx, answer, keepAlive));
+            openCalls.incrementAndGet();
+            try {
+                handler.handle(
+                        call,
+                        answer ->
+                                write(ctx, answer, keepAlive)
+                                        .addListener(f -> openCalls.decrementAndGet()));
+            } catch (RuntimeException e) {
+                openCalls.decrementAndGet();
+                throw e;
+            }
         }
 
         @Override
@@ -145,7 +163,7 @@
             ctx.close();
         }
 
-        private void write(ChannelHandlerContext ctx, Answer answer, boolean keepAlive) {
+        private ChannelFuture write(ChannelHandlerContext ctx, Answer answer, boolean keepAlive) {
             FullHttpResponse response =
                     new DefaultFullHttpResponse(
                             HttpVersion.HTTP_1_1,
@@ -156,7 +174,7 @@
             }
             HttpUtil.setContentLength(response, answer.body().length);
             HttpUtil.setKeepAlive(response, keepAlive);
-            ctx.writeAndFlush(response)
+            return ctx.writeAndFlush(response)
                     .addListener(
                             f -> {
                                 if (!keepAlive) {
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -23,6 +23,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** Puts the parts of a registry together and hands messages to them. */
@@ -43,6 +44,11 @@
     /** Time after which a host that was a registry once is no longer dialed. */
     private static final long FORGET_HOST_MILLIS = 60_000;
 
+    /** Longest wait of a stop for open calls, which takes in their own time. */
+    private static final long STOP_MILLIS = 2_000;
+
+    private static final long STOP_POLL_MILLIS = 10;
+
     private final EventLoop loop;
     private final RegistrySettings settings;
     private final HostId self;
@@ -112,10 +118,22 @@
         loop.execute(() -> peers.add(hosts));
     }
 
+    /** Hands leadership on and returns when the open calls are answered, for a bounded time. */
     @Override
     public void stop() {
         LogEvent.info(LOG, "registry.stopping").with("host", settings.host()).write();
         loop.execute(replica::stop);
+        awaitCalls(EventLoop.nowMillis() + STOP_MILLIS);
+    }
+
+    private void awaitCalls(long deadlineMillis) {
+        try {
+            while (calls.openCalls() > 0 && EventLoop.nowMillis() < deadlineMillis) {
+                TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Lets go of the data folder; to be called when the event loop has ended. */
