Evaluate crashes once for a burst of reports

Callers: when many endpoints die at once, each edge would have stopped to serve for many seconds, because the analysis runs on its event loop.

Cause: each report that changed the evidence asked for a tick of its own, and while reports went on each tick evaluated all crashes again.

Evidence: 1,000 reports about 100 endpoints in 1 s asked for 1,000 evaluations (reportsOfOneBurstAskForFewEvaluations failed: "expected to be at most: 8, but was: 1000") and took 15.5 s in all.

Now one evaluation is pending at a time. When changes came during the wait, it asks for one more, SETTLE_MILLIS after the last of them; a crash is evaluated 150 to 300 ms after it came.

--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashAnalysis.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CrashAnalysis.java
@@ -87,8 +87,15 @@
         boolean changed = crashes.join(crash, suspects);
         if (known == null || changed) {
             refused.extendMatching(crash, now);
-            firstChangeAt = Math.min(firstChangeAt, now);
-            lastChangeAt = now;
+            recordChange(now);
+        }
+    }
+
+    /** Records that the evidence changed, and asks for an evaluation unless one is due anyway. */
+    private void recordChange(long now) {
+        lastChangeAt = now;
+        if (firstChangeAt == NEVER) {
+            firstChangeAt = now;
             effects.add(new CrashEffect.Evaluate(SETTLE_MILLIS));
         }
     }
@@ -142,8 +149,16 @@
         refused.expire(now);
         if (firstChangeAt <= now - SETTLE_MILLIS) {
             evaluate(now);
-            boolean complete = lastChangeAt <= now - SETTLE_MILLIS;
-            firstChangeAt = complete ? NEVER : firstChangeAt;
+            awaitRest(now);
+        }
+    }
+
+    /** Asks for one more evaluation if the latest change was too recent for this one. */
+    private void awaitRest(long now) {
+        boolean complete = lastChangeAt <= now - SETTLE_MILLIS;
+        firstChangeAt = complete ? NEVER : lastChangeAt;
+        if (!complete) {
+            effects.add(new CrashEffect.Evaluate(lastChangeAt + SETTLE_MILLIS - now));
         }
     }
 
