--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashCauses.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CrashCauses.java
@@ -14,14 +14,28 @@
  * chosen signature explains are no evidence for or against any other.
  */
 final class CrashCauses {
+    /** Time within which deaths of several endpoints may share a cause. */
     private static final long SAME_CAUSE_MILLIS = 1_000;
+
+    /** Time within which a further crash speaks against a content as the only cause. */
     private static final long NEARBY_MILLIS = 10_000;
+
+    /** Other endpoints that die at about the same time before a shared cause is assumed. */
     private static final int MIN_OTHERS = 2;
+
+    /** Crashes that accept a signature although other suspects could explain them. */
     private static final int MIN_SUPPORT = 3;
+
+    /** Crashes that accept a signature if nothing else explains them. */
     private static final int MIN_SUPPORT_ALONE = 2;
+
+    /** Moments at which the crashes of a signature must have come at least. */
     private static final int MIN_MOMENTS = 2;
+
+    /** Moments of crashes from which on a shared cause no longer speaks against parts. */
     private static final int MOMENTS_OF_CAUSE = 3;
 
+    /** Crashes up to which a signature waits while another one explains the same crashes. */
     private static final int MIN_SUPPORT_AMBIGUOUS = 5;
 
     private static final Comparator<Choice> ORDER =
--- a/siskintrail/src/io/siskintrail/internal/traffic/SoundParts.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/SoundParts.java
@@ -19,9 +19,17 @@
     static final int MAX_PARTS = 16_384;
 
     private static final long NEVER = Long.MIN_VALUE / 2;
+
+    /** Shortest time between two words of this host about the same part. */
     private static final long TELL_INTERVAL_MILLIS = 1_000;
+
+    /** Time for which another host's word stands against a refusal that is announced then. */
     private static final long RECENT_WORD_MILLIS = 2_000;
+
+    /** Crashes with a part after its last answer that refute the answer. */
     private static final int MIN_CRASHES_AFTER_ANSWER = 4;
+
+    /** Moments of such crashes that refute the answer although many endpoints died at once. */
     private static final int MIN_MOMENTS_AFTER_ANSWER = 5;
 
     private final CrashMemory crashes;
