Quarantine two contents that crash endpoints in turn

Callers saw endpoints die again and again: of two contents that crash endpoints 0.7 s apart neither was quarantined.

Cause: a death was no evidence when another endpoint died within a second without the content, so each content's deaths hid the other's.

Change: deaths at three moments, a second or more apart, count all the same. A lost rack still quarantines nothing (lossOfRackQuarantinesNothing).

--- a/siskintrail.test/tst/io/siskintrail/internal/generation/QuarantineTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/generation/QuarantineTest.java
@@ -56,6 +56,17 @@
         assertThat(quarantinedFingerprints()).isEmpty();
     }
 
+    /** Two contents that crash endpoints in turn took each other's deaths away as evidence. */
+    @Test
+    void twoInterleavedCrashingContentsAreBothQuarantined() {
+        for (int i = 0; i < 20; i++) {
+            Fingerprint content = i % 2 == 0 ? CRASHING_REQUEST : OTHER;
+            step(new QuarantineInput.Died(new EndpointId("e" + i), Set.of(content)));
+            advance(700);
+        }
+        assertThat(quarantinedFingerprints()).containsExactly(CRASHING_REQUEST, OTHER);
+    }
+
     @Test
     void quarantineEnds() {
         reportLocalDeath("e1", CRASHING_REQUEST);
--- a/siskintrail/src/io/siskintrail/internal/generation/Quarantine.java
+++ b/siskintrail/src/io/siskintrail/internal/generation/Quarantine.java
@@ -17,7 +17,8 @@
  * one endpoint, or both, with the cause is therefore not quarantined.
  *
  * <p>A death is no evidence against a fingerprint when another endpoint that did not run it died
- * within a second: then a failed host, rack or network is the more likely cause.
+ * within a second: then a failed host, rack or network is the more likely cause. Deaths at three
+ * moments are evidence all the same, since a lost host or rack rarely hits one request three times.
  */
 public final class Quarantine implements StateMachine<QuarantineInput, QuarantineEffect> {
     /** Wait for reports of other routers about a death before it is evaluated. */
@@ -33,6 +34,9 @@
     private static final long SAME_CAUSE_WINDOW_MILLIS = 1_000;
     private static final int MIN_DEATHS = 2;
 
+    /** Moments of deaths from which on simultaneous deaths no longer speak for another cause. */
+    private static final int MIN_MOMENTS_DESPITE_OTHERS = 3;
+
     private final List<Death> deaths = new ArrayList<>();
     private final Map<Fingerprint, Long> quarantinedUntil = new LinkedHashMap<>();
     private long evaluatedUpTo = Long.MIN_VALUE;
@@ -91,24 +95,45 @@
     }
 
     private void evaluateDeaths(long now, long settledUpTo) {
-        Map<Fingerprint, List<Death>> evidence = new HashMap<>();
+        Map<Fingerprint, List<Death>> settled = new HashMap<>();
         for (Death death : deaths) {
             for (Fingerprint fingerprint : death.running) {
-                if (death.diedAt <= settledUpTo && !hasOtherCause(death, fingerprint)) {
-                    evidence.computeIfAbsent(fingerprint, f -> new ArrayList<>()).add(death);
+                if (death.diedAt <= settledUpTo) {
+                    settled.computeIfAbsent(fingerprint, f -> new ArrayList<>()).add(death);
                 }
             }
         }
-        evidence.forEach(
+        settled.forEach(
                 (fingerprint, deathsOfFingerprint) -> {
-                    if (deathsOfFingerprint.size() >= MIN_DEATHS
-                            && isOnlyCommonRequest(deathsOfFingerprint)) {
+                    List<Death> evidence = findEvidence(fingerprint, deathsOfFingerprint);
+                    if (evidence.size() >= MIN_DEATHS && isOnlyCommonRequest(evidence)) {
                         startQuarantine(fingerprint, now + QUARANTINE_MILLIS);
                         effects.add(new QuarantineEffect.Announce(fingerprint, QUARANTINE_MILLIS));
                     }
                 });
     }
 
+    /** Returns the deaths that count against the fingerprint among those of its endpoints. */
+    private List<Death> findEvidence(Fingerprint fingerprint, List<Death> deathsOfFingerprint) {
+        if (countMoments(deathsOfFingerprint) >= MIN_MOMENTS_DESPITE_OTHERS) {
+            return deathsOfFingerprint;
+        }
+        return deathsOfFingerprint.stream().filter(d -> !hasOtherCause(d, fingerprint)).toList();
+    }
+
+    /** Returns the number of moments at which the ordered deaths came, each with its own cause. */
+    private static int countMoments(List<Death> ordered) {
+        int moments = 0;
+        long start = 0;
+        for (Death death : ordered) {
+            if (moments == 0 || death.diedAt - start >= SAME_CAUSE_WINDOW_MILLIS) {
+                moments++;
+                start = death.diedAt;
+            }
+        }
+        return moments;
+    }
+
     /** Returns whether an endpoint that did not run the fingerprint died at about the same time. */
     private boolean hasOtherCause(Death death, Fingerprint fingerprint) {
         return deaths.stream()
