Close all sockets of an event loop that stops

Callers of a registry that stopped inside a living process waited for ever: their connection was neither answered nor closed. A registry that started again in the same process found its port in use.

Cause: the event loop group closes its channels when its thread sees the shutdown before its own check for the end; a shutdown without a quiet period that begins between the two ends the thread with all sockets open.

Change: the loop keeps its channels and closes them, on its thread, before it shuts the group down.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -55,7 +55,7 @@
         this.bootstrap =
                 new Bootstrap()
                         .group(loop.group())
-                        .channel(NioSocketChannel.class)
+                        .channelFactory(() -> loop.closeOnStop(new NioSocketChannel()))
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .option(ChannelOption.TCP_NODELAY, true);
     }
--- a/siskintrail.net/src/io/siskintrail/net/EventLoop.java
+++ b/siskintrail.net/src/io/siskintrail/net/EventLoop.java
@@ -1,9 +1,13 @@
 package io.siskintrail.net;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.ImmediateEventExecutor;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
 import java.util.concurrent.RejectedExecutionException;
@@ -21,6 +25,10 @@
 
     private final EventLoopGroup group;
 
+    /** The open channels; one that is added after {@link #stop()} is closed at once. */
+    private final ChannelGroup channels =
+            new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE, true);
+
     /** Creates an event loop whose thread is called {@code name}. */
     public EventLoop(String name) {
         ThreadFactory threadFactory = task -> new Thread(task, name);
@@ -37,6 +45,15 @@
         return group;
     }
 
+    /**
+     * Lets {@link #stop()} close {@code channel}, and returns it. The event loop group alone closes
+     * its channels on most, but not on all shutdowns without a quiet period.
+     */
+    public <C extends Channel> C closeOnStop(C channel) {
+        channels.add(channel);
+        return channel;
+    }
+
     /**
      * Runs {@code task} on the loop; drops it after {@link #stop()}. May be called on any thread.
      */
@@ -78,9 +95,15 @@
     @Override
     public void start() {}
 
-    /** Stops the loop and waits up to 1 s for its thread to end; must not be called on the loop. */
+    /**
+     * Closes all channels, stops the loop and waits up to 1.5 s for its thread to end; must not be
+     * called on the loop.
+     */
     @Override
     public void stop() {
+        if (!group.isShuttingDown()) {
+            group.submit(() -> channels.close()).awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
+        }
         group.shutdownGracefully(0, STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .awaitUninterruptibly(2 * STOP_TIMEOUT_MILLIS);
     }
--- a/siskintrail.net/src/io/siskintrail/net/LinkDialer.java
+++ b/siskintrail.net/src/io/siskintrail/net/LinkDialer.java
@@ -57,7 +57,7 @@
         this.bootstrap =
                 new Bootstrap()
                         .group(loop.group())
-                        .channel(NioSocketChannel.class)
+                        .channelFactory(() -> loop.closeOnStop(new NioSocketChannel()))
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .handler(LinkHandler.dialed(self, new LinkTracker(listener)));
--- a/siskintrail.net/src/io/siskintrail/net/TcpServer.java
+++ b/siskintrail.net/src/io/siskintrail/net/TcpServer.java
@@ -1,8 +1,11 @@
 package io.siskintrail.net;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
@@ -37,7 +40,8 @@
         bindFuture =
                 new ServerBootstrap()
                         .group(loop.group())
-                        .channel(NioServerSocketChannel.class)
+                        .channelFactory(() -> loop.closeOnStop(new NioServerSocketChannel()))
+                        .handler(new AcceptedConnections())
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
@@ -57,4 +61,12 @@
     public void close() {
         bindFuture.channel().close();
     }
+
+    /** Registers accepted connections with the event loop. */
+    private final class AcceptedConnections extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object accepted) {
+            context.fireChannelRead(loop.closeOnStop((Channel) accepted));
+        }
+    }
 }
