Tell how long ago a prompt part was answered

A host that had missed the reports of crashes, and had seen a part answered minutes before, lifted the refusal of that part on all hosts, again and again, while the part crashed endpoints.

Cause: its word had no time. The receiver took the part for answered just now and discarded the crashes it knew of.

Change: the word carries the age of the answer, and is not accepted where enough crashes with the part came after it.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/CrashCoordinator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/CrashCoordinator.java
@@ -164,7 +164,7 @@
 
     private void applySound(RegistryMessage.Sound sound) {
         if (!sound.host().equals(localHost)) {
-            step(new CrashInput.ReportedSound(sound.parts()));
+            step(new CrashInput.ReportedSound(sound.ageMillis()));
         }
     }
 
@@ -221,7 +221,7 @@
             registries.sendToRelay(
                     new RegistryMessage.Death(localHost, report.endpoint(), report.suspects()));
         } else if (effect instanceof CrashEffect.ReportSound sound) {
-            registries.sendToRelay(new RegistryMessage.Sound(localHost, sound.parts()));
+            registries.sendToRelay(new RegistryMessage.Sound(localHost, sound.ageMillis()));
         } else if (effect instanceof CrashEffect.Announce announce) {
             registries.sendToAll(
                     new RegistryMessage.Refusal(announce.signature(), announce.millis()));
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/CrashAnalysisOpenFaultsTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/CrashAnalysisOpenFaultsTest.java
@@ -137,7 +137,7 @@
         for (CrashEffect effect :
                 stale.step(now, new CrashInput.Announced(new OfParts(parts("d")), 600_000))) {
             if (effect instanceof CrashEffect.ReportSound sound) {
-                apply(other.step(now, new CrashInput.ReportedSound(sound.parts())), refused);
+                apply(other.step(now, new CrashInput.ReportedSound(sound.ageMillis())), refused);
             }
         }
         assertThat(refused).containsExactly(new OfParts(parts("d")));
@@ -168,7 +168,7 @@
                             stale.step(now, new CrashInput.Announced(a.signature(), a.millis()))) {
                         if (answer instanceof CrashEffect.ReportSound sound) {
                             apply(
-                                    other.step(now, new CrashInput.ReportedSound(sound.parts())),
+                                    other.step(now, new CrashInput.ReportedSound(sound.ageMillis())),
                                     refused);
                         }
                     }
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/CrashAnalysisTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/CrashAnalysisTest.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -18,6 +19,7 @@
 class CrashAnalysisTest {
     private static final HostId OTHER_HOST = new HostId("h2");
     private static final long CRASH_INTERVAL_MILLIS = 1_200;
+    private static final long ANSWER_MILLIS = 10;
 
     private final CrashAnalysis analysis = new CrashAnalysis();
     private final List<CrashEffect> effects = new ArrayList<>();
@@ -95,7 +97,7 @@
         assertThat(isRefused("s")).isFalse();
         answer("s");
         assertThat(refused).containsExactly(parts("d"));
-        assertThat(effects).contains(new CrashEffect.ReportSound(Set.of(new PromptPart("s"))));
+        assertThat(effects).contains(soundSince("s", 0));
     }
 
     @Test
@@ -118,7 +120,7 @@
     @Test
     void companionThatIsSoundElsewhereIsNotRefused() {
         crash(newSuspect("s", "d"));
-        step(new CrashInput.ReportedSound(Set.of(new PromptPart("s"))));
+        step(new CrashInput.ReportedSound(Map.of(new PromptPart("s"), 0L)));
         crash(newSuspect("s", "d"));
         assertThat(refused).containsExactly(parts("d"));
     }
@@ -132,12 +134,24 @@
                             OTHER_HOST, new EndpointId(endpoint), List.of(newSuspect("s", "d"))));
         }
         assertThat(effects.stream().filter(e -> e instanceof CrashEffect.ReportSound))
-                .containsExactly(new CrashEffect.ReportSound(Set.of(new PromptPart("s"))));
+                .containsExactly(soundSince("s", ANSWER_MILLIS));
+    }
+
+    @Test
+    void wordOfHostThatMissedTheCrashesIsNotAccepted() {
+        for (int i = 0; i < 4; i++) {
+            crash(newSuspect("s" + i, "d"));
+        }
+        assertThat(refused).containsExactly(parts("d"));
+        step(new CrashInput.ReportedSound(Map.of(new PromptPart("d"), 60_000L)));
+        assertThat(refused).containsExactly(parts("d"));
+        step(new CrashInput.ReportedSound(Map.of(new PromptPart("d"), 0L)));
+        assertThat(refused).isEmpty();
     }
 
     @Test
     void wordOfOtherHostsIsNotPassedOn() {
-        step(new CrashInput.ReportedSound(Set.of(new PromptPart("s"))));
+        step(new CrashInput.ReportedSound(Map.of(new PromptPart("s"), 0L)));
         step(
                 new CrashInput.Reported(
                         OTHER_HOST, new EndpointId("e1"), List.of(newSuspect("s", "d"))));
@@ -299,26 +313,25 @@
         step(new CrashInput.Announced(parts("s"), 5_000));
         assertThat(refused).containsExactly(parts("d"));
         assertThat(effects.stream().filter(e -> e instanceof CrashEffect.ReportSound))
-                .containsExactly(new CrashEffect.ReportSound(Set.of(new PromptPart("s"))));
+                .containsExactly(soundSince("s", ANSWER_MILLIS));
     }
 
     @Test
     void answerAfterRejectedAnnouncementIsTold() {
-        step(new CrashInput.ReportedSound(Set.of(new PromptPart("s"))));
+        step(new CrashInput.ReportedSound(Map.of(new PromptPart("s"), 0L)));
         step(new CrashInput.Announced(parts("s"), 5_000));
         assertThat(refused).isEmpty();
         answer("s");
-        assertThat(effects)
-                .containsExactly(new CrashEffect.ReportSound(Set.of(new PromptPart("s"))));
+        assertThat(effects).containsExactly(soundSince("s", 0));
     }
 
     @Test
     void answerAnywhereNarrowsAndLiftsRefusal() {
         step(new CrashInput.Announced(parts("s", "d"), 5_000));
-        step(new CrashInput.ReportedSound(Set.of(new PromptPart("s"))));
+        step(new CrashInput.ReportedSound(Map.of(new PromptPart("s"), 0L)));
         assertThat(refused).containsExactly(parts("d"));
         assertThat(effects).contains(new CrashEffect.Announce(parts("d"), 5_000));
-        step(new CrashInput.ReportedSound(Set.of(new PromptPart("d"))));
+        step(new CrashInput.ReportedSound(Map.of(new PromptPart("d"), 0L)));
         assertThat(refused).isEmpty();
     }
 
@@ -398,7 +411,11 @@
 
     private void answer(String... parts) {
         step(new CrashInput.Answered(newSuspect().content(), partSet(parts)));
-        advance(10);
+        advance(ANSWER_MILLIS);
+    }
+
+    private static CrashEffect soundSince(String part, long ageMillis) {
+        return new CrashEffect.ReportSound(Map.of(new PromptPart(part), ageMillis));
     }
 
     private void advance(long millis) {
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/CrashSimulation.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/CrashSimulation.java
@@ -108,7 +108,7 @@
             if (effect instanceof CrashEffect.ReportCrash e) {
                 tellOthers(new CrashInput.Reported(id, e.endpoint(), e.suspects()));
             } else if (effect instanceof CrashEffect.ReportSound e) {
-                tellOthers(new CrashInput.ReportedSound(e.parts()));
+                tellOthers(new CrashInput.ReportedSound(e.ageMillis()));
             } else if (effect instanceof CrashEffect.Announce e) {
                 tellOthers(new CrashInput.Announced(e.signature(), e.millis()));
             } else if (effect instanceof CrashEffect.Evaluate e) {
--- a/siskintrail.wire.test/tst/io/siskintrail/wire/registry/RegistryCodecTest.java
+++ b/siskintrail.wire.test/tst/io/siskintrail/wire/registry/RegistryCodecTest.java
@@ -14,7 +14,9 @@
 import io.siskintrail.wire.gen.registry.DeathData;
 import io.siskintrail.wire.gen.registry.RefusalData;
 import io.siskintrail.wire.gen.registry.RegistryBody;
+import io.siskintrail.wire.gen.registry.SoundData;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.apache.thrift.TException;
@@ -41,7 +43,8 @@
                                 new CrashSuspect(CONTENT, Set.of()))),
                 new RegistryMessage.Refusal(new CrashSignature.OfContent(CONTENT), 600),
                 new RegistryMessage.Refusal(new CrashSignature.OfParts(PARTS), 0),
-                new RegistryMessage.Sound(HOST, PARTS));
+                new RegistryMessage.Sound(
+                        HOST, Map.of(new PromptPart("one"), 7L, new PromptPart("two"), 0L)));
     }
 
     @ParameterizedTest
@@ -50,6 +53,20 @@
         assertThat(RegistryCodec.decode(RegistryCodec.encode(message))).isEqualTo(message);
     }
 
+    @Test
+    void soundPartsFromABuildWithoutAgesAreOfThisMoment() {
+        SoundData data = new SoundData("edge-1", List.of("one", "two"));
+
+        RegistryMessage message =
+                RegistryCodec.decode(ThriftCodec.encode(RegistryBody.sound(data)));
+
+        assertThat(message)
+                .isEqualTo(
+                        new RegistryMessage.Sound(
+                                HOST,
+                                Map.of(new PromptPart("one"), 0L, new PromptPart("two"), 0L)));
+    }
+
     @Test
     void deathFromABuildWithoutSuspectsNamesContentsWithoutParts() {
         DeathData data = new DeathData("edge-1", "e1", List.of(new ContentHashData(3, 4)));
--- a/siskintrail.wire/idl/registry.thrift
+++ b/siskintrail.wire/idl/registry.thrift
@@ -74,7 +74,9 @@
 /** Prompt parts whose requests an edge saw answered. */
 struct SoundData {
   1: required string host,
-  2: required list<string> parts
+  2: required list<string> parts,
+  /** Milliseconds since each part was answered, in the order of the parts; 0 if not set. */
+  3: optional list<i64> agesMillis
 }
 
 /** What an edge has placed on one endpoint. */
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/LoadsData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/LoadsData.java
@@ -616,14 +616,14 @@
           case 2: // LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
-                struct.loads = new java.util.ArrayList<LoadData>(_list56.size);
-                @org.apache.thrift.annotation.Nullable LoadData _elem57;
-                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
+                org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
+                struct.loads = new java.util.ArrayList<LoadData>(_list64.size);
+                @org.apache.thrift.annotation.Nullable LoadData _elem65;
+                for (int _i66 = 0; _i66 < _list64.size; ++_i66)
                 {
-                  _elem57 = new LoadData();
-                  _elem57.read(iprot);
-                  struct.loads.add(_elem57);
+                  _elem65 = new LoadData();
+                  _elem65.read(iprot);
+                  struct.loads.add(_elem65);
                 }
                 iprot.readListEnd();
               }
@@ -635,14 +635,14 @@
           case 3: // PROMPTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list59 = iprot.readListBegin();
-                struct.prompts = new java.util.ArrayList<ReadPromptData>(_list59.size);
-                @org.apache.thrift.annotation.Nullable ReadPromptData _elem60;
-                for (int _i61 = 0; _i61 < _list59.size; ++_i61)
+                org.apache.thrift.protocol.TList _list67 = iprot.readListBegin();
+                struct.prompts = new java.util.ArrayList<ReadPromptData>(_list67.size);
+                @org.apache.thrift.annotation.Nullable ReadPromptData _elem68;
+                for (int _i69 = 0; _i69 < _list67.size; ++_i69)
                 {
-                  _elem60 = new ReadPromptData();
-                  _elem60.read(iprot);
-                  struct.prompts.add(_elem60);
+                  _elem68 = new ReadPromptData();
+                  _elem68.read(iprot);
+                  struct.prompts.add(_elem68);
                 }
                 iprot.readListEnd();
               }
@@ -684,9 +684,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (LoadData _iter62 : struct.loads)
+          for (LoadData _iter70 : struct.loads)
           {
-            _iter62.write(oprot);
+            _iter70.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -697,9 +697,9 @@
           oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-            for (ReadPromptData _iter63 : struct.prompts)
+            for (ReadPromptData _iter71 : struct.prompts)
             {
-              _iter63.write(oprot);
+              _iter71.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -732,9 +732,9 @@
       oprot.writeString(struct.host);
       {
         oprot.writeI32(struct.loads.size());
-        for (LoadData _iter64 : struct.loads)
+        for (LoadData _iter72 : struct.loads)
         {
-          _iter64.write(oprot);
+          _iter72.write(oprot);
         }
       }
       java.util.BitSet optionals = new java.util.BitSet();
@@ -748,9 +748,9 @@
       if (struct.isSetPrompts()) {
         {
           oprot.writeI32(struct.prompts.size());
-          for (ReadPromptData _iter65 : struct.prompts)
+          for (ReadPromptData _iter73 : struct.prompts)
           {
-            _iter65.write(oprot);
+            _iter73.write(oprot);
           }
         }
       }
@@ -765,28 +765,28 @@
       struct.host = iprot.readString();
       struct.setHostIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list66 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.loads = new java.util.ArrayList<LoadData>(_list66.size);
-        @org.apache.thrift.annotation.Nullable LoadData _elem67;
-        for (int _i68 = 0; _i68 < _list66.size; ++_i68)
+        org.apache.thrift.protocol.TList _list74 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.loads = new java.util.ArrayList<LoadData>(_list74.size);
+        @org.apache.thrift.annotation.Nullable LoadData _elem75;
+        for (int _i76 = 0; _i76 < _list74.size; ++_i76)
         {
-          _elem67 = new LoadData();
-          _elem67.read(iprot);
-          struct.loads.add(_elem67);
+          _elem75 = new LoadData();
+          _elem75.read(iprot);
+          struct.loads.add(_elem75);
         }
       }
       struct.setLoadsIsSet(true);
       java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.prompts = new java.util.ArrayList<ReadPromptData>(_list69.size);
-          @org.apache.thrift.annotation.Nullable ReadPromptData _elem70;
-          for (int _i71 = 0; _i71 < _list69.size; ++_i71)
+          org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.prompts = new java.util.ArrayList<ReadPromptData>(_list77.size);
+          @org.apache.thrift.annotation.Nullable ReadPromptData _elem78;
+          for (int _i79 = 0; _i79 < _list77.size; ++_i79)
           {
-            _elem70 = new ReadPromptData();
-            _elem70.read(iprot);
-            struct.prompts.add(_elem70);
+            _elem78 = new ReadPromptData();
+            _elem78.read(iprot);
+            struct.prompts.add(_elem78);
           }
         }
         struct.setPromptsIsSet(true);
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/SoundData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/SoundData.java
@@ -15,17 +15,26 @@
 
   private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("parts", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField AGES_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("agesMillis", org.apache.thrift.protocol.TType.LIST, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SoundDataStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SoundDataTupleSchemeFactory();
 
   public @org.apache.thrift.annotation.Nullable java.lang.String host; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> parts; // required
+  /**
+   * Milliseconds since each part was answered, in the order of the parts; 0 if not set.
+   */
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> agesMillis; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     HOST((short)1, "host"),
-    PARTS((short)2, "parts");
+    PARTS((short)2, "parts"),
+    /**
+     * Milliseconds since each part was answered, in the order of the parts; 0 if not set.
+     */
+    AGES_MILLIS((short)3, "agesMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,6 +54,8 @@
           return HOST;
         case 2: // PARTS
           return PARTS;
+        case 3: // AGES_MILLIS
+          return AGES_MILLIS;
         default:
           return null;
       }
@@ -88,6 +99,7 @@
   }
 
   // isset id assignments
+  private static final _Fields optionals[] = {_Fields.AGES_MILLIS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -96,6 +108,9 @@
     tmpMap.put(_Fields.PARTS, new org.apache.thrift.meta_data.FieldMetaData("parts", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.AGES_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("agesMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SoundData.class, metaDataMap);
   }
@@ -123,6 +138,10 @@
       java.util.List<java.lang.String> __this__parts = new java.util.ArrayList<java.lang.String>(other.parts);
       this.parts = __this__parts;
     }
+    if (other.isSetAgesMillis()) {
+      java.util.List<java.lang.Long> __this__agesMillis = new java.util.ArrayList<java.lang.Long>(other.agesMillis);
+      this.agesMillis = __this__agesMillis;
+    }
   }
 
   @Override
@@ -134,6 +153,7 @@
   public void clear() {
     this.host = null;
     this.parts = null;
+    this.agesMillis = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -202,6 +222,53 @@
     }
   }
 
+  public int getAgesMillisSize() {
+    return (this.agesMillis == null) ? 0 : this.agesMillis.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Long> getAgesMillisIterator() {
+    return (this.agesMillis == null) ? null : this.agesMillis.iterator();
+  }
+
+  public void addToAgesMillis(long elem) {
+    if (this.agesMillis == null) {
+      this.agesMillis = new java.util.ArrayList<java.lang.Long>();
+    }
+    this.agesMillis.add(elem);
+  }
+
+  /**
+   * Milliseconds since each part was answered, in the order of the parts; 0 if not set.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Long> getAgesMillis() {
+    return this.agesMillis;
+  }
+
+  /**
+   * Milliseconds since each part was answered, in the order of the parts; 0 if not set.
+   */
+  public SoundData setAgesMillis(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> agesMillis) {
+    this.agesMillis = agesMillis;
+    return this;
+  }
+
+  public void unsetAgesMillis() {
+    this.agesMillis = null;
+  }
+
+  /** Returns true if field agesMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetAgesMillis() {
+    return this.agesMillis != null;
+  }
+
+  public void setAgesMillisIsSet(boolean value) {
+    if (!value) {
+      this.agesMillis = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -221,6 +288,14 @@
       }
       break;
 
+    case AGES_MILLIS:
+      if (value == null) {
+        unsetAgesMillis();
+      } else {
+        setAgesMillis((java.util.List<java.lang.Long>)value);
+      }
+      break;
+
     }
   }
 
@@ -234,6 +309,9 @@
     case PARTS:
       return getParts();
 
+    case AGES_MILLIS:
+      return getAgesMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -250,6 +328,8 @@
       return isSetHost();
     case PARTS:
       return isSetParts();
+    case AGES_MILLIS:
+      return isSetAgesMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -285,6 +365,15 @@
         return false;
     }
 
+    boolean this_present_agesMillis = true && this.isSetAgesMillis();
+    boolean that_present_agesMillis = true && that.isSetAgesMillis();
+    if (this_present_agesMillis || that_present_agesMillis) {
+      if (!(this_present_agesMillis && that_present_agesMillis))
+        return false;
+      if (!this.agesMillis.equals(that.agesMillis))
+        return false;
+    }
+
     return true;
   }
 
@@ -300,6 +389,10 @@
     if (isSetParts())
       hashCode = hashCode * 8191 + parts.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetAgesMillis()) ? 131071 : 524287);
+    if (isSetAgesMillis())
+      hashCode = hashCode * 8191 + agesMillis.hashCode();
+
     return hashCode;
   }
 
@@ -331,6 +424,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAgesMillis(), other.isSetAgesMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAgesMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.agesMillis, other.agesMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -370,6 +473,16 @@
       sb.append(this.parts);
     }
     first = false;
+    if (isSetAgesMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("agesMillis:");
+      if (this.agesMillis == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.agesMillis);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -447,6 +560,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // AGES_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list51 = iprot.readListBegin();
+                struct.agesMillis = new java.util.ArrayList<java.lang.Long>(_list51.size);
+                long _elem52;
+                for (int _i53 = 0; _i53 < _list51.size; ++_i53)
+                {
+                  _elem52 = iprot.readI64();
+                  struct.agesMillis.add(_elem52);
+                }
+                iprot.readListEnd();
+              }
+              struct.setAgesMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -472,14 +603,28 @@
         oprot.writeFieldBegin(PARTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.parts.size()));
-          for (java.lang.String _iter51 : struct.parts)
+          for (java.lang.String _iter54 : struct.parts)
           {
-            oprot.writeString(_iter51);
+            oprot.writeString(_iter54);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      if (struct.agesMillis != null) {
+        if (struct.isSetAgesMillis()) {
+          oprot.writeFieldBegin(AGES_MILLIS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.agesMillis.size()));
+            for (long _iter55 : struct.agesMillis)
+            {
+              oprot.writeI64(_iter55);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -501,9 +646,23 @@
       oprot.writeString(struct.host);
       {
         oprot.writeI32(struct.parts.size());
-        for (java.lang.String _iter52 : struct.parts)
+        for (java.lang.String _iter56 : struct.parts)
         {
-          oprot.writeString(_iter52);
+          oprot.writeString(_iter56);
+        }
+      }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetAgesMillis()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetAgesMillis()) {
+        {
+          oprot.writeI32(struct.agesMillis.size());
+          for (long _iter57 : struct.agesMillis)
+          {
+            oprot.writeI64(_iter57);
+          }
         }
       }
     }
@@ -514,16 +673,30 @@
       struct.host = iprot.readString();
       struct.setHostIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.parts = new java.util.ArrayList<java.lang.String>(_list53.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem54;
-        for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+        org.apache.thrift.protocol.TList _list58 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.parts = new java.util.ArrayList<java.lang.String>(_list58.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem59;
+        for (int _i60 = 0; _i60 < _list58.size; ++_i60)
         {
-          _elem54 = iprot.readString();
-          struct.parts.add(_elem54);
+          _elem59 = iprot.readString();
+          struct.parts.add(_elem59);
         }
       }
       struct.setPartsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.agesMillis = new java.util.ArrayList<java.lang.Long>(_list61.size);
+          long _elem62;
+          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
+          {
+            _elem62 = iprot.readI64();
+            struct.agesMillis.add(_elem62);
+          }
+        }
+        struct.setAgesMillisIsSet(true);
+      }
     }
   }
 
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/CrashCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/CrashCodec.java
@@ -12,7 +12,9 @@
 import io.siskintrail.wire.gen.registry.SoundData;
 import io.siskintrail.wire.gen.registry.SuspectData;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -67,11 +69,25 @@
     }
 
     static SoundData sound(RegistryMessage.Sound sound) {
-        return new SoundData(sound.host().value(), texts(sound.parts()));
+        SoundData data = new SoundData(sound.host().value(), texts(sound.ageMillis().keySet()));
+        data.setAgesMillis(
+                data.getParts().stream()
+                        .map(text -> sound.ageMillis().get(new PromptPart(text)))
+                        .toList());
+        return data;
     }
 
     static RegistryMessage.Sound sound(SoundData data) {
-        return new RegistryMessage.Sound(new HostId(data.getHost()), knownParts(data.getParts()));
+        List<String> parts = data.getParts();
+        List<Long> ages = data.isSetAgesMillis() ? data.getAgesMillis() : List.of();
+        Map<PromptPart, Long> ageMillis = new HashMap<>();
+        for (int i = 0; i < parts.size(); i++) {
+            PromptPart part = PromptPart.ofNullable(parts.get(i));
+            if (part != null) {
+                ageMillis.put(part, i < ages.size() ? ages.get(i) : 0L);
+            }
+        }
+        return new RegistryMessage.Sound(new HostId(data.getHost()), Map.copyOf(ageMillis));
     }
 
     private static SuspectData suspect(CrashSuspect suspect) {
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
@@ -9,7 +9,7 @@
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 
 /** A message among registries, or between a registry and an edge. */
 public sealed interface RegistryMessage {
@@ -59,12 +59,15 @@
     /** Tells that requests with this signature are refused for a while, or no longer if 0. */
     record Refusal(CrashSignature signature, long millis) implements RegistryMessage {}
 
-    /** Tells that endpoints answered requests with each of these prompt parts for an edge. */
-    record Sound(HostId host, Set<PromptPart> parts) implements RegistryMessage {
+    /**
+     * Tells that endpoints answered requests with each of these prompt parts for an edge, so many
+     * milliseconds ago.
+     */
+    record Sound(HostId host, Map<PromptPart, Long> ageMillis) implements RegistryMessage {
 
-        /** Copies the set. */
+        /** Copies the map. */
         public Sound {
-            parts = Set.copyOf(parts);
+            ageMillis = Map.copyOf(ageMillis);
         }
     }
 
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashAnalysis.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CrashAnalysis.java
@@ -49,8 +49,7 @@
         } else if (input instanceof CrashInput.Answered in) {
             handleAnswered(nowMillis, in.content(), in.parts());
         } else if (input instanceof CrashInput.ReportedSound in) {
-            soundParts.recordVouched(in.parts(), nowMillis);
-            refused.narrow(in.parts(), nowMillis);
+            refused.narrow(soundParts.recordVouched(in.ageMillis(), nowMillis), nowMillis);
         } else if (input instanceof CrashInput.Announced in) {
             handleAnnounced(nowMillis, in.signature(), in.millis());
         } else if (input instanceof CrashInput.Refused in) {
@@ -103,12 +102,12 @@
     private void vouch(long now, List<CrashSuspect> suspects) {
         Set<PromptPart> parts = new HashSet<>();
         suspects.forEach(suspect -> parts.addAll(suspect.parts()));
-        reportSound(soundParts.takeWord(parts, now));
+        reportSound(soundParts.takeWord(parts, now), now);
     }
 
-    private void reportSound(Set<PromptPart> parts) {
+    private void reportSound(Set<PromptPart> parts, long now) {
         if (!parts.isEmpty()) {
-            effects.add(new CrashEffect.ReportSound(Set.copyOf(parts)));
+            effects.add(new CrashEffect.ReportSound(soundParts.ages(parts, now)));
         }
     }
 
@@ -120,7 +119,7 @@
         cleared.addAll(contradicted.take(parts, now));
         if (!cleared.isEmpty()) {
             refused.narrow(cleared, now);
-            effects.add(new CrashEffect.ReportSound(Set.copyOf(cleared)));
+            reportSound(cleared, now);
         }
     }
 
@@ -130,7 +129,7 @@
             return;
         }
         soundParts.dropVouched(announced.parts(), now);
-        reportSound(soundParts.takeObjection(announced.parts(), now));
+        reportSound(soundParts.takeObjection(announced.parts(), now), now);
         Set<PromptPart> rest = new HashSet<>();
         for (PromptPart part : announced.parts()) {
             if (soundParts.isSound(part, now)) {
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashEffect.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CrashEffect.java
@@ -2,7 +2,7 @@
 
 import io.siskintrail.lib.EndpointId;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 
 /** Action that the analysis of crashes asks its runtime to carry out. */
 public sealed interface CrashEffect {
@@ -10,8 +10,11 @@
     /** Tells all other hosts which requests of this host were unanswered on a crashed endpoint. */
     record ReportCrash(EndpointId endpoint, List<CrashSuspect> suspects) implements CrashEffect {}
 
-    /** Tells all other hosts that requests with each of these parts were answered here. */
-    record ReportSound(Set<PromptPart> parts) implements CrashEffect {}
+    /**
+     * Tells all other hosts that requests with each of these parts were answered here, and how many
+     * milliseconds ago.
+     */
+    record ReportSound(Map<PromptPart, Long> ageMillis) implements CrashEffect {}
 
     /** Tells all other hosts and the registries to refuse a signature for {@code millis} ms. */
     record Announce(CrashSignature signature, long millis) implements CrashEffect {}
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashInput.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CrashInput.java
@@ -4,6 +4,7 @@
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** Event that the analysis of crashes handles. */
@@ -19,8 +20,8 @@
     /** An endpoint began to answer a request with this content and these parts. */
     record Answered(Fingerprint content, Set<PromptPart> parts) implements CrashInput {}
 
-    /** Another host saw requests with each of these parts answered. */
-    record ReportedSound(Set<PromptPart> parts) implements CrashInput {}
+    /** Another host saw requests with each of these parts answered, so many milliseconds ago. */
+    record ReportedSound(Map<PromptPart, Long> ageMillis) implements CrashInput {}
 
     /** Another host or a registry refuses the signature for {@code millis} more milliseconds. */
     record Announced(CrashSignature signature, long millis) implements CrashInput {}
--- a/siskintrail/src/io/siskintrail/internal/traffic/SoundParts.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/SoundParts.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Remembers the parts of prompts that were answered, here or at another host. A part that crashes
@@ -37,7 +38,7 @@
 
     private static final class Entry {
         private long answeredAt = NEVER;
-        private long vouchedSince = NEVER;
+        private long answeredElsewhereAt = NEVER;
         private long vouchedAt = NEVER;
         private long toldAt = NEVER;
         private long objectedAt = NEVER;
@@ -54,20 +55,24 @@
     }
 
     /**
-     * Records that another host saw requests with these parts answered, and few crashes since. So
-     * crashes before those few are no evidence against the parts here either.
+     * Records that another host saw requests with these parts answered so many milliseconds ago.
+     * Returns the parts of which that is accepted: the other host may have missed the crashes that
+     * came after its answer.
      */
-    void recordVouched(Set<PromptPart> parts, long nowMillis) {
-        for (PromptPart part : parts) {
-            Entry entry = touch(part);
-            entry.vouchedAt = nowMillis;
-            List<Crash> after = crashes.findSuspected(part, baseline(entry));
-            while (isEnough(after)) {
-                entry.vouchedSince = after.get(0).atMillis;
-                after = after.subList(1, after.size());
-            }
-        }
+    Set<PromptPart> recordVouched(Map<PromptPart, Long> ageMillis, long nowMillis) {
+        Set<PromptPart> accepted = new HashSet<>();
+        ageMillis.forEach(
+                (part, age) -> {
+                    long answeredAt = nowMillis - Math.max(0, age);
+                    if (!crashedSince(part, answeredAt)) {
+                        Entry entry = touch(part);
+                        entry.answeredElsewhereAt = Math.max(entry.answeredElsewhereAt, answeredAt);
+                        entry.vouchedAt = nowMillis;
+                        accepted.add(part);
+                    }
+                });
         evict();
+        return accepted;
     }
 
     /** Drops old words of other hosts for these parts: one of the hosts has refused them since. */
@@ -75,7 +80,7 @@
         for (PromptPart part : parts) {
             Entry entry = entries.get(part);
             if (entry != null && nowMillis - entry.vouchedAt >= RECENT_WORD_MILLIS) {
-                entry.vouchedAt = NEVER;
+                entry.answeredElsewhereAt = NEVER;
             }
         }
     }
@@ -133,6 +138,14 @@
         return taken;
     }
 
+    /** Returns for how many milliseconds these parts have not been answered here. */
+    Map<PromptPart, Long> ages(Set<PromptPart> parts, long nowMillis) {
+        return parts.stream()
+                .collect(
+                        Collectors.toUnmodifiableMap(
+                                part -> part, part -> nowMillis - entries.get(part).answeredAt));
+    }
+
     int size() {
         return entries.size();
     }
@@ -161,10 +174,10 @@
     }
 
     private static boolean isRecent(Entry entry, long now) {
-        return entry != null && now - Math.max(entry.answeredAt, entry.vouchedAt) < SOUND_MILLIS;
+        return entry != null && now - baseline(entry) < SOUND_MILLIS;
     }
 
     private static long baseline(Entry entry) {
-        return Math.max(entry.answeredAt, entry.vouchedSince);
+        return Math.max(entry.answeredAt, entry.answeredElsewhereAt);
     }
 }
