End a refusal by time, and announce it from few hosts

Users of a sound part that five crashes had held were refused for up to six hours, since each refused request prolonged the refusal; two hosts of different age prolonged it for each other without end. Whether a part still crashes endpoints shows only when a request passes. So a refusal ends ten minutes after the last crash, whatever was refused meanwhile.

Only hosts with suspects on a crashed endpoint announce; the others decide alike by the reports. What is lifted is told by the host that announced it or saw the answer.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/CrashCoordinator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/CrashCoordinator.java
@@ -58,19 +58,9 @@
         this.onRefused = onRefused;
     }
 
-    /** Returns whether the request is refused, and records that it was if so. */
-    boolean refuse(CallContext call) {
-        CrashSignature signature = refusedRequests.find(call.suspect());
-        if (signature == null) {
-            return false;
-        }
-        recordRefused(signature);
-        return true;
-    }
-
-    /** Records that a request with a refused signature was refused. */
-    void recordRefused(CrashSignature signature) {
-        step(new CrashInput.Refused(signature));
+    /** Returns whether the request is refused. */
+    boolean refuses(CallContext call) {
+        return refusedRequests.find(call.suspect()) != null;
     }
 
     /** Records that an attempt was sent to its endpoint. */
@@ -200,20 +190,7 @@
     }
 
     private void step(CrashInput input) {
-        long now = EventLoop.nowMillis();
-        Set<CrashSignature> unexpired = analysis.refused(now).keySet();
-        List<CrashEffect> effects = analysis.step(now, input);
-        effects.forEach(this::apply);
-        effects.forEach(effect -> tellIfLifted(effect, unexpired));
-    }
-
-    /** Lets the registries forget a refusal that ended before its time. */
-    private void tellIfLifted(CrashEffect effect, Set<CrashSignature> unexpired) {
-        if (effect instanceof CrashEffect.SignatureRefused refused
-                && !refused.on()
-                && unexpired.contains(refused.signature())) {
-            registries.sendToAll(new RegistryMessage.Refusal(refused.signature(), 0));
-        }
+        analysis.step(EventLoop.nowMillis(), input).forEach(this::apply);
     }
 
     private void apply(CrashEffect effect) {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -133,7 +133,6 @@
     final void endIfRefused(CrashSignature signature) {
         CrashSuspect request = call.suspect();
         if (!ended && !isAnswered() && signature.matches(request.content(), request.parts())) {
-            edge.crashes().recordRefused(signature);
             endRefused();
         }
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RequestFilters.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestFilters.java
@@ -115,7 +115,7 @@
     }
 
     private Optional<Failure> checkQuarantine(CallContext call) {
-        return crashes.refuse(call)
+        return crashes.refuses(call)
                 ? reject(ResultCode.NOT_RUN_QUARANTINED, Exchange.CRASHED_ENDPOINTS)
                 : Optional.empty();
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -474,7 +474,7 @@
         if (hasEnded() || attempt != null) {
             return;
         }
-        if (edge.crashes().refuse(call)) {
+        if (edge.crashes().refuses(call)) {
             endRefused();
             return;
         }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -181,7 +181,7 @@
 
     /** Sends the call to another endpoint if a retry is allowed; returns whether it was sent. */
     private boolean trySendAgain() {
-        if (sentAttempts >= call.route().maxAttempts() || edge.crashes().refuse(call)) {
+        if (sentAttempts >= call.route().maxAttempts() || edge.crashes().refuses(call)) {
             return false;
         }
         long now = EventLoop.nowMillis();
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/CrashSimulation.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/CrashSimulation.java
@@ -207,7 +207,6 @@
     private void attempt(Host host, Request request) {
         CrashSignature refusal = host.findRefusal(request);
         if (refusal != null) {
-            host.step(new CrashInput.Refused(refusal));
             soundRefused += request.crashingPart == null ? 1 : 0;
             return;
         }
--- a/siskintrail/src/io/siskintrail/internal/traffic/Crash.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/Crash.java
@@ -21,6 +21,9 @@
     /** Whether other endpoints crashed at the same moment. */
     boolean isOneOfMany;
 
+    /** Whether unanswered requests of this host were on the endpoint. */
+    boolean observedHere;
+
     /** The refused parts that explained the crash at the last evaluation. */
     List<OfParts> causes = List.of();
 
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashAnalysis.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CrashAnalysis.java
@@ -24,7 +24,7 @@
     /** Wait for reports of other hosts about a crash before it is evaluated. */
     public static final long SETTLE_MILLIS = 150;
 
-    /** Period after the last matching request or crash for which a signature is refused. */
+    /** Period after the last matching crash for which a signature is refused the first time. */
     public static final long QUIET_MILLIS = RefusedSignatures.QUIET_MILLIS;
 
     private static final int MIN_EVIDENCE = 2;
@@ -49,11 +49,10 @@
         } else if (input instanceof CrashInput.Answered in) {
             handleAnswered(nowMillis, in.content(), in.parts());
         } else if (input instanceof CrashInput.ReportedSound in) {
-            refused.narrow(soundParts.recordVouched(in.ageMillis(), nowMillis), nowMillis);
+            Set<PromptPart> sound = soundParts.recordVouched(in.ageMillis(), nowMillis);
+            refused.narrow(sound, nowMillis, false);
         } else if (input instanceof CrashInput.Announced in) {
             handleAnnounced(nowMillis, in.signature(), in.millis());
-        } else if (input instanceof CrashInput.Refused in) {
-            refused.extend(in.signature(), nowMillis);
         } else {
             handleTick(nowMillis);
         }
@@ -73,14 +72,15 @@
     private void handleCrashed(long now, CrashInput.Crashed in) {
         List<CrashSuspect> suspects = limit(in.suspects());
         boolean known = crashes.find(in.endpoint(), now) != null;
-        recordCrash(now, in.endpoint(), suspects);
+        Crash crash = recordCrash(now, in.endpoint(), suspects);
+        crash.observedHere |= !suspects.isEmpty();
         if (!known || !suspects.isEmpty()) {
             effects.add(new CrashEffect.ReportCrash(in.endpoint(), suspects));
         }
         vouch(now, suspects);
     }
 
-    private void recordCrash(long now, EndpointId endpoint, List<CrashSuspect> suspects) {
+    private Crash recordCrash(long now, EndpointId endpoint, List<CrashSuspect> suspects) {
         Crash known = crashes.find(endpoint, now);
         Crash crash = known == null ? crashes.add(endpoint, now) : known;
         boolean changed = crashes.join(crash, suspects);
@@ -88,6 +88,7 @@
             refused.extendMatching(crash, now);
             recordChange(now);
         }
+        return crash;
     }
 
     /** Records that the evidence changed, and asks for an evaluation unless one is due anyway. */
@@ -114,16 +115,20 @@
     private void handleAnswered(long now, Fingerprint content, Set<PromptPart> parts) {
         crashes.clear(content);
         soundParts.recordAnswered(parts, now);
-        refused.lift(new OfContent(content));
+        refused.lift(new OfContent(content), true);
+        refused.forgetLapses(content, parts);
         Set<PromptPart> cleared = refused.findRefusedParts(parts);
         cleared.addAll(contradicted.take(parts, now));
         if (!cleared.isEmpty()) {
-            refused.narrow(cleared, now);
+            refused.narrow(cleared, now, true);
             reportSound(cleared, now);
         }
     }
 
     private void handleAnnounced(long now, CrashSignature signature, long millis) {
+        if (millis <= 0) {
+            return;
+        }
         if (!(signature instanceof OfParts announced)) {
             refused.accept(signature, now, millis);
             return;
@@ -164,18 +169,44 @@
     private void evaluate(long now) {
         List<Crash> all = crashes.all();
         int settled = (int) all.stream().filter(c -> c.atMillis <= now - SETTLE_MILLIS).count();
+        List<CrashSignature> relapses = findRelapses(all, now);
         CrashCauses first = new CrashCauses(findEvidence(all, Set.of(), now), settled);
+        relapses.forEach(first::presume);
         first.choose();
         markCauses(all, first.chosen());
         CrashCauses causes =
                 new CrashCauses(findEvidence(all, findRefuted(all, now), now), settled);
-        first.chosen().stream().filter(s -> s instanceof OfParts).forEach(causes::presume);
+        first.chosen().stream()
+                .filter(s -> s instanceof OfParts || relapses.contains(s))
+                .forEach(causes::presume);
         causes.choose();
         markCauses(all, causes.chosen());
-        causes.chosen().forEach(signature -> refused.decide(signature, now));
+        causes.chosen().forEach(s -> refused.decide(s, now, isObserved(all, s)));
         liftUnfounded(all, causes.chosen());
     }
 
+    /** Returns the signatures that crashed an endpoint again after they had been refused. */
+    private List<CrashSignature> findRelapses(List<Crash> all, long now) {
+        return all.stream()
+                .flatMap(crash -> refused.findRelapses(crash).stream())
+                .distinct()
+                .filter(signature -> !hasSoundPart(signature, now))
+                .toList();
+    }
+
+    private boolean hasSoundPart(CrashSignature signature, long now) {
+        return signature instanceof OfParts of
+                && of.parts().stream().anyMatch(part -> soundParts.isSound(part, now));
+    }
+
+    /**
+     * Returns whether requests of this host were suspects of one of the crashes. Only such hosts,
+     * which are few, announce a decision: all others that hear the reports decide alike.
+     */
+    private static boolean isObserved(List<Crash> all, CrashSignature signature) {
+        return all.stream().anyMatch(crash -> crash.observedHere && crash.matches(signature));
+    }
+
     private CrashEvidence findEvidence(List<Crash> all, Set<PromptPart> refuted, long now) {
         return new CrashEvidence(
                 all,
@@ -217,7 +248,7 @@
             long open = evidence.stream().filter(crash -> crash.causes.isEmpty()).count();
             boolean founded = open == evidence.size() || open >= MIN_EVIDENCE;
             if (!founded && !isCause(signature, causes, evidence)) {
-                refused.lift(signature);
+                refused.lift(signature, false);
             }
         }
     }
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashEffect.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CrashEffect.java
@@ -16,7 +16,10 @@
      */
     record ReportSound(Map<PromptPart, Long> ageMillis) implements CrashEffect {}
 
-    /** Tells all other hosts and the registries to refuse a signature for {@code millis} ms. */
+    /**
+     * Tells all other hosts and the registries to refuse a signature for {@code millis} ms, or the
+     * registries to forget a refusal if 0.
+     */
     record Announce(CrashSignature signature, long millis) implements CrashEffect {}
 
     /** Starts ({@code on}) or stops refusing requests with the signature at this host. */
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashInput.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CrashInput.java
@@ -26,9 +26,6 @@
     /** Another host or a registry refuses the signature for {@code millis} more milliseconds. */
     record Announced(CrashSignature signature, long millis) implements CrashInput {}
 
-    /** This host has just refused a request that matches the signature. */
-    record Refused(CrashSignature signature) implements CrashInput {}
-
     /** Lets refusals and evidence expire and evaluates new crashes. */
     record Tick() implements CrashInput {}
 }
--- a/siskintrail/src/io/siskintrail/internal/traffic/RefusedSignatures.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/RefusedSignatures.java
@@ -1,5 +1,6 @@
 package io.siskintrail.internal.traffic;
 
+import io.siskintrail.internal.generation.Fingerprint;
 import io.siskintrail.internal.traffic.CrashSignature.OfParts;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -10,13 +11,15 @@
 import java.util.Set;
 
 /**
- * Keeps what is refused and until when. A refusal ends some time after the last request or crash
- * that matched it. Not thread-safe.
+ * Keeps what is refused and until when. A refusal ends some time after the last crash that matched
+ * it, however many requests are refused meanwhile: whether the signature still crashes endpoints
+ * shows only when a request passes. Refusals that ended by time are remembered for a while, so that
+ * one further crash is enough to refuse again, for twice as long. Not thread-safe.
  */
 final class RefusedSignatures {
     static final int MAX_SIGNATURES = 1_024;
 
-    /** Period after the last refused request, crash or announcement for which refusal goes on. */
+    /** Period after the last crash or announcement for which a first refusal goes on. */
     static final long QUIET_MILLIS = 600_000;
 
     /** Longest refusal. */
@@ -25,16 +28,20 @@
     private static final long ANNOUNCE_INTERVAL_MILLIS = QUIET_MILLIS / 2;
 
     private final Map<CrashSignature, Refusal> refusals = new LinkedHashMap<>();
+    private final Map<CrashSignature, Lapse> lapses = new LinkedHashMap<>();
     private final List<CrashEffect> effects;
 
     private static final class Refusal {
         private final long begunAt;
+        private final long quietMillis;
         private long endsAt;
         private long announcedAt;
         private boolean decidedHere;
+        private boolean announcedHere;
 
-        private Refusal(long begunAt) {
+        private Refusal(long begunAt, long quietMillis) {
             this.begunAt = begunAt;
+            this.quietMillis = quietMillis;
             this.announcedAt = begunAt;
         }
 
@@ -43,16 +50,26 @@
         }
     }
 
+    /** A refusal that ended by time. */
+    private record Lapse(long endedAt, long quietMillis) {}
+
     /** Creates an empty set that adds its effects to {@code effects}. */
     RefusedSignatures(List<CrashEffect> effects) {
         this.effects = effects;
     }
 
     /**
-     * Refuses a signature because of the evidence of this host, and announces it when it is new.
+     * Refuses a signature because of the evidence of this host.
+     *
+     * @param announced whether this host announces the refusal if it is new
      */
-    void decide(CrashSignature signature, long nowMillis) {
-        refuse(signature, nowMillis, nowMillis + QUIET_MILLIS, true);
+    void decide(CrashSignature signature, long nowMillis, boolean announced) {
+        Lapse lapse = lapses.remove(signature);
+        long quiet =
+                lapse == null
+                        ? QUIET_MILLIS
+                        : Math.min(MAX_REFUSAL_MILLIS, 2 * lapse.quietMillis());
+        refuse(signature, nowMillis, quiet, announced);
         Refusal refusal = refusals.get(signature);
         if (refusal != null) {
             refusal.decidedHere = true;
@@ -61,23 +78,9 @@
 
     /** Refuses a signature that another host or a registry announced. */
     void accept(CrashSignature signature, long nowMillis, long millis) {
-        long capped = Math.min(millis, QUIET_MILLIS);
+        long capped = Math.min(millis, MAX_REFUSAL_MILLIS);
         if (capped > 0) {
-            refuse(signature, nowMillis, nowMillis + capped, false);
-        }
-    }
-
-    /** Lets the refusal of a signature go on, because a request or a crash matched it. */
-    void extend(CrashSignature signature, long nowMillis) {
-        Refusal refusal = refusals.get(signature);
-        if (refusal == null) {
-            return;
-        }
-        refusal.extend(nowMillis + QUIET_MILLIS);
-        boolean due = nowMillis - refusal.announcedAt >= ANNOUNCE_INTERVAL_MILLIS;
-        boolean ending = nowMillis - refusal.begunAt >= MAX_REFUSAL_MILLIS - QUIET_MILLIS;
-        if (due && !ending) {
-            announce(signature, refusal, nowMillis);
+            refuse(signature, nowMillis, capped, false);
         }
     }
 
@@ -90,11 +93,40 @@
         }
     }
 
-    /** Narrows the refusals of parts to those without the answered parts. */
-    void narrow(Set<PromptPart> answered, long nowMillis) {
+    private void extend(CrashSignature signature, long nowMillis) {
+        Refusal refusal = refusals.get(signature);
+        refusal.extend(nowMillis + refusal.quietMillis);
+        boolean due = nowMillis - refusal.announcedAt >= ANNOUNCE_INTERVAL_MILLIS;
+        if (due && refusal.announcedHere) {
+            announce(signature, refusal, nowMillis);
+        }
+    }
+
+    /** Returns the signatures whose refusal ended by time before the crash that matches them. */
+    List<CrashSignature> findRelapses(Crash crash) {
+        return lapses.entrySet().stream()
+                .filter(e -> crash.atMillis > e.getValue().endedAt() && crash.matches(e.getKey()))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    /** Forgets earlier refusals that an answered request matched. */
+    void forgetLapses(Fingerprint content, Set<PromptPart> parts) {
+        if (!lapses.isEmpty()) {
+            lapses.keySet().removeIf(signature -> signature.matches(content, parts));
+        }
+    }
+
+    /**
+     * Narrows the refusals of parts to those without the answered parts.
+     *
+     * @param announced whether this host announces the change although another one announced the
+     *     refusal
+     */
+    void narrow(Set<PromptPart> answered, long nowMillis, boolean announced) {
         for (CrashSignature signature : signatures()) {
             if (signature instanceof OfParts refused && containsAny(refused.parts(), answered)) {
-                narrow(refused, answered, nowMillis);
+                narrow(refused, answered, nowMillis, announced);
             }
         }
     }
@@ -110,18 +142,32 @@
         return found;
     }
 
-    void lift(CrashSignature signature) {
-        if (refusals.remove(signature) != null) {
-            effects.add(new CrashEffect.SignatureRefused(signature, false));
+    /**
+     * Ends a refusal before its time.
+     *
+     * @param announced whether this host announces the end although another one announced the
+     *     refusal
+     */
+    void lift(CrashSignature signature, boolean announced) {
+        Refusal refusal = remove(signature);
+        if (refusal != null && (announced || refusal.announcedHere)) {
+            effects.add(new CrashEffect.Announce(signature, 0));
         }
     }
 
+    /** Ends the refusals whose time is over and forgets those that ended long ago. */
     void expire(long nowMillis) {
         for (CrashSignature signature : signatures()) {
             if (nowMillis >= refusals.get(signature).endsAt) {
-                lift(signature);
+                Refusal ended = remove(signature);
+                lapses.remove(signature);
+                lapses.put(signature, new Lapse(ended.endsAt, ended.quietMillis));
             }
         }
+        lapses.values().removeIf(lapse -> nowMillis - lapse.endedAt() >= MAX_REFUSAL_MILLIS);
+        if (lapses.size() > MAX_SIGNATURES) {
+            lapses.remove(lapses.keySet().iterator().next());
+        }
     }
 
     List<CrashSignature> signatures() {
@@ -149,14 +195,14 @@
         return remaining;
     }
 
-    private void refuse(CrashSignature signature, long now, long end, boolean announced) {
+    private void refuse(CrashSignature signature, long now, long millis, boolean announced) {
         CrashSignature covering = findCovering(signature);
         if (covering != null) {
-            refusals.get(covering).extend(end);
+            refusals.get(covering).extend(now + millis);
             return;
         }
-        Refusal refusal = new Refusal(now);
-        refusal.extend(end);
+        Refusal refusal = new Refusal(now, Math.max(QUIET_MILLIS, millis));
+        refusal.extend(now + millis);
         refusals.put(signature, refusal);
         effects.add(new CrashEffect.SignatureRefused(signature, true));
         if (announced) {
@@ -184,35 +230,46 @@
     private void liftWider(CrashSignature signature) {
         for (CrashSignature other : signatures()) {
             if (!other.equals(signature) && covers(signature, other)) {
-                lift(other);
+                lift(other, false);
             }
         }
     }
 
-    private void narrow(OfParts refused, Set<PromptPart> answered, long now) {
+    private void narrow(OfParts refused, Set<PromptPart> answered, long now, boolean announced) {
         Refusal refusal = refusals.get(refused);
         if (refusal == null) {
             return;
         }
+        lift(refused, announced);
         Set<PromptPart> rest = new HashSet<>(refused.parts());
         rest.removeAll(answered);
         if (!rest.isEmpty()) {
-            refuse(new OfParts(rest), now, refusal.endsAt, true);
+            boolean restAnnounced = announced || refusal.announcedHere;
+            refuse(new OfParts(rest), now, refusal.endsAt - now, restAnnounced);
         }
-        lift(refused);
     }
 
     private void announce(CrashSignature signature, Refusal refusal, long now) {
         refusal.announcedAt = now;
+        refusal.announcedHere = true;
         effects.add(new CrashEffect.Announce(signature, refusal.endsAt - now));
     }
 
+    /** Removes a refusal and returns it, or null when there is none. */
+    private Refusal remove(CrashSignature signature) {
+        Refusal refusal = refusals.remove(signature);
+        if (refusal != null) {
+            effects.add(new CrashEffect.SignatureRefused(signature, false));
+        }
+        return refusal;
+    }
+
     private void evict(CrashSignature added) {
         if (refusals.size() > MAX_SIGNATURES) {
             refusals.entrySet().stream()
                     .filter(e -> !e.getKey().equals(added))
                     .min(Comparator.comparingLong(e -> e.getValue().endsAt))
-                    .ifPresent(e -> lift(e.getKey()));
+                    .ifPresent(e -> remove(e.getKey()));
         }
     }
 
