Send nothing to endpoints that say they leave or want a pause

Callers were sent to endpoints that had said in an answer that they shut down, and were cut off; endpoints that asked for a pause got every further request, and callers waited or were told to come back after 80 ms.

Cause: neither Server-Leaving nor Retry-After of an endpoint was read.

Leaving: the mark belongs to the start of the endpoint; no later report lifts it, in the edge or in the directory, and the edge tells the registries. Placements of calls, streams, copies, retries and hedges skip it. Push-back: nothing until the time is over, then one request tries it. Where all endpoints push back, a request is refused at once with the time of the first return, spread by a quarter. It counts neither as ill health nor for ejection. Kept by each edge for itself: the endpoint names the time for that caller, and one refusal tells it.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -4,12 +4,16 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.siskintrail.edge.EdgeSettings;
+import io.siskintrail.edge.EndpointResponse;
 import io.siskintrail.edge.ForwardParameters;
 import io.siskintrail.edge.TrafficProtocol;
 import io.siskintrail.internal.traffic.CallPlacement;
 import io.siskintrail.internal.traffic.CrashSignature;
+import io.siskintrail.internal.traffic.EndpointRecord;
+import io.siskintrail.internal.traffic.EndpointState;
 import io.siskintrail.internal.traffic.EndpointView;
 import io.siskintrail.internal.traffic.PrefillRate;
+import io.siskintrail.internal.traffic.PushBack;
 import io.siskintrail.internal.traffic.RetryBudget;
 import io.siskintrail.internal.traffic.StopPlan;
 import io.siskintrail.internal.traffic.StreamPlacement;
@@ -19,6 +23,7 @@
 import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.LogEvent;
+import io.siskintrail.wire.registry.RegistryMessage;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -35,6 +40,9 @@
      */
     private static final long ALIVE_EVIDENCE_MILLIS = 150;
 
+    /** Shortest time over which clients return when endpoints no longer push back. */
+    private static final long MIN_RETURN_SPREAD_MILLIS = 100;
+
     private final EventLoop loop;
     private final TrafficProtocol protocol;
     private final EndpointPool pool;
@@ -192,6 +200,56 @@
         handleUnreachableEngine(engine, "not connected: " + cause);
     }
 
+    /**
+     * Records what a response says of its endpoint: that it leaves, or that it wants no requests
+     * for a while.
+     */
+    void recordSignals(EndpointView endpoint, EndpointResponse response, String requestId) {
+        long now = EventLoop.nowMillis();
+        if (response.leaving() && endpoint.markLeaving()) {
+            LogEvent.info(LOG, "endpoint.leaving")
+                    .with("endpoint", endpoint.record().id())
+                    .with("incarnation", endpoint.record().incarnation())
+                    .with("request", requestId)
+                    .with("status", response.status())
+                    .write();
+            pool.closeIdle(endpoint.record().address());
+            EndpointRecord draining = endpoint.record().with(EndpointState.DRAINING);
+            registryFollower.sendToAll(new RegistryMessage.Endpoints(List.of(draining)));
+        }
+        if (response.pushesBack()) {
+            endpoint.pushBack().record(now, response.retryAfterMillis(), endpoint.running() - 1);
+            LogEvent.info(LOG, "endpoint.pushed-back")
+                    .with("endpoint", endpoint.record().id())
+                    .with("request", requestId)
+                    .with("ms", response.retryAfterMillis())
+                    .write();
+        } else if (!response.notRun()) {
+            endpoint.pushBack().recordAccepted(now);
+        }
+    }
+
+    /** Counts a request that goes to another endpoint because one leaves or pushes back. */
+    void recordDiverted(EndpointResponse response) {
+        if (response.pushesBack() || response.leaving()) {
+            String cause = response.pushesBack() ? "push-back" : "leaving";
+            stats.increment("siskintrail_edge_diverted_total", "cause=\"%s\"".formatted(cause));
+        }
+    }
+
+    /**
+     * Returns after how many milliseconds a client may be served again because all endpoints of the
+     * service push back; 0 if one does not. Spread at random, so that clients do not return at one
+     * moment.
+     */
+    long pushBackMillis(ServiceName service) {
+        long remaining =
+                PushBack.remainingMillis(EventLoop.nowMillis(), endpoints.ofService(service));
+        return remaining == 0
+                ? 0
+                : remaining + random.nextLong(MIN_RETURN_SPREAD_MILLIS + remaining / 4);
+    }
+
     /** Marks a silent or unreachable engine as unreachable and moves its streams elsewhere. */
     void handleUnreachableEngine(EndpointView engine, String cause) {
         engine.health().recordUnreachable(EventLoop.nowMillis());
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -170,11 +170,15 @@
     protected abstract boolean tryPlace();
 
     /**
-     * Queues the request, or rejects it if the forecast says that it cannot start in time.
+     * Queues the request, or rejects it if it cannot start in time according to the forecast or
+     * because all endpoints push back.
      *
      * @param waitMillis the longest useful wait in milliseconds
      */
     protected final void enqueue(long waitMillis) {
+        if (rejectIfPushedBack(waitMillis)) {
+            return;
+        }
         long latestStartMillis = EventLoop.nowMillis() + waitMillis;
         queueEntry = edge.queues().enqueue(this, call.rank(), latestStartMillis);
         if (queueEntry == null) {
@@ -186,6 +190,16 @@
         }
     }
 
+    /** Rejects the request if all endpoints push back for longer than it can wait. */
+    protected final boolean rejectIfPushedBack(long waitMillis) {
+        long pushBackMillis = edge.pushBackMillis(service);
+        if (pushBackMillis == 0 || pushBackMillis <= waitMillis) {
+            return false;
+        }
+        reject(ResultCode.NOT_RUN_ENDPOINT_FULL, "all endpoints push back", pushBackMillis);
+        return true;
+    }
+
     /** Returns whether the request is queued. */
     protected final boolean isQueued() {
         return queueEntry != null;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -22,6 +22,7 @@
     private final StreamExchange exchange;
     private final EndpointView engine;
     private final EndpointView copyHolder;
+    private final CallContext call;
     private final long tokens;
     private final long prefillMillis;
     private final double expectedMillis;
@@ -63,6 +64,7 @@
         this.exchange = exchange;
         this.engine = engine;
         this.copyHolder = copyHolder;
+        this.call = call;
         this.tokens = tokens;
         this.prefillMillis = prefillMillis;
         this.expectedMillis = expectedMillis;
@@ -181,6 +183,7 @@
             evidence.markAnswered();
         }
         engine.health().recordActivity(EventLoop.nowMillis());
+        edge.recordSignals(engine, endpointResponse, call.requestId());
     }
 
     @Override
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -422,7 +422,10 @@
             return;
         }
         failedEngines.add(source.engine().record().id());
-        source.engine().health().recordFailure(EventLoop.nowMillis());
+        edge.recordDiverted(endpointResponse);
+        if (!endpointResponse.pushesBack()) {
+            source.engine().health().recordFailure(EventLoop.nowMillis());
+        }
         boolean isFinalError =
                 endpointResponse.signed()
                         && !endpointResponse.notRun()
@@ -487,7 +490,9 @@
         EndpointView copy = copies.usableHolder();
         EndpointView target = copy != null ? copy : chooseEngine();
         if (target == null) {
-            scheduleSearch();
+            if (responseStarted || mayHaveExecuted() || !rejectIfPushedBack(queueMillisLeft())) {
+                scheduleSearch();
+            }
             return;
         }
         if (requestWritten && !tryTakeRetry()) {
@@ -497,6 +502,11 @@
         send(target, copy);
     }
 
+    private long queueMillisLeft() {
+        long limitMillis = (long) (QUEUE_FRACTION * call.route().targetLatencyMillis());
+        return Math.max(0, call.arrivedAtMillis() + limitMillis - EventLoop.nowMillis());
+    }
+
     /** Schedules another search for an engine; engines that failed may be tried again then. */
     private void scheduleSearch() {
         if (!searchScheduled) {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -204,7 +204,8 @@
             EndpointResponse endpointResponse) {
         long now = EventLoop.nowMillis();
         if (endpointResponse.notRun()) {
-            endedAttempt.attempt.endpoint().health().recordFailure(now);
+            recordFailure(endedAttempt, endpointResponse);
+            edge.recordDiverted(endpointResponse);
             logAttempt(
                     "attempt.not-run",
                     endedAttempt.attempt.endpoint(),
@@ -221,7 +222,7 @@
         }
         if (endpointResponse.status() >= SERVER_ERROR) {
             lastErrorResponse = response;
-            endedAttempt.attempt.endpoint().health().recordFailure(now);
+            recordFailure(endedAttempt, endpointResponse);
             logAttempt(
                     "attempt.failed",
                     endedAttempt.attempt.endpoint(),
@@ -237,6 +238,12 @@
         deliver(response, endedAttempt);
     }
 
+    private static void recordFailure(UnaryAttempt endedAttempt, EndpointResponse response) {
+        if (!response.pushesBack()) {
+            endedAttempt.attempt.endpoint().health().recordFailure(EventLoop.nowMillis());
+        }
+    }
+
     private void handleFailure(UnaryAttempt endedAttempt, String cause) {
         endedAttempt.attempt.endpoint().health().recordFailure(EventLoop.nowMillis());
         logAttempt("attempt.broken", endedAttempt.attempt.endpoint(), cause);
@@ -270,7 +277,7 @@
             reject(
                     ResultCode.NOT_RUN_ENDPOINT_FULL,
                     "attempts=%d".formatted(sentAttempts),
-                    REJECTED_RETRY_MILLIS);
+                    Math.max(REJECTED_RETRY_MILLIS, edge.pushBackMillis(service)));
         } else {
             reject(
                     ResultCode.NOT_RUN_UNREACHABLE,
@@ -336,6 +343,7 @@
         public void onHead(HttpResponse response) {
             endpointResponse = edge.protocol().readResponse(response);
             headers = HopByHopHeaders.strip(response.headers());
+            edge.recordSignals(attempt.endpoint(), endpointResponse, call.requestId());
             recordProgress();
         }
 
--- a/siskintrail/src/io/siskintrail/internal/traffic/CallPlacement.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CallPlacement.java
@@ -45,7 +45,7 @@
         double bestCost = Double.POSITIVE_INFINITY;
         FailureShares failures = new FailureShares(nowMillis, endpoints);
         for (EndpointView e : endpoints) {
-            if (!isUsable(e) || !allowed.test(e)) {
+            if (!e.acceptsRequests(nowMillis) || !allowed.test(e)) {
                 continue;
             }
             double cost = cost(nowMillis, e, failures.excessShare(nowMillis, e));
@@ -57,11 +57,6 @@
         return best;
     }
 
-    private static boolean isUsable(EndpointView e) {
-        EndpointState state = e.record().state();
-        return state == EndpointState.READY || state == EndpointState.SILENT;
-    }
-
     private double cost(long nowMillis, EndpointView e, double excessFailureShare) {
         double latency = e.health().latencyMillis(DEFAULT_LATENCY_MILLIS);
         double loadFactor = 1 + (double) e.running() / Math.max(1, e.record().slots());
@@ -87,7 +82,7 @@
 
         FailureShares(long nowMillis, Collection<EndpointView> endpoints) {
             for (EndpointView e : endpoints) {
-                if (isUsable(e)) {
+                if (e.isServing()) {
                     sum += e.health().failureShare(nowMillis);
                     count++;
                 }
--- a/siskintrail/src/io/siskintrail/internal/traffic/EndpointRecord.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/EndpointRecord.java
@@ -36,7 +36,10 @@
                 id, incarnation, sequence, service, address, domain, slots, coldMillis, next);
     }
 
-    /** Returns whether this record supersedes {@code other}, a record of the same id. */
+    /**
+     * Returns whether this record supersedes {@code other}, a record of the same id. A known
+     * incarnation that once said it will shut down does not become ready again.
+     */
     public boolean isNewerThan(EndpointRecord other) {
         if (incarnation != other.incarnation) {
             return incarnation > other.incarnation;
@@ -47,6 +50,11 @@
         if (state == EndpointState.GONE) {
             return true;
         }
+        boolean takesBackLeaving =
+                other.state == EndpointState.DRAINING && state.compareTo(other.state) < 0;
+        if (takesBackLeaving && incarnation != 0) {
+            return false;
+        }
         if (sequence != other.sequence) {
             return sequence > other.sequence;
         }
--- a/siskintrail/src/io/siskintrail/internal/traffic/EndpointView.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/EndpointView.java
@@ -19,6 +19,8 @@
 
     private EndpointRecord record;
     private final HealthMeter health = new HealthMeter();
+    private final PushBack pushBack = new PushBack();
+    private boolean leaving;
     private final Map<HostId, RemoteLoad> remoteLoads = new HashMap<>();
     private int running;
     private long memoryTokens;
@@ -37,6 +39,7 @@
     /** Creates a view of an endpoint without any load. */
     public EndpointView(EndpointRecord record) {
         this.record = record;
+        this.leaving = record.state() == EndpointState.DRAINING;
     }
 
     /** Returns the latest record of the endpoint. */
@@ -47,6 +50,33 @@
     /** Replaces the record by a newer one of the same incarnation. */
     public void update(EndpointRecord next) {
         record = next;
+        leaving |= next.state() == EndpointState.DRAINING;
+    }
+
+    /** Returns what the endpoint asked of this host when it turned requests away. */
+    public PushBack pushBack() {
+        return pushBack;
+    }
+
+    /**
+     * Records that this incarnation of the endpoint said it will shut down, which no later report
+     * takes back; returns whether that is new.
+     */
+    public boolean markLeaving() {
+        boolean isNew = !leaving;
+        leaving = true;
+        return isNew;
+    }
+
+    /** Returns whether the endpoint serves, as far as known, and has not said that it leaves. */
+    public boolean isServing() {
+        EndpointState state = record.state();
+        return !leaving && (state == EndpointState.READY || state == EndpointState.SILENT);
+    }
+
+    /** Returns whether a new request may be sent there. */
+    public boolean acceptsRequests(long nowMillis) {
+        return isServing() && pushBack.admits(nowMillis, running);
     }
 
     /** Returns the health of the endpoint as measured by the requests of this host. */
@@ -64,6 +94,7 @@
     public void endRequest(long requestTokens) {
         running -= 1;
         memoryTokens -= requestTokens;
+        pushBack.recordEnd(running);
     }
 
     /** Records that this endpoint keeps a copy of the memory of a request on another endpoint. */
--- a/siskintrail/src/io/siskintrail/internal/traffic/StreamPlacement.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/StreamPlacement.java
@@ -152,9 +152,7 @@
     }
 
     private static boolean isUsable(long nowMillis, EndpointView e) {
-        EndpointState state = e.record().state();
-        boolean acceptsRequests = state == EndpointState.READY || state == EndpointState.SILENT;
-        return acceptsRequests && !e.health().isInBackoff(nowMillis);
+        return e.acceptsRequests(nowMillis) && !e.health().isInBackoff(nowMillis);
     }
 
     private static boolean hasRoom(PlacedLoad load, EngineSpec spec, long tokens) {
