Do not resume a stream at a draining holder of its copy

A stream that lost its engine went on at the engine that held its copy although that one drained, longer than allowed.

Cause: the holder was checked for backoff only, not for its state.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamKvCacheCopies.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamKvCacheCopies.java
@@ -109,7 +109,9 @@
             return null;
         }
         boolean isKnown = edge.endpoints().ofService(service).contains(copyHolder);
-        if (!isKnown || copyHolder.health().isInBackoff(EventLoop.nowMillis())) {
+        long now = EventLoop.nowMillis();
+        boolean accepts = copyHolder.acceptsRequests(now) && !copyHolder.health().isInBackoff(now);
+        if (!isKnown || !accepts) {
             copyHolder = null;
         }
         return copyHolder;
