End an attempt of a stream at a line that is no field

Clients found the head and text of an error in the middle of a stream, and the stream ended as if it were complete, when an engine that sends neither a length nor chunks wrote an error behind its first events and closed.

Cause: a block of lines without an id passed for an event, whatever its lines were.

Change: a line of an event is a comment or a field whose name has letters and hyphens only; anything else, such as a status line, ends the attempt, and the stream goes on elsewhere or ends as broken off.

--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/EventSplitterTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/EventSplitterTest.java
@@ -47,6 +47,31 @@
         assertThat(splitter.isMalformed()).isTrue();
     }
 
+    /** Guards against the head of an error that passes for an event. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nerror\n\n",
+                "id: 3\ndaHTTP/1.1 500 X\r\n\r\n",
+                "{\"error\": \"full\"}\n\n",
+                "<html>\n\n"
+            })
+    void lineThatIsNoFieldIsMalformed(String text) {
+        EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
+
+        assertThat(feed(splitter, text, 3)).isEmpty();
+        assertThat(splitter.isMalformed()).isTrue();
+    }
+
+    @Test
+    void commentsAndOtherFieldsAreKept() {
+        EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
+        String text = "x-weight-versions: 3\nid: 1\nevent: a\ndata\n: comment\n\n";
+
+        assertThat(feed(splitter, text, 3)).hasSize(1);
+        assertThat(splitter.isMalformed()).isFalse();
+    }
+
     private static List<StreamEvent> feed(EventSplitter splitter, String text, int chunkBytes) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         List<StreamEvent> events = new ArrayList<>();
--- a/siskintrail/src/io/siskintrail/internal/traffic/EventSplitter.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/EventSplitter.java
@@ -44,7 +44,10 @@
         return length > 0;
     }
 
-    /** Returns whether an event was too long or had a malformed id; no more events follow then. */
+    /**
+     * Returns whether an event was too long, had a malformed id or a line that is no field, such as
+     * the status line of an error in the middle of a stream; no more events follow then.
+     */
     public boolean isMalformed() {
         return malformed;
     }
@@ -73,6 +76,7 @@
     }
 
     private void readField(String text) {
+        malformed |= !isField(text);
         if (!text.startsWith(ID_FIELD)) {
             return;
         }
@@ -82,4 +86,11 @@
             malformed = true;
         }
     }
+
+    /** Returns whether a line is a comment, or a field whose name has only letters and hyphens. */
+    private static boolean isField(String line) {
+        int colon = line.indexOf(':');
+        String name = colon < 0 ? line : line.substring(0, colon);
+        return name.chars().allMatch(c -> c == '-' || c < 0x80 && Character.isLetter(c));
+    }
 }
