Hold requests until the first configuration

After a loss of power of all hosts clients were refused with 3016 until 1.3 s after edges were back, which cost them their one retry; the next edge would have refused them as well.

Load pattern and bounds stand in ConfigurationWait; what is not served in that time is refused as before. An edge that drains holds nothing.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/CallContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/CallContext.java
@@ -106,11 +106,14 @@
         return account != null && account.rank() != null ? account.rank() : route.rank();
     }
 
+    /** Returns how long the client waits for the complete response, in milliseconds. */
+    long clientDeadlineMillis() {
+        return metadata.deadlineMillis() > 0 ? metadata.deadlineMillis() : DEFAULT_DEADLINE_MILLIS;
+    }
+
     /** Returns the deadline for the complete response, in monotonic milliseconds. */
     long deadlineAtMillis() {
-        long clientMillis =
-                metadata.deadlineMillis() > 0 ? metadata.deadlineMillis() : DEFAULT_DEADLINE_MILLIS;
-        return arrivedAtMillis + Math.min(clientMillis, route.timeoutMillis());
+        return arrivedAtMillis + Math.min(clientDeadlineMillis(), route.timeoutMillis());
     }
 
     /** Returns the time until the deadline in milliseconds, at least 1. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -50,6 +50,10 @@
     private final Deque<ReceivedRequest> pending = new ArrayDeque<>();
     private ChannelHandlerContext ctx;
     private Exchange current;
+
+    /** Whether the current request waits for the first configuration. */
+    private boolean holding;
+
     private boolean keepAlive = true;
     private boolean closing;
 
@@ -149,7 +153,7 @@
 
     /** Returns whether no request is being processed or queued, and all responses were sent. */
     boolean isIdle() {
-        return current == null && !responsePending && pending.isEmpty();
+        return current == null && !holding && !responsePending && pending.isEmpty();
     }
 
     /** Closes the connection if it is idle; otherwise its last response will. */
@@ -229,7 +233,7 @@
     }
 
     private void startNext() {
-        if (current != null || responsePending || closing || pending.isEmpty()) {
+        if (current != null || holding || responsePending || closing || pending.isEmpty()) {
             return;
         }
         ReceivedRequest next = pending.poll();
@@ -239,14 +243,29 @@
             rejectUnreadable(next.unreadableCause());
             return;
         }
+        CallContext call = next.call();
+        holding = server.tryHold(call, () -> resume(call));
+        if (!holding) {
+            process(call);
+        }
+    }
+
+    private void resume(CallContext call) {
+        holding = false;
+        if (ctx.channel().isActive()) {
+            process(call);
+        }
+    }
+
+    private void process(CallContext call) {
         try {
-            process(next.call());
+            filterAndStart(call);
         } catch (RuntimeException e) {
-            fail(next.call(), e);
+            fail(call, e);
         }
     }
 
-    private void process(CallContext call) {
+    private void filterAndStart(CallContext call) {
         Optional<Failure> rejection = server.filter(call);
         if (rejection.isPresent()) {
             sendFailure(rejection.get(), server.retryAfterMillis(rejection.get().code()));
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -55,6 +55,7 @@
     private final EdgeContext context;
     private final RequestFilters filters;
     private final Supplier<RouteTable> table;
+    private final HeldRequests heldRequests;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final TcpServer server;
     private int openRequests;
@@ -72,6 +73,7 @@
         this.context = context;
         this.filters = filters;
         this.table = table;
+        this.heldRequests = new HeldRequests(loop);
     }
 
     /** Starts to bind the address; {@link #awaitListening()} waits for completion. */
@@ -89,6 +91,7 @@
     @Override
     public void stop() {
         stopping = true;
+        heldRequests.resumeAll();
         List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
     }
 
@@ -138,6 +141,26 @@
         connections.remove(connection);
     }
 
+    /** Processes the requests that wait for the first configuration, which has arrived. */
+    void resumeHeld() {
+        heldRequests.resumeAll();
+    }
+
+    /**
+     * Holds a request while there is no configuration; returns whether it is held.
+     *
+     * @param resume processes the request when the configuration or the end of the wait comes
+     */
+    boolean tryHold(CallContext call, Runnable resume) {
+        long holdMillis = filters.holdMillis(call, heldRequests.size());
+        if (holdMillis == 0) {
+            return false;
+        }
+        context.stats().increment("siskintrail_edge_held_total", "");
+        heldRequests.add(resume, holdMillis);
+        return true;
+    }
+
     /** Runs a request through the filters; returns the failure if the request is rejected. */
     Optional<Failure> filter(CallContext call) {
         Optional<Failure> rejection = filters.applyAll(call);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -166,6 +166,7 @@
                 firstConfigurationAtMillis = EventLoop.nowMillis();
             }
             table = new RouteTable(ok.value());
+            server.resumeHeld();
             LogEvent.info(LOG, "configuration.in-force")
                     .with("version", version)
                     .with("routes", ok.value().routes().size())
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RequestFilters.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestFilters.java
@@ -4,6 +4,7 @@
 import io.siskintrail.edge.CallMetadata;
 import io.siskintrail.edge.TrafficProtocol;
 import io.siskintrail.internal.traffic.Account;
+import io.siskintrail.internal.traffic.ConfigurationWait;
 import io.siskintrail.internal.traffic.Route;
 import io.siskintrail.internal.traffic.RouteTable;
 import io.siskintrail.internal.traffic.StopPlan;
@@ -59,6 +60,19 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns how long to hold the request for a configuration, in milliseconds; 0 if there is one
+     * or the request is turned away.
+     *
+     * @param held how many requests are held already
+     */
+    long holdMillis(CallContext call, int held) {
+        if (table.get() != null || stopPlan.isDraining() || readMetadata(call).isPresent()) {
+            return 0;
+        }
+        return ConfigurationWait.holdMillis(call.clientDeadlineMillis(), held);
+    }
+
     private Optional<Failure> readMetadata(CallContext call) {
         if (!call.target().startsWith("/")) {
             return reject(ResultCode.BAD_HEADER, "request target does not start with a slash");
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeClientsTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeClientsTest.java
@@ -4,9 +4,12 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -55,6 +58,39 @@
         }
     }
 
+    /** Guards against clients that are turned away while all hosts have only just started. */
+    @Test
+    void requestThatArrivesBeforeTheFirstConfigurationIsServed() throws Exception {
+        try (ScriptedEndpoint app =
+                new ScriptedEndpoint((number, request, out) -> respondOk(request, out))) {
+            system.register("app", "app", app.address(), "a");
+            String request =
+                    Http.request("POST", "/new/x", "key-1", "").replace("-Ms: 2000", "-Ms: 60000");
+            CompletableFuture<String> response =
+                    CompletableFuture.supplyAsync(() -> sendUnchecked(request));
+            TimeUnit.MILLISECONDS.sleep(100);
+            system.configure(formatConfiguration(3, "new", "safe"));
+
+            assertThat(response.get()).startsWith("HTTP/1.1 200");
+        }
+    }
+
+    @Test
+    void requestIsTurnedAwayWhenNoConfigurationComes() throws Exception {
+        String response = system.sendRaw(Http.request("POST", "/new/x", "key-1", ""));
+
+        assertThat(response).startsWith("HTTP/1.1 503");
+        assertThat(response).containsMatch("(?i)retry-after: 0\\.5");
+    }
+
+    private String sendUnchecked(String request) {
+        try {
+            return system.sendRaw(request);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     @Test
     void edgeNeverRevertsToAnOlderConfiguration() throws Exception {
         try (ScriptedEndpoint app =
--- a/siskintrail/src/io/siskintrail/internal/traffic/StopPlan.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/StopPlan.java
@@ -43,6 +43,11 @@
         graceEndsAt = graceEndsAtMillis;
     }
 
+    /** Returns whether the host drains. */
+    public boolean isDraining() {
+        return graceEndsAt != Long.MAX_VALUE;
+    }
+
     /** Returns whether a host with {@code running} requests may terminate now. */
     public boolean mayTerminate(long nowMillis, int running) {
         return nowMillis >= graceEndsAt || running == 0 && nowMillis >= outOfRotationAt;
@@ -58,7 +63,7 @@
         if (terminating) {
             return false;
         }
-        if (graceEndsAt == Long.MAX_VALUE) {
+        if (!isDraining()) {
             return true;
         }
         boolean isStream = route.kind() == RouteKind.STREAM;
