Let few of many hosts vouch for a prompt part

One reported crash made all of 390 hosts vouch for the same part, each word told to all others.

Change: about four hosts, drawn at random by the number of edges, vouch at once; after 40 ms without a word about sixteen, after 80 ms the rest, so that a part that one host knows is vouched for before the evaluation at 150 ms. A word drops the plans.

Evidence: oneCrashMakesFewHostsVouch failed and passes, now over all stages with words passed on; partThatOneHostOfManySawAnsweredIsVouchedForInTime is new.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/CrashCoordinator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/CrashCoordinator.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 
 /**
  * Finds, together with the other edges, requests that crash the endpoints that run them: tells the
@@ -34,7 +35,7 @@
     private final EndpointPool pool;
     private final RegistryFollower registries;
     private final Consumer<CrashSignature> onRefused;
-    private final CrashAnalysis analysis = new CrashAnalysis();
+    private final CrashAnalysis analysis;
     private final RefusedRequests refusedRequests = new RefusedRequests();
     private final RecentCrashes recentCrashes = new RecentCrashes();
     private final Map<EndpointId, Set<RunningAttempt>> runningByEndpoint = new HashMap<>();
@@ -43,6 +44,7 @@
     /**
      * Creates the coordinator of an edge.
      *
+     * @param random a source of uniformly distributed numbers from 0 to below 1
      * @param onRefused called with each signature whose requests begin to be refused
      */
     CrashCoordinator(
@@ -50,12 +52,14 @@
             HostId localHost,
             EndpointPool pool,
             RegistryFollower registries,
+            DoubleSupplier random,
             Consumer<CrashSignature> onRefused) {
         this.loop = loop;
         this.localHost = localHost;
         this.pool = pool;
         this.registries = registries;
         this.onRefused = onRefused;
+        this.analysis = new CrashAnalysis(registries::edgeCount, random);
     }
 
     /** Returns whether the request is refused. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -81,10 +81,15 @@
         this.registryFollower = registryFollower;
         HostId localHost = new HostId(settings.host());
         this.loadExchange = new LoadExchange(loop, localHost, registryFollower::sendToRelay);
+        this.random = new SplittableRandom(seed);
         this.crashes =
                 new CrashCoordinator(
-                        loop, localHost, pool, registryFollower, this::endUnansweredRequests);
-        this.random = new SplittableRandom(seed);
+                        loop,
+                        localHost,
+                        pool,
+                        registryFollower,
+                        random::nextDouble,
+                        this::endUnansweredRequests);
         FailureDomain localDomain = new FailureDomain(settings.domain());
         this.callPlacement = new CallPlacement(localDomain);
         this.streamPlacement = new StreamPlacement(localDomain, random::nextDouble);
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/CrashSimulation.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/CrashSimulation.java
@@ -91,11 +91,12 @@
 
     private final class Host {
         private final HostId id;
-        private final CrashAnalysis analysis = new CrashAnalysis();
+        private final CrashAnalysis analysis;
         private final Map<CrashSignature, Long> refused = new LinkedHashMap<>();
 
         private Host(int index) {
             id = new HostId("h" + index);
+            analysis = new CrashAnalysis(() -> HOSTS, new SplittableRandom(index)::nextDouble);
         }
 
         private void step(CrashInput input) {
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashAnalysis.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/CrashAnalysis.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
+import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 
 /**
@@ -35,9 +37,26 @@
     private final SoundParts soundParts = new SoundParts(crashes);
     private final RefusedSignatures refused = new RefusedSignatures(effects);
     private final ContradictedParts contradicted = new ContradictedParts();
+    private final VouchDelays vouchDelays;
     private long firstChangeAt = NEVER;
     private long lastChangeAt = NEVER;
 
+    /** Creates the analysis of a host that is alone. */
+    public CrashAnalysis() {
+        this(() -> 1, () -> 0);
+    }
+
+    /**
+     * Creates the analysis of one of several hosts.
+     *
+     * @param hostCount returns how many hosts there are, this one included
+     * @param random a source of uniformly distributed numbers from 0 to below 1; the caller seeds
+     *     it
+     */
+    public CrashAnalysis(IntSupplier hostCount, DoubleSupplier random) {
+        vouchDelays = new VouchDelays(hostCount, random);
+    }
+
     @Override
     public List<CrashEffect> step(long nowMillis, CrashInput input) {
         if (input instanceof CrashInput.Crashed in) {
@@ -50,6 +69,7 @@
             handleAnswered(nowMillis, in.content(), in.parts());
         } else if (input instanceof CrashInput.ReportedSound in) {
             Set<PromptPart> sound = soundParts.recordVouched(in.ageMillis(), nowMillis);
+            vouchDelays.drop(sound);
             refused.narrow(sound, nowMillis, false);
         } else if (input instanceof CrashInput.Announced in) {
             handleAnnounced(nowMillis, in.signature(), in.millis());
@@ -102,8 +122,22 @@
 
     private void vouch(long now, List<CrashSuspect> suspects) {
         Set<PromptPart> parts = new HashSet<>();
-        suspects.forEach(suspect -> parts.addAll(suspect.parts()));
-        reportSound(soundParts.takeWord(parts, now), now);
+        suspects.stream()
+                .flatMap(suspect -> suspect.parts().stream())
+                .filter(part -> soundParts.isSoundHere(part, now))
+                .forEach(parts::add);
+        if (parts.isEmpty()) {
+            return;
+        }
+        reportSound(soundParts.takeWord(vouchDelays.plan(parts, now), now), now);
+        requestTickForVouching(now);
+    }
+
+    private void requestTickForVouching(long now) {
+        long dueAt = vouchDelays.nextDueAtMillis();
+        if (dueAt != NEVER) {
+            effects.add(new CrashEffect.Evaluate(Math.max(1, dueAt - now)));
+        }
     }
 
     private void reportSound(Set<PromptPart> parts, long now) {
@@ -151,6 +185,7 @@
     private void handleTick(long now) {
         crashes.expire(now);
         refused.expire(now);
+        reportSound(soundParts.takeWord(vouchDelays.takeDue(now), now), now);
         if (firstChangeAt <= now - SETTLE_MILLIS) {
             evaluate(now);
             awaitRest(now);
--- a/siskintrail/src/io/siskintrail/internal/traffic/EndpointView.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/EndpointView.java
@@ -68,6 +68,11 @@
         return isNew;
     }
 
+    /** Returns whether this incarnation of the endpoint said that it will shut down. */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
     /** Returns whether the endpoint serves, as far as known, and has not said that it leaves. */
     public boolean isServing() {
         EndpointState state = record.state();
