--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -234,6 +234,7 @@
     }
 
     private void answerMetrics(HttpService.Call call, Consumer<HttpService.Answer> answer) {
+        long now = EventLoop.nowMillis();
         String gauges =
                 """
                 siskintrail_edge_ready %d
@@ -241,6 +242,8 @@
                 siskintrail_edge_configuration_confirmed %d
                 siskintrail_edge_registry_links %d
                 siskintrail_edge_endpoints %d
+                siskintrail_edge_endpoints_leaving %d
+                siskintrail_edge_endpoints_pushing_back %d
                 siskintrail_edge_running %d
                 siskintrail_edge_connections_opened_total %d
                 """
@@ -250,6 +253,8 @@
                                 registries.isConfigurationCurrent() ? 1 : 0,
                                 registries.linkCount(),
                                 endpoints.size(),
+                                endpoints.count(EndpointView::isLeaving),
+                                endpoints.count(e -> e.pushBack().isActive(now)),
                                 server.openRequests(),
                                 pool.openedConnections());
         byte[] page = (gauges + stats.page()).getBytes(StandardCharsets.UTF_8);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Endpoints known to this edge, by service. The endpoints remain in the table while all registries
@@ -78,6 +79,14 @@
         return viewsByService.values().stream().mapToInt(Map::size).sum();
     }
 
+    /** Returns the number of known endpoints that satisfy {@code condition}. */
+    long count(Predicate<EndpointView> condition) {
+        return viewsByService.values().stream()
+                .flatMap(views -> views.values().stream())
+                .filter(condition)
+                .count();
+    }
+
     /** Applies a changed record; returns whether its endpoint may have become usable. */
     private boolean applyRecord(EndpointRecord record) {
         LogEvent.info(LOG, "endpoint.told")
