Tell clients to return when enough hosts serve again

Change: an edge that begins to drain tells the others for how long, by the registry that passes loads on. While half of the edges serve, a client returns at once, since balancers keep it away from the others then; else when that many are expected back. An edge that ends sooner counts as back 0.8 s later.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -182,7 +182,7 @@
         return switch (code) {
             case NOT_RUN_RULES_STALE -> NO_CONFIGURATION_RETRY_MILLIS;
             case NOT_RUN_NO_ROOM -> BUFFER_FULL_RETRY_MILLIS;
-            case NOT_RUN_SHUTTING_DOWN -> Exchange.SHUTDOWN_RETRY_MILLIS;
+            case NOT_RUN_SHUTTING_DOWN -> context.drainingRetryMillis();
             case NOT_RUN_QUARANTINED -> QUARANTINED_RETRY_MILLIS;
             default -> 0;
         };
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -148,6 +148,8 @@
                 () -> {
                     stopping = true;
                     context.stopPlan().startDraining(outOfRotationAtMillis, shutdownDeadlineMillis);
+                    context.announceDraining(
+                            context.stopPlan().expectedDrainMillis(EventLoop.nowMillis()));
                     server.stop();
                 });
         while (EventLoop.nowMillis() < shutdownDeadlineMillis && !terminateIfDrained()) {
@@ -191,6 +193,10 @@
     public void onRelayedMessage(RegistryMessage message) {
         if (message instanceof RegistryMessage.Loads loads) {
             context.loadExchange().applyReport(loads, endpoints);
+            recordEndedHosts(loads);
+        } else if (message instanceof RegistryMessage.Draining draining) {
+            context.drainingHosts()
+                    .recordDraining(draining.host(), EventLoop.nowMillis(), draining.millis());
         } else if (message instanceof RegistryMessage.Death death) {
             context.crashes().apply(death);
             context.handleReportedDeath(death.endpoint());
@@ -199,6 +205,17 @@
         }
     }
 
+    /**
+     * Records the edges of which a registry tells, when their link closed, that they have ended.
+     */
+    private void recordEndedHosts(RegistryMessage.Loads loads) {
+        for (RegistryMessage.HostLoads host : loads.hosts()) {
+            if (host.complete() && host.loads().isEmpty()) {
+                context.drainingHosts().recordEnded(host.host(), EventLoop.nowMillis());
+            }
+        }
+    }
+
     @Override
     public void onRegistryOpened(Consumer<RegistryMessage> registry) {
         context.crashes().refusals().forEach(registry);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -9,6 +9,7 @@
 import io.siskintrail.edge.TrafficProtocol;
 import io.siskintrail.internal.traffic.CallPlacement;
 import io.siskintrail.internal.traffic.CrashSignature;
+import io.siskintrail.internal.traffic.DrainingHosts;
 import io.siskintrail.internal.traffic.EndpointRecord;
 import io.siskintrail.internal.traffic.EndpointState;
 import io.siskintrail.internal.traffic.EndpointView;
@@ -60,6 +61,7 @@
     private final StreamMonitor monitor;
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
     private final StopPlan stopPlan = new StopPlan();
+    private final DrainingHosts drainingHosts = new DrainingHosts();
     private final ResponseMemory responseMemory = new ResponseMemory();
     private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
 
@@ -147,6 +149,23 @@
         return stopPlan;
     }
 
+    /** Returns what is known of the edges that drain, this one included. */
+    DrainingHosts drainingHosts() {
+        return drainingHosts;
+    }
+
+    /** Returns the Retry-After of a request that this edge turns away because it drains. */
+    long drainingRetryMillis() {
+        return drainingHosts.retryAfterMillis(EventLoop.nowMillis(), registryFollower.edgeCount());
+    }
+
+    /** Tells the other edges that this one drains. */
+    void announceDraining(long expectedMillis) {
+        HostId localHost = new HostId(settings.host());
+        drainingHosts.recordDraining(localHost, EventLoop.nowMillis(), expectedMillis);
+        registryFollower.sendToRelay(new RegistryMessage.Draining(localHost, expectedMillis));
+    }
+
     StreamPlacement streamPlacement() {
         return streamPlacement;
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -20,9 +20,6 @@
 abstract class Exchange {
     private static final System.Logger LOG = System.getLogger(Exchange.class.getName());
 
-    /** Retry-After of a host that stops; the next attempt of the client reaches another host. */
-    static final long SHUTDOWN_RETRY_MILLIS = 10;
-
     /** Detail of a request that is refused because others like it crashed endpoints. */
     static final String CRASHED_ENDPOINTS = "requests like this crashed endpoints";
 
@@ -82,7 +79,7 @@
             return;
         }
         if (!mayHaveArrived()) {
-            reject(ResultCode.NOT_RUN_SHUTTING_DOWN, "the host ends", SHUTDOWN_RETRY_MILLIS);
+            reject(ResultCode.NOT_RUN_SHUTTING_DOWN, "the host ends", edge.drainingRetryMillis());
             return;
         }
         if (!hasResponseStarted()) {
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -198,6 +198,7 @@
         } else if (message instanceof RegistryMessage.Loads l) {
             relay.gather(link, l);
         } else if (message instanceof RegistryMessage.Death
+                || message instanceof RegistryMessage.Draining
                 || message instanceof RegistryMessage.Sound) {
             feed.broadcast(message);
         } else if (message instanceof RegistryMessage.Refusal r) {
--- a/siskintrail.wire.test/tst/io/siskintrail/wire/registry/RegistryCodecTest.java
+++ b/siskintrail.wire.test/tst/io/siskintrail/wire/registry/RegistryCodecTest.java
@@ -43,6 +43,7 @@
                                 new CrashSuspect(CONTENT, Set.of()))),
                 new RegistryMessage.Refusal(new CrashSignature.OfContent(CONTENT), 600),
                 new RegistryMessage.Refusal(new CrashSignature.OfParts(PARTS), 0),
+                new RegistryMessage.Draining(HOST, 6_800),
                 new RegistryMessage.Sound(
                         HOST, Map.of(new PromptPart("one"), 7L, new PromptPart("two"), 0L)));
     }
--- a/siskintrail.wire/idl/registry.thrift
+++ b/siskintrail.wire/idl/registry.thrift
@@ -79,6 +79,13 @@
   3: optional list<i64> agesMillis
 }
 
+/** An edge that drains. */
+struct DrainingData {
+  1: required string host,
+  /** Milliseconds that it expects to drain. */
+  2: required i64 millis
+}
+
 /** What an edge has placed on one endpoint. */
 struct LoadData {
   1: required string endpoint,
@@ -116,5 +123,6 @@
   9: DeathData death,
   10: RefusalData refusal,
   11: AllLoadsData loads,
-  12: SoundData sound
+  12: SoundData sound,
+  13: DrainingData draining
 }
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/RegistryBody.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/RegistryBody.java
@@ -21,6 +21,7 @@
   private static final org.apache.thrift.protocol.TField REFUSAL_FIELD_DESC = new org.apache.thrift.protocol.TField("refusal", org.apache.thrift.protocol.TType.STRUCT, (short)10);
   private static final org.apache.thrift.protocol.TField LOADS_FIELD_DESC = new org.apache.thrift.protocol.TField("loads", org.apache.thrift.protocol.TType.STRUCT, (short)11);
   private static final org.apache.thrift.protocol.TField SOUND_FIELD_DESC = new org.apache.thrift.protocol.TField("sound", org.apache.thrift.protocol.TType.STRUCT, (short)12);
+  private static final org.apache.thrift.protocol.TField DRAINING_FIELD_DESC = new org.apache.thrift.protocol.TField("draining", org.apache.thrift.protocol.TType.STRUCT, (short)13);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -35,7 +36,8 @@
     DEATH((short)9, "death"),
     REFUSAL((short)10, "refusal"),
     LOADS((short)11, "loads"),
-    SOUND((short)12, "sound");
+    SOUND((short)12, "sound"),
+    DRAINING((short)13, "draining");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -75,6 +77,8 @@
           return LOADS;
         case 12: // SOUND
           return SOUND;
+        case 13: // DRAINING
+          return DRAINING;
         default:
           return null;
       }
@@ -144,6 +148,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AllLoadsData.class)));
     tmpMap.put(_Fields.SOUND, new org.apache.thrift.meta_data.FieldMetaData("sound", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SoundData.class)));
+    tmpMap.put(_Fields.DRAINING, new org.apache.thrift.meta_data.FieldMetaData("draining", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, DrainingData.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RegistryBody.class, metaDataMap);
   }
@@ -236,6 +242,12 @@
     return x;
   }
 
+  public static RegistryBody draining(DrainingData value) {
+    RegistryBody x = new RegistryBody();
+    x.setDraining(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -300,6 +312,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type SoundData for field 'sound', but got " + value.getClass().getSimpleName());
+      case DRAINING:
+        if (value instanceof DrainingData) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type DrainingData for field 'draining', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -428,6 +445,16 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case DRAINING:
+          if (field.type == DRAINING_FIELD_DESC.type) {
+            DrainingData draining;
+            draining = new DrainingData();
+            draining.read(iprot);
+            return draining;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -488,6 +515,10 @@
         SoundData sound = (SoundData)value_;
         sound.write(oprot);
         return;
+      case DRAINING:
+        DrainingData draining = (DrainingData)value_;
+        draining.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -556,6 +587,11 @@
           sound = new SoundData();
           sound.read(iprot);
           return sound;
+        case DRAINING:
+          DrainingData draining;
+          draining = new DrainingData();
+          draining.read(iprot);
+          return draining;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -615,6 +651,10 @@
         SoundData sound = (SoundData)value_;
         sound.write(oprot);
         return;
+      case DRAINING:
+        DrainingData draining = (DrainingData)value_;
+        draining.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -647,6 +687,8 @@
         return LOADS_FIELD_DESC;
       case SOUND:
         return SOUND_FIELD_DESC;
+      case DRAINING:
+        return DRAINING_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -825,6 +867,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.SOUND");
   }
 
+  public DrainingData getDraining() {
+    if (getSetField() == _Fields.DRAINING) {
+      return (DrainingData)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'draining' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setDraining(DrainingData value) {
+    setField_ = _Fields.DRAINING;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.DRAINING");
+  }
+
   public boolean isSetEndpoints() {
     return setField_ == _Fields.ENDPOINTS;
   }
@@ -885,6 +940,11 @@
   }
 
 
+  public boolean isSetDraining() {
+    return setField_ == _Fields.DRAINING;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof RegistryBody) {
       return equals((RegistryBody)other);
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
@@ -15,6 +15,7 @@
 import io.siskintrail.wire.gen.registry.AllLoadsData;
 import io.siskintrail.wire.gen.registry.CommandData;
 import io.siskintrail.wire.gen.registry.ContentData;
+import io.siskintrail.wire.gen.registry.DrainingData;
 import io.siskintrail.wire.gen.registry.EndpointRecordData;
 import io.siskintrail.wire.gen.registry.EndpointRecordsData;
 import io.siskintrail.wire.gen.registry.LoadData;
@@ -90,6 +91,9 @@
         if (message instanceof RegistryMessage.Sound w) {
             return RegistryBody.sound(CrashCodec.sound(w));
         }
+        if (message instanceof RegistryMessage.Draining d) {
+            return RegistryBody.draining(new DrainingData(d.host().value(), d.millis()));
+        }
         RegistryMessage.Loads loads = (RegistryMessage.Loads) message;
         return RegistryBody.loads(
                 new AllLoadsData(loads.hosts().stream().map(RegistryCodec::data).toList()));
@@ -126,6 +130,10 @@
             case DEATH -> CrashCodec.death(body.getDeath());
             case REFUSAL -> CrashCodec.refusal(body.getRefusal());
             case SOUND -> CrashCodec.sound(body.getSound());
+            case DRAINING ->
+                    new RegistryMessage.Draining(
+                            new HostId(body.getDraining().getHost()),
+                            body.getDraining().getMillis());
             case LOADS ->
                     new RegistryMessage.Loads(
                             body.getLoads().getHosts().stream()
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
@@ -59,6 +59,9 @@
     /** Tells that requests with this signature are refused for a while, or no longer if 0. */
     record Refusal(CrashSignature signature, long millis) implements RegistryMessage {}
 
+    /** Tells that an edge drains, and for how many milliseconds it expects to. */
+    record Draining(HostId host, long millis) implements RegistryMessage {}
+
     /**
      * Tells that endpoints answered requests with each of these prompt parts for an edge, so many
      * milliseconds ago.
--- a/siskintrail/src/io/siskintrail/internal/traffic/StopPlan.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/StopPlan.java
@@ -43,6 +43,12 @@
         graceEndsAt = graceEndsAtMillis;
     }
 
+    /** Returns how long a host that begins to drain now will take, in milliseconds. */
+    public long expectedDrainMillis(long nowMillis) {
+        long streamsEndAt = nowMillis + (long) (STREAM_DURATION_FACTOR * meanStreamMillis);
+        return Math.min(graceEndsAt, Math.max(outOfRotationAt, streamsEndAt)) - nowMillis;
+    }
+
     /** Returns whether the host drains. */
     public boolean isDraining() {
         return graceEndsAt != Long.MAX_VALUE;
