--- a/siskintrail.edge/src/io/siskintrail/edge/RetryAfter.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/RetryAfter.java
@@ -17,12 +17,17 @@
     private RetryAfter() {}
 
     /**
-     * Returns the pause that a header value asks for, in milliseconds from 0 to ten minutes.
+     * Returns the pause that a header value asks for, in milliseconds from 0 to ten minutes; -1 if
+     * there is none.
      *
-     * @param value seconds, which may have a fraction, or an HTTP date
+     * @param value seconds, which may have a fraction, or an HTTP date; null if the header is
+     *     missing
      * @param unixMillis the current Unix time in milliseconds
      */
     public static long parseMillis(String value, long unixMillis) {
+        if (value == null) {
+            return -1;
+        }
         String text = value.trim();
         Date date = DateFormatter.parseHttpDate(text);
         if (date != null) {
