Keep a stream at a silent engine when nothing can follow it

A stream that may not be resumed was cut in the middle 0.6 s after its sound engine fell silent, during a planned stop and without one. The same happened to resumable streams whose attempts or retries were used up, and where no other engine was there: they were cut, or read their prompt in again at the same engine.

Cause: an attempt was given up as soon as its engine seemed lost (silence of the engine or of one stream, no first event, a failed probe or connection, DELETE), and only then was looked at whether another attempt may follow.

Change: StreamAttempts counts the attempts of a stream and tells beforehand whether another one may follow; a stream leaves its engine only when that is so, a retry is left and an engine takes it now. Otherwise it stays and looks for an engine every 50 ms until events come again; after 2 s more of silence the same engine counts too, through a new connection. After it has left, refusals and an empty retry budget no longer end it before its deadline.

Why it works: nothing but the engine itself, the deadline or the client ends an attempt any more that nothing can replace. Limits and probes that tell a dark engine are unchanged, so a stream that can move leaves as early as before.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -220,6 +220,11 @@
         return edge.retryBudget(service).tryAcquire(EventLoop.nowMillis(), edge.retryReserve());
     }
 
+    /** Returns whether the budget of the service has a retry left. */
+    protected final boolean hasRetryLeft() {
+        return edge.retryBudget(service).hasLeft(EventLoop.nowMillis(), edge.retryReserve());
+    }
+
     /** Ends a refused request that no endpoint can have run. */
     protected final void rejectRefused() {
         reject(ResultCode.NOT_RUN_QUARANTINED, CRASHED_ENDPOINTS, QUARANTINED_RETRY_MILLIS);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -99,6 +99,11 @@
         }
     }
 
+    /** Returns whether the attempt was stopped, or failed or completed by itself. */
+    boolean hasEnded() {
+        return ended;
+    }
+
     EndpointView engine() {
         return engine;
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -10,6 +10,7 @@
 import io.siskintrail.internal.traffic.PrefilledPrompt;
 import io.siskintrail.internal.traffic.ServiceSpec;
 import io.siskintrail.internal.traffic.SilenceRule;
+import io.siskintrail.internal.traffic.StreamAttempts;
 import io.siskintrail.internal.traffic.StreamEvent;
 import io.siskintrail.internal.traffic.StreamJournal;
 import io.siskintrail.lib.EndpointId;
@@ -42,21 +43,10 @@
     private static final double QUEUE_FRACTION = 0.5;
 
     /**
-     * Attempts allowed beyond those that were executed: ones that were rejected or could not
-     * connect.
+     * Time after which a stream that stays at a silent engine may go on there through a new
+     * connection: longer than a sound engine pauses, so that only the connection can be at fault.
      */
-    private static final int MAX_UNEXECUTED_ATTEMPTS = 12;
-
-    /**
-     * Consecutive attempts without an event that are retried immediately, since a KV cache copy may
-     * be missing.
-     */
-    private static final int IMMEDIATE_RETRIES = 2;
-
-    /** Base delay after further attempts that failed without an event, doubled with each one. */
-    private static final long EVENTLESS_BACKOFF_MILLIS = 25;
-
-    private static final int MAX_BACKOFF_DOUBLINGS = 4;
+    private static final long MAX_PAUSE_MILLIS = 2_000;
 
     /** Retry-After when no engine is known or reachable. */
     private static final long UNAVAILABLE_RETRY_MILLIS = 1_000;
@@ -68,14 +58,16 @@
     private final StreamKvCacheCopies copies;
     private final Set<EndpointId> failedEngines = new HashSet<>();
     private final Set<EndpointId> triedEngines = new HashSet<>();
+    private final StreamAttempts attempts;
     private StreamAttempt attempt;
     private boolean answered;
     private boolean responseStarted;
     private boolean searchScheduled;
-    private boolean requestWritten;
-    private int sentAttempts;
-    private int executedAttempts;
-    private int eventlessAttempts;
+
+    /** Why the running attempt would be given up if another could follow; null if it is not. */
+    private String doubt;
+
+    private long doubtedAtMillis;
     private long lastEventAtMillis;
     private long firstEventMillis;
     private long longestGapMillis;
@@ -89,6 +81,7 @@
         engine = spec == null ? null : spec.engine();
         tokens = (long) call.metadata().promptTokens() + call.metadata().outputTokens();
         silenceRule = new SilenceRule(call.route().targetGapMillis());
+        attempts = new StreamAttempts(call.route());
         journal = new StreamJournal(call.metadata().lastEventId());
         copies = new StreamKvCacheCopies(edge, call.requestId(), service, engine, tokens);
     }
@@ -105,7 +98,7 @@
 
     @Override
     protected boolean mayHaveArrived() {
-        return sentAttempts > 0;
+        return attempts.sent() > 0;
     }
 
     @Override
@@ -147,7 +140,7 @@
         if (responseStarted) {
             abortStream("deadline exceeded");
         } else if (mayHaveExecuted()) {
-            reject(ResultCode.CALL_TIMED_OUT, "attempts=%d".formatted(sentAttempts), 0);
+            reject(ResultCode.CALL_TIMED_OUT, "attempts=%d".formatted(attempts.sent()), 0);
         } else {
             reject(
                     ResultCode.NOT_RUN_NO_ROOM,
@@ -177,21 +170,25 @@
         if (attempt == null) {
             return StreamMonitor.NEVER;
         }
+        if (doubt != null) {
+            moveOrStay(attempt, doubt);
+            return nextCheckAtMillis(nowMillis);
+        }
         switch (attempt.checkSilence(nowMillis).verdict()) {
             case PROBE -> probe(attempt);
             case ENGINE_SILENT ->
                     edge.handleUnreachableEngine(
                             attempt.engine(), "engine sends nothing on any stream");
-            case STREAM_SILENT -> abandonAttempt(attempt, "stream silent");
+            case STREAM_SILENT -> moveOrStay(attempt, "stream silent");
             default -> {}
         }
         return nextCheckAtMillis(nowMillis);
     }
 
-    /** Resumes at another engine if the stream runs at {@code lostEngine}. */
+    /** Resumes at another engine, if that is possible, a stream that runs at {@code lostEngine}. */
     void handleEngineLoss(EndpointView lostEngine, String cause) {
-        if (attempt != null && attempt.engine() == lostEngine) {
-            abandonAttempt(attempt, cause);
+        if (attempt != null && attempt.engine() == lostEngine && !attempt.hasEnded()) {
+            moveOrStay(attempt, cause);
         }
     }
 
@@ -207,6 +204,8 @@
         if (source != attempt) {
             return;
         }
+        doubt = null;
+        attempts.recordTakenOver();
         if (event.id() >= 0) {
             StreamJournal.Verdict verdict = journal.acceptEvent(event.id());
             if (verdict == StreamJournal.Verdict.REPEATED) {
@@ -224,7 +223,7 @@
                     "stream.resumed",
                     source.engine(),
                     "pause_ms=%d event=%d attempt=%d"
-                            .formatted(pauseMillis, event.id(), sentAttempts));
+                            .formatted(pauseMillis, event.id(), attempts.sent()));
             edge.stats()
                     .recordLatency(
                             "siskintrail_edge_resume_millis",
@@ -256,7 +255,7 @@
                     0,
                     "attempts=%d last=%d first_ms=%d gap_ms=%d"
                             .formatted(
-                                    sentAttempts,
+                                    attempts.sent(),
                                     journal.lastId(),
                                     firstEventMillis,
                                     longestGapMillis));
@@ -329,6 +328,13 @@
     }
 
     private EndpointView chooseEngine() {
+        return chooseEngine(null);
+    }
+
+    /**
+     * Returns an engine for the next attempt other than {@code excluded}, null if there is none.
+     */
+    private EndpointView chooseEngine(EndpointView excluded) {
         return edge.streamPlacement()
                 .choose(
                         EventLoop.nowMillis(),
@@ -337,7 +343,9 @@
                         tokens,
                         (long) (PREFILL_FRACTION * call.route().targetLatencyMillis()),
                         edge.loadExchange().findEngineWithPrompt(call.metadata().prompt()),
-                        candidate -> !failedEngines.contains(candidate.record().id()));
+                        candidate ->
+                                candidate != excluded
+                                        && !failedEngines.contains(candidate.record().id()));
     }
 
     /**
@@ -362,13 +370,14 @@
         EndpointRequest request =
                 buildForwardedRequest(
                         target, journal.lastId(), copyAddress, resumeFrom, weightVersion);
-        sentAttempts++;
+        attempts.recordSent();
+        doubt = null;
         logAttempt(
                 "stream.sent",
                 target,
                 "attempt=%d after=%d prompt=%s copy=%s resume=%s expected_ms=%.0f"
                         .formatted(
-                                sentAttempts,
+                                attempts.sent(),
                                 journal.lastId(),
                                 call.metadata().prompt(),
                                 copyAddress,
@@ -438,6 +447,44 @@
         resume(source, cause);
     }
 
+    /**
+     * Gives up an attempt whose engine seems lost, if the stream can go on elsewhere now. Otherwise
+     * the attempt stays, since its engine may still finish the answer.
+     */
+    private void moveOrStay(StreamAttempt source, String cause) {
+        if (doubt == null) {
+            doubtedAtMillis = EventLoop.nowMillis();
+        }
+        if (canMove(source)) {
+            attempts.recordGivenUp();
+            abandonAttempt(source, cause);
+            return;
+        }
+        if (doubt == null) {
+            doubt = cause;
+            logAttempt("stream.stays", source.engine(), cause);
+            edge.stats().increment("siskintrail_edge_streams_stayed_total", "");
+        }
+    }
+
+    private boolean canMove(StreamAttempt source) {
+        if (!attempts.hasLeftAfterGivingUp(source.mayHaveExecuted())
+                || edge.crashes().refuses(call)
+                || (attempts.isWritten() || source.isWritten()) && !hasRetryLeft()) {
+            return false;
+        }
+        copies.recordCopyOf(source);
+        if (copies.usableHolder() != null) {
+            return true;
+        }
+        boolean isPauseOver = EventLoop.nowMillis() - doubtedAtMillis >= MAX_PAUSE_MILLIS;
+        if (chooseEngine(isPauseOver ? null : source.engine()) != null) {
+            return true;
+        }
+        failedEngines.clear();
+        return false;
+    }
+
     private void abandonAttempt(StreamAttempt source, String cause) {
         failedEngines.add(source.engine().record().id());
         source.engine().health().recordFailure(EventLoop.nowMillis());
@@ -453,20 +500,15 @@
             lostAtMillis = EventLoop.nowMillis();
         }
         logAttempt("stream.lost", source.engine(), cause);
-        requestWritten |= source.isWritten();
+        attempts.recordLost(source.isWritten(), source.mayHaveExecuted(), source.hasEvents());
         if (source.mayHaveExecuted()) {
-            executedAttempts++;
             copies.recordCopyOf(source);
         }
         copies.stop(false);
-        if (!source.hasEvents()) {
-            eventlessAttempts++;
-        }
-        if (executedAttempts > 0 && !call.route().resumable()) {
+        if (!attempts.mayResume()) {
             fail("route does not allow resuming");
-        } else if (eventlessAttempts > IMMEDIATE_RETRIES) {
-            int doublings = Math.min(eventlessAttempts - IMMEDIATE_RETRIES, MAX_BACKOFF_DOUBLINGS);
-            edge.loop().after(EVENTLESS_BACKOFF_MILLIS << doublings, this::sendNextAttempt);
+        } else if (attempts.backoffMillis() > 0) {
+            edge.loop().after(attempts.backoffMillis(), this::sendNextAttempt);
         } else {
             sendNextAttempt();
         }
@@ -481,9 +523,7 @@
             endRefused();
             return;
         }
-        int maxAttempts = call.route().maxAttempts();
-        if (executedAttempts >= maxAttempts
-                || sentAttempts >= maxAttempts + MAX_UNEXECUTED_ATTEMPTS) {
+        if (!attempts.hasLeft()) {
             fail("no attempts left");
             return;
         }
@@ -495,13 +535,22 @@
             }
             return;
         }
-        if (requestWritten && !tryTakeRetry()) {
-            fail("retry budget exhausted");
+        if (attempts.isWritten() && !tryTakeRetry()) {
+            waitForRetry();
             return;
         }
         send(target, copy);
     }
 
+    /** Waits for a retry if the stream left an engine that may have finished it, else ends it. */
+    private void waitForRetry() {
+        if (attempts.hasGivenUp()) {
+            scheduleSearch();
+        } else {
+            fail("retry budget exhausted");
+        }
+    }
+
     private long queueMillisLeft() {
         long limitMillis = (long) (QUEUE_FRACTION * call.route().targetLatencyMillis());
         return Math.max(0, call.arrivedAtMillis() + limitMillis - EventLoop.nowMillis());
@@ -517,7 +566,7 @@
     }
 
     private boolean mayHaveExecuted() {
-        return executedAttempts > 0 || attempt != null && attempt.mayHaveExecuted();
+        return attempts.mayHaveExecuted() || attempt != null && attempt.mayHaveExecuted();
     }
 
     private void fail(String detail) {
@@ -537,9 +586,14 @@
     }
 
     private long nextCheckAtMillis(long nowMillis) {
-        return attempt == null
-                ? StreamMonitor.NEVER
-                : nowMillis + attempt.checkSilence(nowMillis).nextCheckMillis();
+        if (attempt == null) {
+            return StreamMonitor.NEVER;
+        }
+        long delayMillis =
+                doubt == null
+                        ? attempt.checkSilence(nowMillis).nextCheckMillis()
+                        : SEARCH_DELAY_MILLIS;
+        return nowMillis + delayMillis;
     }
 
     private void probe(StreamAttempt probed) {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
@@ -23,6 +23,7 @@
     private static final int MAX_POLLS = 600;
     private static final long POLL_INTERVAL_MILLIS = 50;
     private static final int SMALL_WINDOW_BYTES = 4 << 10;
+    private static final double RETRY_RESERVE = 100;
 
     private final HttpClient http = HttpClient.newHttpClient();
     private final Path dataFolder;
@@ -40,7 +41,7 @@
 
     /** Starts both; the edge reads and writes requests with {@code protocol}. */
     LoopbackSystem(Path folder, TrafficProtocol protocol) throws IOException {
-        this(folder, 1, 0, protocol);
+        this(folder, 1, 0, RETRY_RESERVE, protocol);
     }
 
     /** Starts both; the edge has {@code graceSeconds} to stop. */
@@ -51,11 +52,20 @@
     /** Starts both; a stopping edge still serves clients for {@code outOfRotationSeconds}. */
     LoopbackSystem(Path folder, double graceSeconds, double outOfRotationSeconds)
             throws IOException {
-        this(folder, graceSeconds, outOfRotationSeconds, new PlatformTrafficProtocol());
+        this(
+                folder,
+                graceSeconds,
+                outOfRotationSeconds,
+                RETRY_RESERVE,
+                new PlatformTrafficProtocol());
     }
 
     private LoopbackSystem(
-            Path folder, double graceSeconds, double outOfRotationSeconds, TrafficProtocol protocol)
+            Path folder,
+            double graceSeconds,
+            double outOfRotationSeconds,
+            double retryReserve,
+            TrafficProtocol protocol)
             throws IOException {
         dataFolder = folder.resolve("data");
         registry = LoopbackRegistry.start(callPort, linkPort, FreePorts.next(), dataFolder);
@@ -73,12 +83,17 @@
                                 graceSeconds,
                                 outOfRotationSeconds,
                                 0.8,
-                                100,
+                                retryReserve,
                                 10),
                         protocol);
         edge.start();
     }
 
+    /** Starts both; the edge may not retry a single request. */
+    static LoopbackSystem withoutRetries(Path folder) throws IOException {
+        return new LoopbackSystem(folder, 1, 0, 0, new PlatformTrafficProtocol());
+    }
+
     /** Sends a configuration repeatedly until the registry acknowledges it. */
     void configure(String json) throws Exception {
         for (int i = 0; i < MAX_POLLS; i++) {
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/Records.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/Records.java
@@ -13,6 +13,16 @@
 
     /** Returns a route of {@code kind} with {@link #MODEL} as its only service. */
     static Route route(RouteKind kind, long targetLatencyMillis) {
+        return route(kind, targetLatencyMillis, 3, true);
+    }
+
+    /** Returns a route of streams. */
+    static Route stream(boolean resumable, int maxAttempts) {
+        return route(RouteKind.STREAM, 400, maxAttempts, resumable);
+    }
+
+    private static Route route(
+            RouteKind kind, long targetLatencyMillis, int maxAttempts, boolean resumable) {
         List<WeightedService> services = List.of(new WeightedService(MODEL, 1));
         return new Route(
                 "r",
@@ -24,9 +34,9 @@
                 targetLatencyMillis,
                 700,
                 0,
-                3,
+                maxAttempts,
                 true,
-                true);
+                resumable);
     }
 
     /** Returns the record of a ready engine with 12 slots. */
--- a/siskintrail/src/io/siskintrail/internal/traffic/RetryBudget.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/RetryBudget.java
@@ -45,17 +45,22 @@
      * @param reserve further attempts allowed in a window in addition to the share of its requests
      */
     public boolean tryAcquire(long nowMillis, double reserve) {
-        int current = advance(nowMillis);
-        int oldest = (current + 1) % requests.length;
-        int countedRequests = requestSum - requests[oldest];
-        if (attemptSum + 1 > ratio * countedRequests + reserve) {
+        if (!hasLeft(nowMillis, reserve)) {
             return false;
         }
-        attempts[current]++;
+        attempts[indexOf(newestBucket)]++;
         attemptSum++;
         return true;
     }
 
+    /** Returns whether {@link #tryAcquire} would acquire a further attempt. */
+    public boolean hasLeft(long nowMillis, double reserve) {
+        int current = advance(nowMillis);
+        int oldest = (current + 1) % requests.length;
+        int countedRequests = requestSum - requests[oldest];
+        return attemptSum + 1 <= ratio * countedRequests + reserve;
+    }
+
     /** Clears the buckets that have left the window; returns the index of the current bucket. */
     private int advance(long nowMillis) {
         long bucket = Math.floorDiv(nowMillis, bucketMillis);
