Accept a late request of a stopping edge only if its deadline lies in the grace

Cause: StopPlan accepted what usually ends in time, by the mean duration of streams or twice the latency target of a call. It judged a request by the moment it arrived, not by that of its turn on its connection, and not at all when a place became free for one that waited.

Change: out of rotation, and from the start for streams that cannot go on elsewhere, a request is accepted only if its deadline, too, comes before the end of the grace. It is judged when its turn comes, and again when it leaves the queue. What is turned away is told that it did not run (8001) and when to return.

Evidence: EdgeStopTest.requestThatMayOutlastTheGraceIsNotPassedOn, 4 of 4 cases failed on, queuedRequestThatMayOutlastTheGraceIsNotPassedOn failed too; all pass now. StopPlanTest keeps its cases, with a deadline that never comes, and gets new ones. Its cases of late calls that are accepted by the estimate now stand for a host that is still in rotation; lateCallWithAShortDeadlineIsServed and new cases of StopPlanTest show what is still accepted behind that.

Why it works: whatever is accepted late has its final answer, at the latest that of its deadline, before the edge ends.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -109,10 +109,21 @@
         client.abort();
     }
 
-    /** Tries to place a queued request, which leaves the queue unless it has to wait on. */
+    /**
+     * Tries to place a queued request, which leaves the queue unless it has to wait on. Rejects it
+     * if this host stops before it could be answered.
+     */
     final void tryPlaceQueued() {
         try {
-            tryPlace();
+            if (edge.stopPlan()
+                    .accepts(EventLoop.nowMillis(), call.route(), call.deadlineAtMillis())) {
+                tryPlace();
+            } else {
+                reject(
+                        ResultCode.NOT_RUN_SHUTTING_DOWN,
+                        "its turn comes too late",
+                        edge.drainingRetryMillis());
+            }
         } catch (RuntimeException e) {
             fail(e);
         }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RequestFilters.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestFilters.java
@@ -11,6 +11,7 @@
 import io.siskintrail.lib.Failure;
 import io.siskintrail.lib.Result;
 import io.siskintrail.lib.ResultCode;
+import io.siskintrail.net.EventLoop;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -135,7 +136,7 @@
     }
 
     private Optional<Failure> checkShutdown(CallContext call) {
-        return stopPlan.accepts(call.arrivedAtMillis(), call.route())
+        return stopPlan.accepts(EventLoop.nowMillis(), call.route(), call.deadlineAtMillis())
                 ? Optional.empty()
                 : reject(
                         ResultCode.NOT_RUN_SHUTTING_DOWN,
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeStopTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeStopTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Requests of clients, and their effects on endpoints, while an edge is stopping. */
@@ -27,7 +28,10 @@
               "maxAttempts":1},
              {"name":"gen","host":"h.example","pathPrefix":"/gen/","kind":"streaming",
               "timeoutMs":60000,"targetLatencyMs":4000,"priority":0,"service":"llm",
-              "maxAttempts":5,"resumable":true,"targetGapMs":20000}],
+              "maxAttempts":5,"resumable":true,"targetGapMs":20000},
+             {"name":"gen-once","host":"h.example","pathPrefix":"/gen-once/","kind":"streaming",
+              "timeoutMs":60000,"targetLatencyMs":4000,"priority":0,"service":"llm",
+              "maxAttempts":5,"resumable":false,"targetGapMs":20000}],
              "services":[{"name":"app"},{"name":"llm","engine":{"slots":4,"kvCapacityTokens":88000,
               "stride":6,"backups":true,"handleS":4.0}}],
              "tenants":[{"name":"acme","apiKeys":["key-1"]}]}
@@ -36,6 +40,11 @@
     /** More than the socket buffers of both ends hold, and less than an edge buffers. */
     private static final int UNSENT_BODY_BYTES = 7 << 20;
 
+    /** Enough short streams for an edge to expect that further ones are short. */
+    private static final int SHORT_STREAMS = 40;
+
+    private static final int ENGINE_SLOTS = 4;
+
     private final CountDownLatch requestReceived = new CountDownLatch(1);
     private final CountDownLatch responseReleased = new CountDownLatch(1);
     private LoopbackSystem system;
@@ -281,6 +290,147 @@
         }
     }
 
+    /**
+     * Guards against a request that comes late in the grace, or that cannot go on elsewhere, and is
+     * passed on and cut at the end of the grace.
+     */
+    @ParameterizedTest(name = "{0}, {1} ms after the request to stop")
+    @CsvSource({"/once/x, 1300", "/gen/x, 1300", "/gen-once/x, 1300", "/gen-once/x, 0"})
+    void requestThatMayOutlastTheGraceIsNotPassedOn(String path, long sinceStopMillis)
+            throws Exception {
+        LoopbackSystem drainingSystem = new LoopbackSystem(folder.resolve("late"), 4, 1);
+        ScriptedEndpoint.Script script =
+                (number, request, out) -> {
+                    Http.writeStreamHead(request, out);
+                    Http.writeEvent(out, 1);
+                    Http.sleep(Long.parseLong(request.body()));
+                    Http.writeLastChunk(out);
+                    return true;
+                };
+        try (ScriptedEndpoint app = new ScriptedEndpoint(script);
+                ScriptedEndpoint engine = new ScriptedEndpoint(script)) {
+            drainingSystem.configure(CONFIGURATION);
+            drainingSystem.register("app", "app", app.address(), "a");
+            drainingSystem.register("e1", "llm", engine.address(), "a");
+            while (drainingSystem.readinessStatus() != 200) {
+                Http.sleep(10);
+            }
+            for (int i = 0; i < SHORT_STREAMS; i++) {
+                drainingSystem.sendRaw(Http.request("POST", "/gen/x", "key-1", "0"));
+            }
+            String open = Http.request("POST", "/gen/x", "key-1", "3000");
+            var openStream =
+                    CompletableFuture.supplyAsync(
+                            () -> sendTo(drainingSystem, withLongDeadline(open)));
+            while (engine.requests().size() == SHORT_STREAMS) {
+                Http.sleep(10);
+            }
+            Thread stopper = new Thread(drainingSystem::stopEdge, "stopper");
+            stopper.start();
+            while (drainingSystem.readinessStatus() == 200) {
+                Http.sleep(10);
+            }
+            Http.sleep(sinceStopMillis);
+
+            String response =
+                    drainingSystem.sendRaw(
+                            withLongDeadline(Http.request("POST", path, "key-1", "6000")));
+            stopper.join();
+
+            assertThat(response).startsWith("HTTP/1.1 503");
+            assertThat(app.requests()).isEmpty();
+            assertThat(engine.requests()).hasSize(SHORT_STREAMS + 1);
+            assertThat(openStream.get()).endsWith("\r\n0\r\n\r\n");
+        } finally {
+            drainingSystem.closeRegistry();
+        }
+    }
+
+    /** Guards against a request whose turn comes late in the grace, and which is cut at its end. */
+    @Test
+    void queuedRequestThatMayOutlastTheGraceIsNotPassedOn() throws Exception {
+        LoopbackSystem drainingSystem = new LoopbackSystem(folder.resolve("queue"), 4, 1);
+        try (ScriptedEndpoint engine =
+                new ScriptedEndpoint(
+                        (number, request, out) -> {
+                            Http.writeStreamHead(request, out);
+                            Http.writeEvent(out, 1);
+                            Http.sleep(Long.parseLong(request.body()));
+                            Http.writeLastChunk(out);
+                            return true;
+                        })) {
+            drainingSystem.configure(CONFIGURATION);
+            drainingSystem.register("e1", "llm", engine.address(), "a");
+            drainingSystem.awaitReady("app");
+            for (int i = 0; i < SHORT_STREAMS; i++) {
+                drainingSystem.sendRaw(Http.request("POST", "/gen/x", "key-1", "0"));
+            }
+            for (int i = 0; i < ENGINE_SLOTS; i++) {
+                String open = Http.request("POST", "/gen/x", "key-1", "1600");
+                CompletableFuture.supplyAsync(() -> sendTo(drainingSystem, open));
+            }
+            while (engine.requests().size() < SHORT_STREAMS + ENGINE_SLOTS) {
+                Http.sleep(10);
+            }
+            String waiting = withLongDeadline(Http.request("POST", "/gen/x", "key-1", "6000"));
+            var response = CompletableFuture.supplyAsync(() -> sendTo(drainingSystem, waiting));
+            Http.sleep(200);
+
+            drainingSystem.stopEdge();
+
+            assertThat(response.get()).startsWith("HTTP/1.1 503");
+            assertThat(response.get()).contains("8001");
+            assertThat(engine.requests()).hasSize(SHORT_STREAMS + ENGINE_SLOTS);
+        } finally {
+            drainingSystem.closeRegistry();
+        }
+    }
+
+    /** A client may come late if its deadline comes before the end of the grace. */
+    @Test
+    void lateCallWithAShortDeadlineIsServed() throws Exception {
+        LoopbackSystem drainingSystem = new LoopbackSystem(folder.resolve("short"), 6, 0.5);
+        Thread stopper = new Thread(drainingSystem::stopEdge, "stopper");
+        try (ScriptedEndpoint app =
+                new ScriptedEndpoint(
+                        (number, request, out) -> {
+                            requestReceived.countDown();
+                            boolean isOpen = "open".equals(request.body());
+                            Http.sleep(isOpen ? 3_000 : 0);
+                            out.write(ScriptedEndpoint.signedResponse(request, 200, "", "fine"));
+                            return true;
+                        })) {
+            drainingSystem.configure(CONFIGURATION);
+            drainingSystem.register("app", "app", app.address(), "a");
+            drainingSystem.awaitReady("llm");
+            String longCall = withLongDeadline(Http.request("POST", "/once/x", "key-1", "open"));
+            var openCall = CompletableFuture.supplyAsync(() -> sendTo(drainingSystem, longCall));
+            await(requestReceived);
+            stopper.start();
+            Http.sleep(1_500);
+
+            String response = drainingSystem.sendRaw(Http.request("POST", "/once/x", "key-1", "p"));
+
+            assertThat(response).endsWith("fine");
+            assertThat(openCall.get()).endsWith("fine");
+            stopper.join();
+        } finally {
+            drainingSystem.closeRegistry();
+        }
+    }
+
+    private static String withLongDeadline(String request) {
+        return request.replace("Deadline-Ms: 2000", "Deadline-Ms: 20000");
+    }
+
+    private static String sendTo(LoopbackSystem target, String request) {
+        try {
+            return target.sendRaw(request);
+        } catch (IOException e) {
+            return "no response: " + e;
+        }
+    }
+
     private static String keepAliveCall(String id) {
         return Http.request("POST", "/once/x", "key-1", "")
                 .replace("Connection: close\r\n", "")
@@ -288,14 +438,7 @@
     }
 
     private CompletableFuture<String> sendRawAsync(String request) {
-        return CompletableFuture.supplyAsync(
-                () -> {
-                    try {
-                        return system.sendRaw(request);
-                    } catch (IOException e) {
-                        return "no response: " + e;
-                    }
-                });
+        return CompletableFuture.supplyAsync(() -> sendTo(system, request));
     }
 
     private static void await(CountDownLatch latch) {
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/StopPlanTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/StopPlanTest.java
@@ -9,12 +9,17 @@
 /** Simulates a host that drains while clients still arrive: it can complete what it accepts. */
 class StopPlanTest {
     private static final long END_MILLIS = 20_000;
+
+    /** Deadline of a client that waits for any time. */
+    private static final long NEVER = Long.MAX_VALUE;
+
     private final StopPlan plan = new StopPlan();
 
     @Test
     void allRequestsAreAcceptedBeforeDraining() {
-        assertThat(plan.accepts(0, Records.route(RouteKind.STREAM, 400))).isTrue();
-        assertThat(plan.accepts(0, Records.route(RouteKind.AT_MOST_ONCE, 400))).isTrue();
+        assertThat(accepts(0, Records.route(RouteKind.STREAM, 400), NEVER)).isTrue();
+        assertThat(accepts(0, Records.route(RouteKind.AT_MOST_ONCE, 400), NEVER)).isTrue();
+        assertThat(accepts(0, Records.stream(false, 5), NEVER)).isTrue();
     }
 
     @ParameterizedTest(name = "streams of {0} ms, {1} ms before the end, {2}: accepted {3}")
@@ -33,9 +38,42 @@
             plan.recordStreamDuration(streamMillis);
         }
 
-        plan.startDraining(0, END_MILLIS);
+        plan.startDraining(END_MILLIS, END_MILLIS);
+
+        assertThat(accepts(END_MILLIS - leftMillis, Records.route(kind, 400), NEVER))
+                .isEqualTo(accepted);
+    }
+
+    /** Guards against late requests that are passed on and cut at the end of the grace period. */
+    @ParameterizedTest(name = "{0} ms after leaving rotation, deadline {1} ms after the end: {2}")
+    @CsvSource({
+        "-1, 1, true",
+        "0, 1, false",
+        "0, 0, true",
+        "3000, 20000, false",
+        "3000, -500, true",
+    })
+    void lateRequestsAreAcceptedOnlyIfTheirDeadlineComesInTime(
+            long sinceOutOfRotation, long deadlineAfterEnd, boolean accepted) {
+        long outOfRotationAt = END_MILLIS - 5_000;
+
+        plan.startDraining(outOfRotationAt, END_MILLIS);
+
+        long now = outOfRotationAt + sinceOutOfRotation;
+        long deadlineAt = END_MILLIS + deadlineAfterEnd;
+        assertThat(accepts(now, Records.route(RouteKind.AT_MOST_ONCE, 400), deadlineAt))
+                .isEqualTo(accepted);
+    }
+
+    /** Guards against streams that are cut at the end and cannot go on at another host. */
+    @ParameterizedTest(name = "resumable {0}, deadline {1} ms after the end: {2}")
+    @CsvSource({"true, 1, true", "false, 1, false", "false, 0, true"})
+    void streamsThatCannotGoOnElsewhereAreAcceptedOnlyIfTheirDeadlineComesInTime(
+            boolean resumable, long deadlineAfterEnd, boolean accepted) {
+        plan.startDraining(END_MILLIS, END_MILLIS);
 
-        assertThat(plan.accepts(END_MILLIS - leftMillis, Records.route(kind, 400)))
+        long deadlineAt = END_MILLIS + deadlineAfterEnd;
+        assertThat(accepts(END_MILLIS - 10_000, Records.stream(resumable, 5), deadlineAt))
                 .isEqualTo(accepted);
     }
 
@@ -71,6 +109,10 @@
 
         plan.markTerminating();
 
-        assertThat(plan.accepts(0, Records.route(RouteKind.IDEMPOTENT, 400))).isFalse();
+        assertThat(accepts(0, Records.route(RouteKind.IDEMPOTENT, 400), 1)).isFalse();
+    }
+
+    private boolean accepts(long nowMillis, Route route, long deadlineAtMillis) {
+        return plan.accepts(nowMillis, route, deadlineAtMillis);
     }
 }
--- a/siskintrail/src/io/siskintrail/internal/traffic/StopPlan.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/StopPlan.java
@@ -5,7 +5,9 @@
  * rolling restarts under load: clients keep arriving for some seconds, and a stream that is cut off
  * at the end of the grace period needs a second prefill elsewhere, so it is rejected before it runs
  * instead. An idle host does not terminate while the load balancer still sends clients to it: they
- * would find a closed port or be cut off. Not thread-safe.
+ * would find a closed port or be cut off. Clients that come although the host is out of rotation,
+ * and streams that cannot go on elsewhere, are served only if they are answered for certain, that
+ * is, if their deadline comes before the end of the grace period. Not thread-safe.
  */
 public final class StopPlan {
     /** Duration assumed for streams until one has ended. */
@@ -64,8 +66,12 @@
         terminating = true;
     }
 
-    /** Returns whether a request on {@code route} that arrives now can be completed in time. */
-    public boolean accepts(long nowMillis, Route route) {
+    /**
+     * Returns whether a request can be answered in time if its processing starts now.
+     *
+     * @param deadlineAtMillis when the request ends at the latest
+     */
+    public boolean accepts(long nowMillis, Route route, long deadlineAtMillis) {
         if (terminating) {
             return false;
         }
@@ -73,6 +79,10 @@
             return true;
         }
         boolean isStream = route.kind() == RouteKind.STREAM;
+        boolean needsCertainty = nowMillis >= outOfRotationAt || isStream && !route.resumable();
+        if (needsCertainty && deadlineAtMillis > graceEndsAt) {
+            return false;
+        }
         double neededMillis =
                 isStream
                         ? STREAM_DURATION_FACTOR * meanStreamMillis
