Open a disk again although the failed store cannot be closed

Cause: RegistryReplica.reopen closed the failed store outside of the part that is tried again. A device that reports an error at close (a delayed write that finds no space) ended the task, and no other one was scheduled.

Change: that error is logged and passed over. ReplicaDisk and Registry take files with faults before them, for the test.

Why it works: nothing between a failure of the disk and the next attempt to open it can end the attempts any more but an error of our own.

--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -65,6 +65,15 @@
 
     /** Opens the disk and prepares the parts. */
     public Registry(EventLoop loop, RegistrySettings settings, RegistryProtocol protocol) {
+        this(loop, settings, protocol, ReplicaDisk.of(Path.of(settings.dataFolder())));
+    }
+
+    /** Prepares the parts; the registry keeps its log on {@code disk}. */
+    Registry(
+            EventLoop loop,
+            RegistrySettings settings,
+            RegistryProtocol protocol,
+            ReplicaDisk disk) {
         this.loop = loop;
         this.settings = settings;
         self = linkHost(settings.ip());
@@ -73,7 +82,7 @@
         replica =
                 new RegistryReplica(
                         loop,
-                        ReplicaDisk.of(Path.of(settings.dataFolder())),
+                        disk,
                         new FailureDomain(settings.domain()),
                         self,
                         settings.founding() ? seeds : List.of(),
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
@@ -382,7 +382,7 @@
     /** Begins again from what the disk holds; nothing unsynced was promised to anybody. */
     private void reopen() {
         writer.stop();
-        store.close();
+        closeFailedStore();
         unsynced.clear();
         appended.values().forEach(p -> finish(proposals, p.token(), REFUSED));
         appended.clear();
@@ -398,6 +398,20 @@
         }
     }
 
+    /**
+     * Closes a store that failed; an error of that is of no account, since it is not used again.
+     */
+    private void closeFailedStore() {
+        try {
+            store.close();
+        } catch (StorageException e) {
+            LogEvent.warning(LOG, "replica.storage.not-closed")
+                    .with("replica", self)
+                    .with("detail", e.failure().detail())
+                    .write();
+        }
+    }
+
     private static void finish(Map<Long, LongConsumer> waiting, long token, long index) {
         LongConsumer done = waiting.remove(token);
         if (done != null) {
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/ReplicaDisk.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/ReplicaDisk.java
@@ -6,12 +6,14 @@
 import io.siskintrail.storage.FileLogStore;
 import io.siskintrail.storage.LogStore;
 import io.siskintrail.storage.StorageException;
+import io.siskintrail.storage.StorageFiles;
 import io.siskintrail.wire.ThriftRecordCodec;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
 /**
@@ -24,15 +26,22 @@
     /** Size of a log segment: the disks are small, and segments are deleted whole. */
     private static final long SEGMENT_BYTES = 2L << 20;
 
-    private DataFolder folder;
+    private final DataFolder folder;
+    private final StorageFiles files;
 
-    private ReplicaDisk(DataFolder folder) {
+    private ReplicaDisk(DataFolder folder, UnaryOperator<StorageFiles> wrapper) {
         this.folder = folder;
+        this.files = wrapper.apply(folder.files());
     }
 
     /** Opens the folder at {@code path}. */
     static ReplicaDisk of(Path path) {
-        ReplicaDisk disk = new ReplicaDisk(openSound(path));
+        return of(path, UnaryOperator.identity());
+    }
+
+    /** Opens the folder at {@code path}; {@code wrapper} may put faults before its files. */
+    static ReplicaDisk of(Path path, UnaryOperator<StorageFiles> wrapper) {
+        ReplicaDisk disk = new ReplicaDisk(openSound(path), wrapper);
         try {
             LogStore trial = disk.open();
             trial.open();
@@ -43,7 +52,7 @@
                 throw e;
             }
             disk.folder.close();
-            return new ReplicaDisk(replace(path, e));
+            return new ReplicaDisk(replace(path, e), wrapper);
         }
     }
 
@@ -54,7 +63,7 @@
 
     /** Returns a store on the folder; the one before must be closed. */
     LogStore open() {
-        return new FileLogStore(folder.files(), new ThriftRecordCodec(), SEGMENT_BYTES);
+        return new FileLogStore(files, new ThriftRecordCodec(), SEGMENT_BYTES);
     }
 
     /** Unlocks the folder; the last store must be closed. */
