Bound what bytes without end take of an edge's memory and time

What callers saw (a report of other operators, shown here by a test): an endpoint that sends bytes without end to many requests of an edge made the calls of other clients at sound endpoints time out.

Cause: a connection was read up to 1 MiB in a row and each event of a stream was a write of its own, so that the one event loop was busy for seconds; the limit of a head counts bytes, though fields of a few bytes take some hundred each; nothing held an engine back whose client does not read; blanks before a head are limited by read, not by response.

Change: endpoints are read once a turn, 16 KiB at most; the events of a read leave in one write; lines of events are checked without copies; a head has at most 256 fields and 96 KiB until its end; a client that does not read holds its engine back, and the silence of an engine that is not read from does not count.

Why it works: each turn of the event loop now has a bound of bytes, writes and fields for each connection, and what is kept for one request has a bound that counts what memory runs out by.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Attempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Attempt.java
@@ -50,6 +50,13 @@
         }
     }
 
+    /** Reads from the endpoint, or leaves what it sends in its connection; may be repeated. */
+    void setReading(boolean reading) {
+        if (connection != null && listener != null) {
+            connection.setReading(reading);
+        }
+    }
+
     EndpointView endpoint() {
         return endpoint;
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -132,6 +132,18 @@
         }
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (current != null && isWritable()) {
+            current.handleClientWritable();
+        }
+    }
+
+    /** Returns whether the client takes what is sent, up to some kilobytes. */
+    boolean isWritable() {
+        return ctx.channel().isWritable();
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (!(event instanceof IdleStateEvent idle)) {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -1,5 +1,6 @@
 package io.siskintrail.edge.internal;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -29,6 +30,12 @@
     /** Maximum number of interim responses to a request; the head of each is limited by itself. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
+    /**
+     * Maximum number of bytes until the end of a response head, more than the decoder admits for
+     * one: it skips blanks before a head without a limit.
+     */
+    private static final int MAX_HEAD_BYTES = 96 << 10;
+
     /** Assumed keep-alive timeout of an endpoint that does not announce one. */
     private static final long DEFAULT_KEEP_ALIVE_MILLIS = 2_000;
 
@@ -42,6 +49,8 @@
     private boolean reused;
     private boolean interim;
     private int interimResponses;
+    private boolean headReceived;
+    private int headBytes;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceMillis;
 
@@ -55,6 +64,8 @@
         attempt = next;
         responseComplete = false;
         interimResponses = 0;
+        headReceived = false;
+        headBytes = 0;
         reusable = true;
         next.markWritten(this);
         EndpointRequest request = next.request();
@@ -76,6 +87,11 @@
         ctx.close();
     }
 
+    /** Reads from the endpoint, or lets it wait. */
+    void setReading(boolean reading) {
+        ctx.channel().config().setAutoRead(reading);
+    }
+
     String address() {
         return address;
     }
@@ -124,6 +140,11 @@
         ctx.close();
     }
 
+    /** Returns the handler of received bytes, which comes before the decoder. */
+    ChannelInboundHandlerAdapter headLimit() {
+        return new HeadLimit();
+    }
+
     private void handleMessage(HttpObject message) {
         if (attempt == null) {
             ctx.close();
@@ -148,6 +169,7 @@
             countInterimResponse();
             return;
         }
+        headReceived = true;
         if (!pool.isAnswerTo(response, attempt, reused)) {
             failAttempt(
                     "response carries the ID of another request, or none on a reused connection");
@@ -191,10 +213,28 @@
             return;
         }
         reused = true;
+        setReading(true);
         idleSinceMillis = EventLoop.nowMillis();
         pool.addIdle(this);
     }
 
+    /** Fails the attempt if its response has no head within the limit. */
+    private final class HeadLimit extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (!headReceived) {
+                headBytes += ((ByteBuf) message).readableBytes();
+            }
+            if (headBytes <= MAX_HEAD_BYTES) {
+                context.fireChannelRead(message);
+                return;
+            }
+            ReferenceCountUtil.release(message);
+            failAttempt("response head exceeds the size limit");
+            context.close();
+        }
+    }
+
     private void failAttempt(String cause) {
         if (attempt == null) {
             return;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -1,6 +1,7 @@
 package io.siskintrail.edge.internal;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -8,6 +9,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponse;
 import io.siskintrail.edge.TrafficProtocol;
 import io.siskintrail.internal.traffic.EndpointAddress;
@@ -34,6 +36,22 @@
     private static final int MAX_HEADER_BYTES = 64 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
+    private static final HttpDecoderConfig DECODER_CONFIG =
+            new HttpDecoderConfig()
+                    .setMaxInitialLineLength(MAX_LINE_BYTES)
+                    .setMaxHeaderSize(MAX_HEADER_BYTES)
+                    .setMaxChunkSize(MAX_CHUNK_BYTES)
+                    .setHeadersFactory(BoundedHeaders.FACTORY)
+                    .setTrailersFactory(BoundedHeaders.FACTORY);
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2 << 10;
+
+    /** Maximum size of a read: an endpoint that sends without pause must not delay the others. */
+    private static final int MAX_READ_BYTES = 16 << 10;
+
+    private static final int MAX_READS_IN_A_ROW = 1;
+
     /** Maximum number of idle connections kept per endpoint. */
     private static final int MAX_IDLE_PER_ENDPOINT = 4;
 
@@ -57,6 +75,11 @@
                         .group(loop.group())
                         .channelFactory(() -> loop.closeOnStop(new NioSocketChannel()))
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                        .option(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                                MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                        .maxMessagesPerRead(MAX_READS_IN_A_ROW))
                         .option(ChannelOption.TCP_NODELAY, true);
     }
 
@@ -202,11 +225,10 @@
                                     @Override
                                     protected void initChannel(SocketChannel channel) {
                                         channel.pipeline()
+                                                .addLast(connection.headLimit())
                                                 .addLast(
                                                         new HttpClientCodec(
-                                                                MAX_LINE_BYTES,
-                                                                MAX_HEADER_BYTES,
-                                                                MAX_CHUNK_BYTES))
+                                                                DECODER_CONFIG, false, false))
                                                 .addLast(connection);
                                     }
                                 })
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -145,6 +145,9 @@
         }
     }
 
+    /** Called when the client has taken what was sent to it, so that more may follow. */
+    void handleClientWritable() {}
+
     /** Returns the size of the request body, which is buffered for retries, in bytes. */
     final int bodyBytes() {
         return call.body().length;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -99,6 +99,15 @@
         }
     }
 
+    /** Reads events, or lets the engine wait while the client does not take what was read. */
+    void setReading(boolean reading) {
+        if (reading == silence.isReading()) {
+            return;
+        }
+        silence.setReading(EventLoop.nowMillis(), reading);
+        attempt.setReading(reading);
+    }
+
     /** Returns whether the attempt was stopped, or failed or completed by itself. */
     boolean hasEnded() {
         return ended;
@@ -200,13 +209,14 @@
         }
         for (StreamEvent event : splitter.add(bytes)) {
             if (ended) {
-                return;
+                break;
             }
             if (silence.recordEvent(EventLoop.nowMillis())) {
                 handleFirstEvent();
             }
             exchange.handleEvent(this, event);
         }
+        exchange.sendEvents(this);
         if (splitter.isMalformed() && !ended) {
             attempt.cancel();
             onFailure("malformed event");
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -16,6 +16,7 @@
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
+import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -55,6 +56,10 @@
     private final long tokens;
     private final SilenceRule silenceRule;
     private final StreamJournal journal;
+
+    /** The events of the read that is being processed; empty in between. */
+    private final ByteArrayOutputStream unsentEvents;
+
     private final StreamKvCacheCopies copies;
     private final Set<EndpointId> failedEngines = new HashSet<>();
     private final Set<EndpointId> triedEngines = new HashSet<>();
@@ -82,6 +87,7 @@
         tokens = (long) call.metadata().promptTokens() + call.metadata().outputTokens();
         silenceRule = new SilenceRule(call.route().targetGapMillis());
         attempts = new StreamAttempts(call.route());
+        unsentEvents = new ByteArrayOutputStream();
         journal = new StreamJournal(call.metadata().lastEventId());
         copies = new StreamKvCacheCopies(edge, call.requestId(), service, engine, tokens);
     }
@@ -232,7 +238,28 @@
         }
         recordEventGap();
         startResponse(source);
-        client.sendChunk(event.bytes());
+        unsentEvents.writeBytes(event.bytes());
+    }
+
+    /**
+     * Sends the events of one read together, since each chunk costs a call of the system. Lets the
+     * engine wait if the client does not take what was sent.
+     */
+    void sendEvents(StreamAttempt source) {
+        if (unsentEvents.size() > 0) {
+            client.sendChunk(unsentEvents.toByteArray());
+            unsentEvents.reset();
+        }
+        if (source != null && source == attempt) {
+            source.setReading(client.isWritable());
+        }
+    }
+
+    @Override
+    void handleClientWritable() {
+        if (attempt != null) {
+            attempt.setReading(true);
+        }
     }
 
     /** Processes the end of a complete response. */
@@ -580,6 +607,7 @@
     }
 
     private void abortStream(String detail) {
+        sendEvents(attempt);
         releaseResources();
         end("broken-off", ResultCode.ATTEMPTS_EXHAUSTED.number(), detail);
         client.abort();
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/SilenceTrackerTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/SilenceTrackerTest.java
@@ -89,4 +89,20 @@
         assertThat(nextProbeAt).isGreaterThan(probedAt + 1);
         assertThat(tracker.check(nextProbeAt, 0).verdict()).isEqualTo(Verdict.PROBE);
     }
+
+    /** Guards against a stream that is given up because its client does not read. */
+    @Test
+    void silenceCountsOnlyWhileTheEngineIsReadFrom() {
+        tracker.recordEvent(FIRST_EVENT_AT);
+        tracker.setReading(FIRST_EVENT_AT, false);
+        long resumedAt = FIRST_EVENT_AT + 20 * TARGET_GAP_MILLIS;
+        assertThat(tracker.check(resumedAt, FIRST_EVENT_AT).verdict()).isEqualTo(Verdict.WAIT);
+
+        tracker.setReading(resumedAt, true);
+
+        SilenceRule.Look whenResumed = tracker.check(resumedAt, FIRST_EVENT_AT);
+        assertThat(whenResumed.verdict()).isEqualTo(Verdict.WAIT);
+        long dueAt = resumedAt + whenResumed.nextCheckMillis();
+        assertThat(tracker.check(dueAt, FIRST_EVENT_AT).verdict()).isEqualTo(Verdict.PROBE);
+    }
 }
--- a/siskintrail/src/io/siskintrail/internal/traffic/EventSplitter.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/EventSplitter.java
@@ -65,7 +65,7 @@
             end--;
         }
         if (end > lineStart) {
-            readField(new String(event, lineStart, end - lineStart, StandardCharsets.UTF_8));
+            readField(end);
             lineStart = length;
             return;
         }
@@ -75,8 +75,12 @@
         id = -1;
     }
 
-    private void readField(String text) {
-        malformed |= !isField(text);
+    private void readField(int end) {
+        malformed |= !isField(end);
+        if (event[lineStart] != ID_FIELD.charAt(0)) {
+            return;
+        }
+        String text = new String(event, lineStart, end - lineStart, StandardCharsets.UTF_8);
         if (!text.startsWith(ID_FIELD)) {
             return;
         }
@@ -87,10 +91,19 @@
         }
     }
 
-    /** Returns whether a line is a comment, or a field whose name has only letters and hyphens. */
-    private static boolean isField(String line) {
-        int colon = line.indexOf(':');
-        String name = colon < 0 ? line : line.substring(0, colon);
-        return name.chars().allMatch(c -> c == '-' || c < 0x80 && Character.isLetter(c));
+    /**
+     * Returns whether the line up to {@code end} is a comment, or a field whose name has only ASCII
+     * letters and hyphens.
+     */
+    private boolean isField(int end) {
+        int i = lineStart;
+        while (i < end && isNameByte(event[i])) {
+            i++;
+        }
+        return i == end || event[i] == ':';
+    }
+
+    private static boolean isNameByte(byte b) {
+        return b == '-' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z';
     }
 }
--- a/siskintrail/src/io/siskintrail/internal/traffic/SilenceTracker.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/SilenceTracker.java
@@ -8,12 +8,17 @@
 public final class SilenceTracker {
     private static final long NEVER = Long.MIN_VALUE;
 
+    /** Time between two checks while nothing is read. */
+    private static final long NOT_READING_CHECK_MILLIS = 200;
+
     private final SilenceRule rule;
     private final long sentAt;
     private final double expectedFirstEventMillis;
     private long lastEventAt = NEVER;
     private long probedAt;
     private boolean probeAnswered;
+    private boolean reading = true;
+    private long readingSince;
 
     /**
      * Starts tracking an attempt.
@@ -28,6 +33,7 @@
         this.sentAt = sentAt;
         this.expectedFirstEventMillis = expectedFirstEventMillis;
         this.probedAt = sentAt;
+        this.readingSince = sentAt;
     }
 
     /** Records an event of the stream; returns whether it is the first. */
@@ -42,6 +48,20 @@
         return lastEventAt != NEVER;
     }
 
+    /**
+     * Records whether the engine is read from. While it is not, because the client takes no more,
+     * its silence says nothing.
+     */
+    public void setReading(long nowMillis, boolean isReading) {
+        reading = isReading;
+        readingSince = nowMillis;
+    }
+
+    /** Returns whether the engine is read from. */
+    public boolean isReading() {
+        return reading;
+    }
+
     /** Records that a probe connection to the engine was started. */
     public void recordProbeSent(long nowMillis) {
         probedAt = nowMillis;
@@ -60,10 +80,13 @@
      * @param lastActivityAt when the engine last sent anything, for this attempt or another
      */
     public SilenceRule.Look check(long nowMillis, long lastActivityAt) {
-        long engineSilentMillis = nowMillis - Math.max(lastActivityAt, sentAt);
+        if (!reading) {
+            return new SilenceRule.Look(SilenceRule.Verdict.WAIT, NOT_READING_CHECK_MILLIS);
+        }
+        long engineSilentMillis = nowMillis - Math.max(lastActivityAt, readingSince);
         if (hasEvents()) {
             return rule.checkBetweenEvents(
-                    nowMillis - lastEventAt,
+                    nowMillis - Math.max(lastEventAt, readingSince),
                     engineSilentMillis,
                     probeStateSince(nowMillis, engineSilentMillis));
         }
