Give the response of a stream a class of its own

What goes to the client (start, events of a read, gaps, end) is StreamResponse now; the behaviour is the same.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -1,7 +1,5 @@
 package io.siskintrail.edge.internal;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.siskintrail.edge.CopySource;
 import io.siskintrail.edge.EndpointResponse;
 import io.siskintrail.internal.traffic.EndpointView;
@@ -16,7 +14,6 @@
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
-import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -56,9 +53,7 @@
     private final long tokens;
     private final SilenceRule silenceRule;
     private final StreamJournal journal;
-
-    /** The events of the read that is being processed; empty in between. */
-    private final ByteArrayOutputStream unsentEvents;
+    private final StreamResponse response;
 
     private final StreamKvCacheCopies copies;
     private final Set<EndpointId> failedEngines = new HashSet<>();
@@ -66,18 +61,13 @@
     private final StreamAttempts attempts;
     private StreamAttempt attempt;
     private boolean answered;
-    private boolean responseStarted;
     private boolean searchScheduled;
 
     /** Why the running attempt would be given up if another could follow; null if it is not. */
     private String doubt;
 
     private long doubtedAtMillis;
-    private long lastEventAtMillis;
-    private long firstEventMillis;
-    private long longestGapMillis;
     private long lostAtMillis;
-    private long weightVersion = -1;
 
     StreamExchange(
             EdgeContext edge, CallContext call, ClientConnection client, Consumer<Exchange> onEnd) {
@@ -87,7 +77,7 @@
         tokens = (long) call.metadata().promptTokens() + call.metadata().outputTokens();
         silenceRule = new SilenceRule(call.route().targetGapMillis());
         attempts = new StreamAttempts(call.route());
-        unsentEvents = new ByteArrayOutputStream();
+        response = new StreamResponse(edge, call, client);
         journal = new StreamJournal(call.metadata().lastEventId());
         copies = new StreamKvCacheCopies(edge, call.requestId(), service, engine, tokens);
     }
@@ -109,7 +99,7 @@
 
     @Override
     protected boolean hasResponseStarted() {
-        return responseStarted;
+        return response.isStarted();
     }
 
     @Override
@@ -119,7 +109,7 @@
 
     @Override
     protected void endRefused() {
-        if (responseStarted || mayHaveExecuted()) {
+        if (response.isStarted() || mayHaveExecuted()) {
             fail(CRASHED_ENDPOINTS);
         } else {
             rejectRefused();
@@ -143,7 +133,7 @@
         if (hasEnded()) {
             return;
         }
-        if (responseStarted) {
+        if (response.isStarted()) {
             abortStream("deadline exceeded");
         } else if (mayHaveExecuted()) {
             reject(ResultCode.CALL_TIMED_OUT, "attempts=%d".formatted(attempts.sent()), 0);
@@ -236,22 +226,17 @@
                             "rank=\"%d\"".formatted(call.rank()),
                             pauseMillis);
         }
-        recordEventGap();
-        startResponse(source);
-        unsentEvents.writeBytes(event.bytes());
+        response.add(source, event);
     }
 
     /**
-     * Sends the events of one read together, since each chunk costs a call of the system. Lets the
-     * engine wait if the client does not take what was sent.
+     * Sends the events of one read, after its last one. Lets the engine wait if the client does not
+     * take what was sent.
      */
     void sendEvents(StreamAttempt source) {
-        if (unsentEvents.size() > 0) {
-            client.sendChunk(unsentEvents.toByteArray());
-            unsentEvents.reset();
-        }
-        if (source != null && source == attempt) {
-            source.setReading(client.isWritable());
+        boolean isWritable = response.flush();
+        if (source == attempt) {
+            source.setReading(isWritable);
         }
     }
 
@@ -276,17 +261,14 @@
                     .health()
                     .recordSuccess(EventLoop.nowMillis(), (long) source.expectedMillis());
             edge.stopPlan().recordStreamDuration(EventLoop.nowMillis() - call.arrivedAtMillis());
-            startResponse(source);
+            response.start(source);
             end(
                     "answered",
                     0,
-                    "attempts=%d last=%d first_ms=%d gap_ms=%d"
+                    "attempts=%d last=%d %s"
                             .formatted(
-                                    attempts.sent(),
-                                    journal.lastId(),
-                                    firstEventMillis,
-                                    longestGapMillis));
-            client.endChunked();
+                                    attempts.sent(), journal.lastId(), response.describeTimes()));
+            response.end();
             return;
         }
         handleErrorResponse(source, endpointResponse);
@@ -343,17 +325,6 @@
         edge.prefillRate(service).recordPrefill(call.metadata().promptTokens(), elapsedMillis);
     }
 
-    /** Records the gap before an event, or the time to the first event. */
-    private void recordEventGap() {
-        long now = EventLoop.nowMillis();
-        if (responseStarted) {
-            longestGapMillis = Math.max(longestGapMillis, now - lastEventAtMillis);
-        } else {
-            firstEventMillis = now - call.arrivedAtMillis();
-        }
-        lastEventAtMillis = now;
-    }
-
     private EndpointView chooseEngine() {
         return chooseEngine(null);
     }
@@ -396,7 +367,11 @@
         CopySource resumeFrom = heldCopy == null ? null : copies.source();
         EndpointRequest request =
                 buildForwardedRequest(
-                        target, journal.lastId(), copyAddress, resumeFrom, weightVersion);
+                        target,
+                        journal.lastId(),
+                        copyAddress,
+                        resumeFrom,
+                        response.weightVersion());
         attempts.recordSent();
         doubt = null;
         logAttempt(
@@ -427,23 +402,6 @@
         scheduleSilenceCheck();
     }
 
-    private void startResponse(StreamAttempt source) {
-        if (responseStarted) {
-            return;
-        }
-        responseStarted = true;
-        weightVersion = source.endpointResponse().weightVersion();
-        HttpHeaders headers = source.headers();
-        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-        long elapsedMillis = EventLoop.nowMillis() - call.arrivedAtMillis();
-        edge.stats()
-                .recordLatency(
-                        "siskintrail_edge_first_event_millis",
-                        "rank=\"%d\"".formatted(call.rank()),
-                        elapsedMillis);
-        client.startChunked(source.endpointResponse().status(), headers);
-    }
-
     private void handleErrorResponse(StreamAttempt source, EndpointResponse endpointResponse) {
         String cause =
                 "status=%d signed=%s not_run=%s"
@@ -466,7 +424,7 @@
                 endpointResponse.signed()
                         && !endpointResponse.notRun()
                         && endpointResponse.status() < SERVER_ERROR;
-        if (isFinalError && !responseStarted) {
+        if (isFinalError && !response.isStarted()) {
             end("answered", 0, cause);
             client.sendResponse(endpointResponse.status(), source.headers(), source.errorBody());
             return;
@@ -557,7 +515,9 @@
         EndpointView copy = copies.usableHolder();
         EndpointView target = copy != null ? copy : chooseEngine();
         if (target == null) {
-            if (responseStarted || mayHaveExecuted() || !rejectIfPushedBack(queueMillisLeft())) {
+            if (response.isStarted()
+                    || mayHaveExecuted()
+                    || !rejectIfPushedBack(queueMillisLeft())) {
                 scheduleSearch();
             }
             return;
@@ -597,7 +557,7 @@
     }
 
     private void fail(String detail) {
-        if (responseStarted) {
+        if (response.isStarted()) {
             abortStream(detail);
         } else if (mayHaveExecuted()) {
             reject(ResultCode.ATTEMPTS_EXHAUSTED, detail, 0);
@@ -607,10 +567,9 @@
     }
 
     private void abortStream(String detail) {
-        sendEvents(attempt);
         releaseResources();
         end("broken-off", ResultCode.ATTEMPTS_EXHAUSTED.number(), detail);
-        client.abort();
+        response.abort();
     }
 
     private long nextCheckAtMillis(long nowMillis) {
