--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -50,6 +50,7 @@
     /** Maximum size of a read: an endpoint that sends without pause must not delay the others. */
     private static final int MAX_READ_BYTES = 16 << 10;
 
+    /** Reads of a connection before the event loop turns to the others. */
     private static final int MAX_READS_IN_A_ROW = 1;
 
     /** Maximum number of idle connections kept per endpoint. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -28,7 +28,7 @@
     /** Maximum fraction of the target latency that a request waits for an engine to appear. */
     private static final double NO_ENGINE_FRACTION = 0.12;
 
-    /** Delay before a stream without an engine searches for one again. */
+    /** Delay before a stream that lost or doubts its engine searches for another one again. */
     private static final long SEARCH_DELAY_MILLIS = 50;
 
     /**
@@ -54,7 +54,6 @@
     private final SilenceRule silenceRule;
     private final StreamJournal journal;
     private final StreamResponse response;
-
     private final StreamKvCacheCopies copies;
     private final Set<EndpointId> failedEngines = new HashSet<>();
     private final Set<EndpointId> triedEngines = new HashSet<>();
