Remove segments of the log one after the other

What callers saw: nothing yet; the review read it and did not show it. A registry that had compacted its log and lost power could read its sound disk as damaged and start with an empty one.

Cause: compaction deleted several segments and synced the folder once. A loss of power in between keeps any of the deletions, so that an old segment can be there and a later one not: a gap in the entries.

Change: the folder is synced after each deletion; the oldest goes first, so what is left always joins.

The simulation of the consensus classes can run on the production store now (Simulation.onStores).

Why it works: a deletion that is durable before the next begins cannot be undone behind a later one.

--- a/siskintrail.storage/src/io/siskintrail/storage/FileLogStore.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/FileLogStore.java
@@ -99,12 +99,9 @@
 
     @Override
     protected void compactTo(long index) throws IOException {
-        boolean removed = false;
         while (segments.size() > 1 && segments.getFirst().maxIndex() < index) {
             files.delete(segments.removeFirst().name());
-            removed = true;
-        }
-        if (removed) {
+            // A loss of power must not bring this one back without the ones behind it.
             files.syncFolder();
         }
     }
--- a/siskintrail.test/tst/io/siskintrail/internal/consensus/FuzzAction.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/consensus/FuzzAction.java
@@ -28,11 +28,42 @@
         PROMOTE,
         REMOVE,
         TRANSFER,
-        LOSE_DISK
+        LOSE_DISK,
+        LOSE_POWER,
+        LOSE_POWER_EVERYWHERE,
+        KILL_ALL,
+        START_ALL,
+        REFUSE_DISK
+    }
+
+    /** Faults of processes, disks and power in a row, for runs on real stores. */
+    static Arbitrary<List<FuzzAction>> listsOfDiskFaults(int length) {
+        return lists(
+                length,
+                Arbitraries.frequency(
+                        Tuple.of(8, Kind.WAIT),
+                        Tuple.of(30, Kind.PROPOSE),
+                        Tuple.of(4, Kind.READ),
+                        Tuple.of(6, Kind.SNAPSHOT),
+                        Tuple.of(4, Kind.CRASH),
+                        Tuple.of(10, Kind.START),
+                        Tuple.of(8, Kind.START_ALL),
+                        Tuple.of(2, Kind.KILL_ALL),
+                        Tuple.of(3, Kind.LOSE_POWER),
+                        Tuple.of(2, Kind.LOSE_POWER_EVERYWHERE),
+                        Tuple.of(2, Kind.REFUSE_DISK),
+                        Tuple.of(2, Kind.ISOLATE),
+                        Tuple.of(2, Kind.PARTITION),
+                        Tuple.of(6, Kind.HEAL),
+                        Tuple.of(2, Kind.ADD_LEARNER),
+                        Tuple.of(3, Kind.PROMOTE),
+                        Tuple.of(1, Kind.REMOVE),
+                        Tuple.of(1, Kind.LOSE_DISK)));
     }
 
     static Arbitrary<List<FuzzAction>> lists(int length) {
-        Arbitrary<Kind> kinds =
+        return lists(
+                length,
                 Arbitraries.frequency(
                         Tuple.of(10, Kind.WAIT),
                         Tuple.of(24, Kind.PROPOSE),
@@ -51,7 +82,10 @@
                         Tuple.of(6, Kind.PROMOTE),
                         Tuple.of(3, Kind.REMOVE),
                         Tuple.of(2, Kind.TRANSFER),
-                        Tuple.of(1, Kind.LOSE_DISK));
+                        Tuple.of(1, Kind.LOSE_DISK)));
+    }
+
+    private static Arbitrary<List<FuzzAction>> lists(int length, Arbitrary<Kind> kinds) {
         Arbitrary<Integer> any = Arbitraries.integers().between(0, 63).withoutEdgeCases();
         Arbitrary<Integer> time =
                 Arbitraries.frequencyOf(
@@ -84,6 +118,11 @@
             case TRANSFER ->
                     sim.nodes.forEach(n -> sim.input(n, new ReplicaInput.TransferLeadership()));
             case LOSE_DISK -> sim.loseDisk(node);
+            case LOSE_POWER -> sim.losePower(node);
+            case LOSE_POWER_EVERYWHERE -> sim.nodes.forEach(sim::losePower);
+            case KILL_ALL -> sim.nodes.forEach(sim::crash);
+            case START_ALL -> sim.nodes.forEach(sim::start);
+            case REFUSE_DISK -> sim.refuseDisk(node);
             default -> sim.run(millis);
         }
         sim.run(millis);
--- a/siskintrail.test/tst/io/siskintrail/internal/consensus/FuzzRun.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/consensus/FuzzRun.java
@@ -33,6 +33,20 @@
         return run(sim, actions);
     }
 
+    /** Runs {@code actions} on replicas without leases and on the stores of production. */
+    static long runOnStores(int voters, long seed, List<FuzzAction> actions) {
+        Simulation sim = Simulation.onStores(voters, 1, seed);
+        sim.run(START_MILLIS);
+        return run(sim, actions);
+    }
+
+    /** Runs {@code count} random faults of processes, disks and power on the same. */
+    static long runOnStores(int voters, int count, long seed) {
+        RandomGenerator<List<FuzzAction>> lists =
+                FuzzAction.listsOfDiskFaults(count).generator(GENERATOR_SIZE);
+        return runOnStores(voters, seed, lists.next(new Random(seed)).value());
+    }
+
     /**
      * Follows figure 8 of the Raft paper: a leader brings an entry of an old term to a majority and
      * is lost at the moment when it counts as committed; then the replica with the newer, shorter
--- a/siskintrail.test/tst/io/siskintrail/internal/consensus/SimulatedDisk.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/consensus/SimulatedDisk.java
@@ -5,7 +5,7 @@
 import java.util.SplittableRandom;
 
 /** A disk that keeps what was synced and, after a crash, a random prefix of the rest. */
-final class SimulatedDisk {
+final class SimulatedDisk implements NodeDisk {
     private final List<ReplicaEffect.Persist> unsynced = new ArrayList<>();
     private final List<LogEntry> entries = new ArrayList<>();
     private HardState hardState = HardState.INITIAL;
@@ -15,28 +15,34 @@
         this.snapshot = snapshot;
     }
 
-    void preset(HardState state, List<LogEntry> stored) {
+    @Override
+    public void preset(HardState state, List<LogEntry> stored) {
         hardState = state;
         entries.addAll(stored);
     }
 
-    void write(ReplicaEffect.Persist op) {
+    @Override
+    public void write(ReplicaEffect.Persist op) {
         unsynced.add(op);
     }
 
-    int unsyncedCount() {
+    @Override
+    public int unsyncedCount() {
         return unsynced.size();
     }
 
-    void sync(int count) {
+    @Override
+    public boolean sync(int count) {
         for (int i = 0; i < count; i++) {
             apply(unsynced.get(i));
         }
         unsynced.subList(0, count).clear();
+        return true;
     }
 
     /** Loses a random suffix of what was not synced; the last survivor can be torn. */
-    void crash(SplittableRandom random) {
+    @Override
+    public void kill(SplittableRandom random) {
         sync(random.nextInt(unsynced.size() + 1));
         if (!unsynced.isEmpty()
                 && unsynced.get(0) instanceof ReplicaEffect.AppendEntries a
@@ -47,7 +53,24 @@
         unsynced.clear();
     }
 
-    StoredState read() {
+    @Override
+    public void losePower(SplittableRandom random) {
+        kill(random);
+    }
+
+    @Override
+    public void refuse(SplittableRandom random) {}
+
+    @Override
+    public void repair() {}
+
+    @Override
+    public StoredState open(SplittableRandom random) {
+        return peek();
+    }
+
+    @Override
+    public StoredState peek() {
         return new StoredState(hardState, snapshot, entries);
     }
 
--- a/siskintrail.test/tst/io/siskintrail/internal/consensus/SimulatedNode.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/consensus/SimulatedNode.java
@@ -7,7 +7,7 @@
 /** One replica of a simulation with its disk, its clock and the state it has applied. */
 final class SimulatedNode {
     final ReplicaId id;
-    final SimulatedDisk disk;
+    final NodeDisk disk;
     final List<Runnable> whilePaused = new ArrayList<>();
     private final double clockRate;
     Replica replica;
@@ -18,9 +18,9 @@
     int unsyncedTaken;
     long syncReadyAt;
 
-    SimulatedNode(ReplicaId id, Snapshot initial, double clockRate) {
+    SimulatedNode(ReplicaId id, NodeDisk disk, double clockRate) {
         this.id = id;
-        this.disk = new SimulatedDisk(initial);
+        this.disk = disk;
         this.clockRate = clockRate;
     }
 
--- a/siskintrail.test/tst/io/siskintrail/internal/consensus/Simulation.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/consensus/Simulation.java
@@ -13,6 +13,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /** Several replicas in virtual time on a network and on disks that fail. */
@@ -33,6 +34,7 @@
     private final SplittableRandom random;
     private final Supplier<SafetyRules> rules;
     private final ReplicaSettings settings;
+    private final Function<Snapshot, NodeDisk> disks;
     private long now;
     private long sequence;
     private long token;
@@ -49,13 +51,23 @@
     }
 
     Simulation(int voters, int spares, long seed, Supplier<SafetyRules> rules) {
-        this(voters, spares, seed, rules, SETTINGS);
+        this(voters, spares, seed, rules, SETTINGS, SimulatedDisk::new);
         nodes.forEach(this::start);
     }
 
     /** Starts replicas that never act on a lease, like those of a registry. */
     static Simulation withoutLeases(int voters, int spares, long seed) {
-        Simulation sim = new Simulation(voters, spares, seed, SafetyRules::new, NO_LEASES);
+        return withoutLeases(voters, spares, seed, SimulatedDisk::new);
+    }
+
+    /** Starts replicas without leases whose disks hold the files of the store in production. */
+    static Simulation onStores(int voters, int spares, long seed) {
+        return withoutLeases(voters, spares, seed, StoredDisk::new);
+    }
+
+    private static Simulation withoutLeases(
+            int voters, int spares, long seed, Function<Snapshot, NodeDisk> disks) {
+        Simulation sim = new Simulation(voters, spares, seed, SafetyRules::new, NO_LEASES, disks);
         sim.nodes.forEach(sim::start);
         return sim;
     }
@@ -65,7 +77,9 @@
             int spares,
             long seed,
             Supplier<SafetyRules> rules,
-            ReplicaSettings settings) {
+            ReplicaSettings settings,
+            Function<Snapshot, NodeDisk> disks) {
+        this.disks = disks;
         this.random = new SplittableRandom(seed);
         this.rules = rules;
         this.settings = settings;
@@ -81,7 +95,7 @@
 
     /** Starts from state (b) of figure 8 of the Raft paper: an old entry on two of five disks. */
     static Simulation figureEight(long seed, Supplier<SafetyRules> rules) {
-        Simulation sim = new Simulation(5, 0, seed, rules, ONE_BY_ONE);
+        Simulation sim = new Simulation(5, 0, seed, rules, ONE_BY_ONE, SimulatedDisk::new);
         LogEntry first = command(1, 1);
         LogEntry old = command(2, 2);
         sim.nodes.get(0).disk.preset(new HardState(3, null), List.of(first, old));
@@ -120,21 +134,43 @@
 
     void crash(SimulatedNode node) {
         if (node.isUp()) {
-            node.disk.crash(random);
-            node.replica = null;
-            node.generation++;
-            node.unsyncedTaken = 0;
-            node.syncReadyAt = 0;
-            node.paused = false;
-            node.whilePaused.clear();
+            node.disk.kill(random);
+            end(node);
+        }
+    }
+
+    /** Ends the process, if there is one, with all that its disk has not synced. */
+    void losePower(SimulatedNode node) {
+        if (!node.lost) {
+            node.disk.losePower(random);
+            end(node);
+        }
+    }
+
+    /** Lets the disk refuse changes; the replica begins anew with its next sync. */
+    void refuseDisk(SimulatedNode node) {
+        if (node.isUp()) {
+            node.disk.refuse(random);
         }
     }
 
+    private static void end(SimulatedNode node) {
+        node.replica = null;
+        node.generation++;
+        node.unsyncedTaken = 0;
+        node.syncReadyAt = 0;
+        node.paused = false;
+        node.whilePaused.clear();
+    }
+
     void start(SimulatedNode node) {
         if (node.isUp() || node.lost) {
             return;
         }
-        StoredState stored = node.disk.read();
+        StoredState stored = node.disk.open(random);
+        if (stored == null) {
+            return;
+        }
         node.replica = new Replica(node.id, settings, rules.get(), stored, random.nextLong());
         assertWithMessage("stored snapshot of %s", node.id)
                 .that(node.restore(stored.snapshot(), oracle))
@@ -280,7 +316,10 @@
         heal();
         calm = true;
         nodes.forEach(this::resume);
-        nodes.forEach(this::start);
+        nodes.forEach(n -> n.disk.repair());
+        while (nodes.stream().anyMatch(n -> !n.isUp() && !n.lost)) {
+            nodes.forEach(this::start);
+        }
         run(3_000);
         nodes.forEach(n -> propose(n, 1));
         run(1_000);
@@ -297,7 +336,8 @@
     }
 
     private void add(ReplicaId id, Snapshot snapshot) {
-        nodes.add(new SimulatedNode(id, snapshot, 0.98 + 0.04 * random.nextDouble()));
+        double clockRate = 0.98 + 0.04 * random.nextDouble();
+        nodes.add(new SimulatedNode(id, disks.apply(snapshot), clockRate));
     }
 
     private static ReplicaId id(int host, long disk) {
@@ -308,7 +348,7 @@
         List<ReplicaSet> sets = new ArrayList<>();
         for (SimulatedNode node : nodes) {
             if (!node.lost) {
-                sets.addAll(setsOf(new RaftLog(node.disk.read())));
+                sets.addAll(setsOf(new RaftLog(node.disk.peek())));
             }
             if (!node.lost && node.isUp()) {
                 sets.addAll(setsOf(node.replica.log()));
@@ -365,11 +405,15 @@
         at(
                 node.syncReadyAt,
                 () -> {
-                    if (node.generation == generation) {
-                        node.disk.sync(count - already);
-                        node.unsyncedTaken -= count - already;
-                        inputIf(node, generation, new ReplicaInput.Synced(number));
+                    if (node.generation != generation) {
+                        return;
+                    }
+                    if (!node.disk.sync(count - already)) {
+                        crash(node);
+                        return;
                     }
+                    node.unsyncedTaken -= count - already;
+                    inputIf(node, generation, new ReplicaInput.Synced(number));
                 });
     }
 
