Cut a torn write of several records instead of calling it damage

What callers saw: not seen by them; found by the model of the disk. A registry that lost power while it wrote several records at once could read its sound disk as damaged and start with an empty one.

Cause: a torn write can keep a later part and lose an earlier one. The replay took any sound record behind a bad one for a proof of damage, although both stood in the same write, which no sync had covered.

Change: a segment begins with a record BEGIN and each write behind it with a record WRITE. A store writes only when the write before is durable, so that a sound WRITE behind a bad record proves damage, and nothing else does. Segments of older builds begin with HARD_STATE and keep the stricter rule.

Why it works: only the last write to the newest segment can be unsynced, and no mark stands behind its first byte.

--- a/siskintrail.storage/src/io/siskintrail/storage/FileLogStore.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/FileLogStore.java
@@ -121,6 +121,9 @@
     }
 
     private void add(RecordType type, byte[] body) {
+        if (pending.size() == 0) {
+            pending.writeBytes(RecordFormat.encode(RecordType.WRITE, new byte[0]));
+        }
         pending.writeBytes(RecordFormat.encode(type, body));
     }
 
@@ -155,7 +158,7 @@
         }
         Segment segment = new Segment(number);
         output = files.append(segment.name());
-        byte[] first = RecordFormat.encode(RecordType.HARD_STATE, codec.encode(hardState));
+        byte[] first = RecordFormat.encode(RecordType.BEGIN, codec.encode(hardState));
         output.write(ByteBuffer.wrap(first));
         output.sync();
         files.syncFolder();
--- a/siskintrail.storage/src/io/siskintrail/storage/LogReplay.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/LogReplay.java
@@ -33,11 +33,12 @@
      * @return the size of its sound part
      */
     int replay(Segment segment, byte[] file, boolean last) {
+        boolean marked = beginsMarked(file);
         int offset = 0;
         while (offset < file.length) {
             RecordFormat.Frame frame = RecordFormat.decode(file, offset);
             if (frame == null) {
-                checkTornTail(segment, file, offset, last);
+                checkTornTail(segment, file, offset, last, marked);
                 return offset;
             }
             apply(segment, offset, frame);
@@ -46,8 +47,22 @@
         return offset;
     }
 
-    private static void checkTornTail(Segment segment, byte[] file, int offset, boolean last) {
-        int next = RecordFormat.findNext(file, offset + 1);
+    private static boolean beginsMarked(byte[] file) {
+        RecordFormat.Frame first = RecordFormat.decode(file, 0);
+        return first != null && first.type() == RecordType.BEGIN;
+    }
+
+    /**
+     * Refuses what a loss of power cannot have left: only the last write to the newest segment can
+     * be torn, in any part of it. Where writes are marked, a mark behind the bad record tells that
+     * the record was durable once; where they are not, any sound record behind it counts as one.
+     */
+    private static void checkTornTail(
+            Segment segment, byte[] file, int offset, boolean last, boolean marked) {
+        int next =
+                marked
+                        ? RecordFormat.findNext(file, offset + 1, t -> t == RecordType.WRITE)
+                        : RecordFormat.findNext(file, offset + 1, t -> true);
         if (last && next < 0) {
             return;
         }
@@ -57,10 +72,11 @@
 
     private void apply(Segment segment, int offset, RecordFormat.Frame frame) {
         switch (frame.type()) {
-            case HARD_STATE -> hardState = codec.decodeHardState(frame.body());
+            case HARD_STATE, BEGIN -> hardState = codec.decodeHardState(frame.body());
             case ENTRY -> append(segment, offset, codec.decodeEntry(frame.body()));
             case TRUNCATE -> truncateFrom(ByteBuffer.wrap(frame.body()).getLong());
             case RESET -> entries.clear();
+            case WRITE -> {}
             default -> throw damaged(segment, offset, "record type is unknown");
         }
     }
--- a/siskintrail.storage/src/io/siskintrail/storage/RecordFormat.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/RecordFormat.java
@@ -1,6 +1,7 @@
 package io.siskintrail.storage;
 
 import java.nio.ByteBuffer;
+import java.util.function.Predicate;
 import java.util.zip.CRC32C;
 
 /**
@@ -51,10 +52,14 @@
         return new Frame(type, body, start + length);
     }
 
-    /** Returns the offset of the first sound record at or after {@code from}, -1 when none. */
-    static int findNext(byte[] file, int from) {
+    /**
+     * Returns the offset of the first sound record at or after {@code from} whose type is {@code
+     * wanted}, -1 when none.
+     */
+    static int findNext(byte[] file, int from, Predicate<RecordType> wanted) {
         for (int i = from; i <= file.length - HEADER_BYTES; i++) {
-            if (decode(file, i) != null) {
+            Frame frame = decode(file, i);
+            if (frame != null && wanted.test(frame.type())) {
                 return i;
             }
         }
--- a/siskintrail.storage/src/io/siskintrail/storage/RecordType.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/RecordType.java
@@ -9,7 +9,11 @@
     /** All entries from an index on are void. */
     TRUNCATE(3),
     /** All entries are void; a snapshot took their place. */
-    RESET(4);
+    RESET(4),
+    /** The first record of a segment: the term and the vote; each write after it is marked. */
+    BEGIN(5),
+    /** The first record of a write: everything before it in the segment was durable by then. */
+    WRITE(6);
 
     private final byte number;
 
--- a/siskintrail.test/tst/io/siskintrail/internal/consensus/PowerLossTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/consensus/PowerLossTest.java
@@ -15,6 +15,7 @@
 /** What a store still holds after a loss of power, each with many outcomes of that loss. */
 class PowerLossTest {
     private static final int SEGMENT_BYTES = 300;
+    private static final int LARGE_SEGMENT_BYTES = 1 << 20;
     private static final int SEEDS = 200;
 
     private final ModelFiles files = new ModelFiles();
@@ -47,6 +48,21 @@
         assertThat(lastIndex(found)).isEqualTo(60);
     }
 
+    /** Guards against taking a torn write of several records for damage of what was synced. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void tornWriteOfManyRecordsIsCut(long seed) {
+        FileLogStore store = open(files, LARGE_SEGMENT_BYTES);
+        append(store, 1, 5);
+        store.sync();
+        files.killAfter(1);
+        append(store, 6, 15);
+        attempt(store::sync);
+        files.restart();
+        files.losePower(new SplittableRandom(seed));
+        assertThat(lastIndex(store(files, LARGE_SEGMENT_BYTES).open())).isAtLeast(5);
+    }
+
     private static FileLogStore open(ModelFiles folder, int segmentBytes) {
         FileLogStore store = store(folder, segmentBytes);
         store.open();
