Take nothing for durable that a store finds and has not synced

Cause: FileLogStore.open took what it read for durable and began a new segment. What a killed process had written and not synced was never synced by anybody; the replica acknowledged it and built on it, and a loss of power took it away from the middle of the log, which the replay calls damage. A refused sync leads there too: the store is opened again in the same process, reads what no later sync of that file covers, and goes on.

Change: open replaces the newest segment by a synced copy of its sound part, renames it durably, and syncs the older segments, which an older build may have left unsynced, before it begins another segment.

Why it works: whatever the file held, the copy is of bytes just written and synced; the replica is told of nothing else, so what it acknowledges cannot be taken away.

--- a/siskintrail.platform.test/tst/io/siskintrail/registry/internal/FullableFiles.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/registry/internal/FullableFiles.java
@@ -57,12 +57,6 @@
         return new FullableOutput(files.append(name));
     }
 
-    @Override
-    public void truncate(String name, long size) throws IOException {
-        check(Refusal.EVERYTHING);
-        files.truncate(name, size);
-    }
-
     @Override
     public void rename(String from, String to) throws IOException {
         check(Refusal.EVERYTHING);
--- a/siskintrail.storage.test/tst/io/siskintrail/storage/FaultyFiles.java
+++ b/siskintrail.storage.test/tst/io/siskintrail/storage/FaultyFiles.java
@@ -116,12 +116,6 @@
         };
     }
 
-    @Override
-    public void truncate(String name, long size) throws IOException {
-        operate();
-        files.get(name).set(Arrays.copyOf(files.get(name).all(), (int) size));
-    }
-
     @Override
     public void rename(String from, String to) throws IOException {
         operate();
--- a/siskintrail.storage/src/io/siskintrail/storage/DiskFiles.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/DiskFiles.java
@@ -42,15 +42,6 @@
         return new ChannelOutput(channel);
     }
 
-    @Override
-    public void truncate(String name, long size) throws IOException {
-        try (FileChannel channel =
-                FileChannel.open(folder.resolve(name), StandardOpenOption.WRITE)) {
-            channel.truncate(size);
-            channel.force(true);
-        }
-    }
-
     @Override
     public void rename(String from, String to) throws IOException {
         Files.move(
--- a/siskintrail.storage/src/io/siskintrail/storage/FileLogStore.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/FileLogStore.java
@@ -140,8 +140,10 @@
             boolean last = i == found.size() - 1;
             byte[] file = files.read(segment.name());
             int sound = replay.replay(segment, file, last);
-            if (sound < file.length) {
-                files.truncate(segment.name(), sound);
+            if (last) {
+                rewrite(segment, file, sound);
+            } else {
+                syncFound(segment);
             }
             segments.add(segment);
         }
@@ -151,6 +153,28 @@
         return replay.entries();
     }
 
+    /**
+     * Replaces the newest segment by a durable copy of its sound part. The process that wrote it
+     * may have ended before a sync, or a sync may have failed, after which no further one of the
+     * same file would tell what the disk holds.
+     */
+    private void rewrite(Segment segment, byte[] file, int sound) throws IOException {
+        String part = segment.name() + SnapshotFiles.PART;
+        try (StorageFiles.Output out = files.append(part)) {
+            out.write(ByteBuffer.wrap(file, 0, sound));
+            out.sync();
+        }
+        files.rename(part, segment.name());
+        files.syncFolder();
+    }
+
+    /** Makes an older segment durable, in case an older build began another one without that. */
+    private void syncFound(Segment segment) throws IOException {
+        try (StorageFiles.Output out = files.append(segment.name())) {
+            out.sync();
+        }
+    }
+
     /** Begins a segment with the term and vote, so that it can stand without the ones before. */
     private void beginSegment(long number) throws IOException {
         if (output != null) {
--- a/siskintrail.storage/src/io/siskintrail/storage/SnapshotFiles.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/SnapshotFiles.java
@@ -11,7 +11,10 @@
 /** Writes snapshots so that either the old or the new one is there after a crash. */
 final class SnapshotFiles {
     static final String SUFFIX = ".snapshot";
-    private static final String PART = ".part";
+
+    /** Ends the names of files that are not whole yet; a crash may leave them behind. */
+    static final String PART = ".part";
+
     private static final int CHECKSUM_BYTES = Integer.BYTES;
 
     private final StorageFiles files;
--- a/siskintrail.storage/src/io/siskintrail/storage/StorageFiles.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/StorageFiles.java
@@ -16,9 +16,6 @@
     /** Opens a file for appending; makes it when there is none. */
     Output append(String name) throws IOException;
 
-    /** Shortens a file to {@code size} bytes, durably. */
-    void truncate(String name, long size) throws IOException;
-
     /** Replaces {@code to} by {@code from}, all at once. */
     void rename(String from, String to) throws IOException;
 
--- a/siskintrail.test/tst/io/siskintrail/internal/consensus/ModelFiles.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/consensus/ModelFiles.java
@@ -193,13 +193,6 @@
         return new ModelOutput(file, process);
     }
 
-    @Override
-    public void truncate(String name, long size) throws IOException {
-        operate();
-        ModelFile file = file(name);
-        file.set(Arrays.copyOf(file.content(), (int) size));
-    }
-
     @Override
     public void rename(String from, String to) throws IOException {
         operate();
--- a/siskintrail.test/tst/io/siskintrail/internal/consensus/PowerLossTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/consensus/PowerLossTest.java
@@ -1,7 +1,9 @@
 package io.siskintrail.internal.consensus;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
+import io.siskintrail.internal.consensus.ModelFiles.Refusal;
 import io.siskintrail.internal.replicated.LogPosition;
 import io.siskintrail.storage.FileLogStore;
 import io.siskintrail.storage.StorageException;
@@ -10,6 +12,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** What a store still holds after a loss of power, each with many outcomes of that loss. */
@@ -20,6 +23,12 @@
 
     private final ModelFiles files = new ModelFiles();
 
+    /** How a write ends without being synced, while the files can still be read. */
+    enum End {
+        KILL,
+        REFUSED_SYNC
+    }
+
     static LongStream seeds() {
         return LongStream.range(0, SEEDS);
     }
@@ -63,6 +72,39 @@
         assertThat(lastIndex(store(files, LARGE_SEGMENT_BYTES).open())).isAtLeast(5);
     }
 
+    /** Guards against building on what a process found and nobody has synced. */
+    @ParameterizedTest
+    @EnumSource
+    void whatAProcessFindsStaysAfterALossOfPower(End end) {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            ModelFiles folder = new ModelFiles();
+            FileLogStore store = open(folder, LARGE_SEGMENT_BYTES);
+            append(store, 1, 5);
+            store.sync();
+            append(store, 6, 8);
+            leaveUnsynced(folder, store, end);
+            FileLogStore next = store(folder, LARGE_SEGMENT_BYTES);
+            long found = lastIndex(next.open());
+            append(next, found + 1, found + 3);
+            next.sync();
+            folder.restart();
+            folder.losePower(new SplittableRandom(seed));
+            assertWithMessage("entries after a loss of power, seed %s", seed)
+                    .that(lastIndex(store(folder, LARGE_SEGMENT_BYTES).open()))
+                    .isEqualTo(found + 3);
+        }
+    }
+
+    private static void leaveUnsynced(ModelFiles folder, FileLogStore store, End end) {
+        if (end == End.KILL) {
+            folder.killAfter(1);
+        } else {
+            folder.refuse(Refusal.SYNCS);
+        }
+        attempt(store::sync);
+        folder.restart();
+    }
+
     private static FileLogStore open(ModelFiles folder, int segmentBytes) {
         FileLogStore store = store(folder, segmentBytes);
         store.open();
