Keep the files of a disk that cannot be read, and begin no log beside them

Cause: ReplicaDisk deleted every file of a folder in which any record was damaged, and a replica on the empty folder counted as one that has never known a log.

Change: the files are renamed (.aside-N), the disk number first, so that no end of the process leaves a part of them as a whole disk. The replica gets another number and joins without a vote, as before. While the files are there it neither begins a log nor offers itself for one; the start after it has the log again deletes them. DataFolder unlocks a folder that it refuses, and makes a new folder durable in its parent.

FullDiskTest keeps its checks; its registries moved to LoopbackRegistries.

Why it works: nothing is deleted before a majority has given the replica the log, and what is not sure has no vote.

--- a/siskintrail.platform.test/tst/io/siskintrail/registry/internal/FullDiskTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/registry/internal/FullDiskTest.java
@@ -2,22 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.siskintrail.internal.traffic.ClientLimits;
-import io.siskintrail.internal.traffic.TrafficConfiguration;
-import io.siskintrail.lib.Result;
-import io.siskintrail.net.EventLoop;
-import io.siskintrail.net.HttpService;
-import io.siskintrail.registry.RegistryCall;
-import io.siskintrail.registry.RegistrySettings;
-import io.siskintrail.testkit.FreePorts;
-import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.nio.charset.StandardCharsets;
+import io.siskintrail.storage.StorageFiles;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -29,32 +15,16 @@
 /** Registries whose disks are full for a moment, one after another. */
 @Timeout(120)
 class FullDiskTest {
-    private static final int REGISTRIES = 3;
-
     /** A few attempts to open the disk again. */
     private static final long FULL_MILLIS = 1_200;
 
-    /** Time for an attempt to open the disk and for an election. */
-    private static final long RECOVERY_MILLIS = 4_000;
-
-    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
-    private static final long CHANGE_INTERVAL_MILLIS = 40;
-
     @TempDir Path folder;
-    private final int callPort = FreePorts.next();
-    private final int linkPort = FreePorts.next();
-    private final HttpClient http = HttpClient.newHttpClient();
-    private final List<EventLoop> loops = new ArrayList<>();
-    private final List<Registry> registries = new ArrayList<>();
     private final List<FullableFiles> disks = new ArrayList<>();
-    private long version;
+    private LoopbackRegistries registries;
 
     @AfterEach
     void stop() {
-        registries.forEach(Registry::stop);
-        loops.forEach(EventLoop::stop);
-        disks.forEach(disk -> disk.setFull(false));
-        registries.forEach(Registry::closeDisk);
+        registries.stop(() -> disks.forEach(disk -> disk.setFull(false)));
     }
 
     /** Guards against a registry that never writes again after its disk was full. */
@@ -62,128 +32,29 @@
     @EnumSource(FullableFiles.Refusal.class)
     void changesAreAcknowledgedAfterEachDiskWasFull(FullableFiles.Refusal refusal)
             throws Exception {
-        for (int i = 0; i < REGISTRIES; i++) {
-            start(i, refusal);
+        registries = new LoopbackRegistries(folder);
+        for (int i = 0; i < LoopbackRegistries.COUNT; i++) {
+            registries.start(i, files -> disk(files, refusal));
         }
-        awaitAcknowledgement();
+        registries.awaitAcknowledgement();
 
         for (FullableFiles disk : disks) {
             disk.setFull(true);
-            sendChanges(FULL_MILLIS);
+            registries.sendChanges(FULL_MILLIS);
             disk.setFull(false);
-            sendChanges(FULL_MILLIS);
+            registries.sendChanges(FULL_MILLIS);
         }
 
-        awaitAcknowledgement();
-        for (int i = 0; i < REGISTRIES; i++) {
+        registries.awaitAcknowledgement();
+        for (int i = 0; i < LoopbackRegistries.COUNT; i++) {
             assertThat(disks.get(i).refused()).isGreaterThan(0);
-            awaitRead(i);
-        }
-    }
-
-    private void start(int number, FullableFiles.Refusal refusal) {
-        List<String> seeds = new ArrayList<>();
-        for (int i = 0; i < REGISTRIES; i++) {
-            seeds.add(ip(i) + ":" + callPort);
-        }
-        RegistrySettings settings =
-                new RegistrySettings(
-                        "core-" + number,
-                        "a",
-                        ip(number),
-                        seeds.get(number),
-                        linkPort,
-                        FreePorts.next(),
-                        seeds,
-                        true,
-                        folder.resolve("data-" + number).toString(),
-                        1_000,
-                        1);
-        EventLoop loop = new EventLoop("registry-" + number);
-        Path data = Path.of(settings.dataFolder());
-        ReplicaDisk disk =
-                ReplicaDisk.of(
-                        data,
-                        files -> {
-                            FullableFiles fullable = new FullableFiles(files, refusal);
-                            disks.add(fullable);
-                            return fullable;
-                        });
-        Registry registry = new Registry(loop, settings, FullDiskTest::read, disk);
-        loops.add(loop);
-        registries.add(registry);
-        registry.start();
-    }
-
-    /** Reads a call whose body is the version of a configuration. */
-    private static RegistryCall read(HttpService.Call call) {
-        if (!call.method().equals("PUT")) {
-            return new RegistryCall.ReadConfiguration();
-        }
-        long sent = Long.parseLong(new String(call.body(), StandardCharsets.US_ASCII));
-        TrafficConfiguration configuration =
-                new TrafficConfiguration(
-                        sent, List.of(), List.of(), ClientLimits.DEFAULT, List.of());
-        return new RegistryCall.PutConfiguration(Result.ok(configuration), call.body());
-    }
-
-    private void sendChanges(long millis) throws Exception {
-        long end = EventLoop.nowMillis() + millis;
-        while (EventLoop.nowMillis() < end) {
-            put();
-            Thread.sleep(CHANGE_INTERVAL_MILLIS);
-        }
-    }
-
-    private void awaitAcknowledgement() throws Exception {
-        long end = EventLoop.nowMillis() + RECOVERY_MILLIS;
-        while (put() != 200) {
-            assertThat(EventLoop.nowMillis()).isLessThan(end);
-        }
-    }
-
-    /** Waits until a registry confirms the newest configuration, for which it needs its log. */
-    private void awaitRead(int number) throws Exception {
-        long end = EventLoop.nowMillis() + RECOVERY_MILLIS;
-        String wanted = Long.toString(version);
-        while (!wanted.equals(call(number, HttpRequest.newBuilder().GET()))) {
-            assertThat(EventLoop.nowMillis()).isLessThan(end);
-        }
-    }
-
-    /** Sends the next version to one registry after another; returns the last status. */
-    private int put() throws Exception {
-        version++;
-        byte[] body = Long.toString(version).getBytes(StandardCharsets.US_ASCII);
-        for (int i = 0; i < REGISTRIES; i++) {
-            String answer =
-                    call(
-                            (int) ((version + i) % REGISTRIES),
-                            HttpRequest.newBuilder()
-                                    .PUT(HttpRequest.BodyPublishers.ofByteArray(body)));
-            if (answer.equals("{}")) {
-                return 200;
-            }
-        }
-        return 503;
-    }
-
-    /** Returns the body of a response with status 200, empty for any other outcome. */
-    private String call(int number, HttpRequest.Builder builder) throws InterruptedException {
-        HttpRequest request =
-                builder.uri(URI.create("http://%s:%d/".formatted(ip(number), callPort)))
-                        .timeout(CALL_TIMEOUT)
-                        .build();
-        try {
-            HttpResponse<String> response =
-                    http.send(request, HttpResponse.BodyHandlers.ofString());
-            return response.statusCode() == 200 ? response.body() : "";
-        } catch (IOException e) {
-            return "";
+            registries.awaitRead(i);
         }
     }
 
-    private static String ip(int number) {
-        return "127.0.0." + (21 + number);
+    private StorageFiles disk(StorageFiles files, FullableFiles.Refusal refusal) {
+        FullableFiles fullable = new FullableFiles(files, refusal);
+        disks.add(fullable);
+        return fullable;
     }
 }
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -255,6 +255,7 @@
                 siskintrail_registry_current %d
                 siskintrail_registry_edges %d
                 siskintrail_registry_endpoints %d
+                siskintrail_registry_files_aside %d
                 """
                         .formatted(
                                 replica.term(),
@@ -263,7 +264,8 @@
                                 replica.configuration().version(),
                                 replica.isCurrent() ? 1 : 0,
                                 feed.count(),
-                                endpoints.records().size());
+                                endpoints.records().size(),
+                                replica.hasFilesAside() ? 1 : 0);
         answer.accept(
                 new HttpService.Answer(200, "text/plain", text.getBytes(StandardCharsets.UTF_8)));
     }
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
@@ -119,7 +119,7 @@
         this.changed = changed;
         this.seed = seed;
         self = new ReplicaId(host, disk.diskId());
-        formation = new Formation(self, first);
+        formation = new Formation(self, disk.hasFilesAside() ? List.of() : first);
         replacement = new ReplacementPolicy(voters, LOST_AFTER_MILLIS);
         domains.put(host, domain);
         open();
@@ -190,6 +190,11 @@
         return replica.role() == Role.LEADER;
     }
 
+    /** Returns whether files of this disk were put aside, for metrics. */
+    boolean hasFilesAside() {
+        return disk.hasFilesAside();
+    }
+
     /** Returns the term, for metrics. */
     long term() {
         return replica.term();
@@ -258,12 +263,13 @@
                     .ifPresent(this::change);
             return;
         }
-        boolean pristine = replica.isPristine();
+        boolean pristine = replica.isPristine() && !disk.hasFilesAside();
         ReplicaSet first = pristine ? formation.decide(now) : null;
         if (first != null) {
             LogEvent.info(LOG, "replica.log.begun").with("replicas", first.voters()).write();
             step(new ReplicaInput.Form(first));
-        } else if (pristine || replica.leaderSilentMillis(now) > SETTINGS.electionMillis()) {
+        } else if (replica.isPristine()
+                || replica.leaderSilentMillis(now) > SETTINGS.electionMillis()) {
             peers.broadcastConsensus(ConsensusCodec.encodeOffer(self, domain, pristine));
         }
     }
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/ReplicaDisk.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/ReplicaDisk.java
@@ -1,8 +1,10 @@
 package io.siskintrail.registry.internal;
 
+import io.siskintrail.internal.consensus.StoredState;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.storage.DataFolder;
+import io.siskintrail.storage.DiskFiles;
 import io.siskintrail.storage.FileLogStore;
 import io.siskintrail.storage.LogStore;
 import io.siskintrail.storage.StorageException;
@@ -10,15 +12,15 @@
 import io.siskintrail.wire.ThriftRecordCodec;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.function.UnaryOperator;
-import java.util.stream.Stream;
 
 /**
- * Owns the data folder of a replica. A folder that cannot be read in full is emptied and gets
- * another disk number, so that its replica joins like one whose disk was lost.
+ * Owns the data folder of a replica. The files of a folder that cannot be read in full are renamed
+ * and kept, and the folder gets another disk number, so that its replica joins without a vote, like
+ * one whose disk was lost. They are deleted at a later start, once the replica has got a log from
+ * the others.
  */
 final class ReplicaDisk {
     private static final System.Logger LOG = System.getLogger(ReplicaDisk.class.getName());
@@ -26,12 +28,20 @@
     /** Size of a log segment: the disks are small, and segments are deleted whole. */
     private static final long SEGMENT_BYTES = 2L << 20;
 
+    /** Ends the names of files that were put aside, before the number of the occasion. */
+    private static final String ASIDE = ".aside-";
+
+    private static final String IDENTITY = "disk-id";
+    private static final String LOCK = "lock";
+
     private final DataFolder folder;
     private final StorageFiles files;
+    private final boolean hasFilesAside;
 
-    private ReplicaDisk(DataFolder folder, UnaryOperator<StorageFiles> wrapper) {
+    private ReplicaDisk(DataFolder folder, StorageFiles files, boolean hasFilesAside) {
         this.folder = folder;
-        this.files = wrapper.apply(folder.files());
+        this.files = files;
+        this.hasFilesAside = hasFilesAside;
     }
 
     /** Opens the folder at {@code path}. */
@@ -41,18 +51,14 @@
 
     /** Opens the folder at {@code path}; {@code wrapper} may put faults before its files. */
     static ReplicaDisk of(Path path, UnaryOperator<StorageFiles> wrapper) {
-        ReplicaDisk disk = new ReplicaDisk(openSound(path), wrapper);
         try {
-            LogStore trial = disk.open();
-            trial.open();
-            trial.close();
-            return disk;
+            return openSound(path, wrapper);
         } catch (StorageException e) {
             if (!isDamage(e)) {
                 throw e;
             }
-            disk.folder.close();
-            return new ReplicaDisk(replace(path, e), wrapper);
+            putAside(path, e);
+            return openSound(path, wrapper);
         }
     }
 
@@ -61,9 +67,17 @@
         return folder.diskId();
     }
 
+    /**
+     * Returns whether files were put aside that the replica has not got back from the others. What
+     * they held may have been acknowledged, so that this replica must not begin another log.
+     */
+    boolean hasFilesAside() {
+        return hasFilesAside;
+    }
+
     /** Returns a store on the folder; the one before must be closed. */
     LogStore open() {
-        return new FileLogStore(files, new ThriftRecordCodec(), SEGMENT_BYTES);
+        return store(files);
     }
 
     /** Unlocks the folder; the last store must be closed. */
@@ -71,14 +85,36 @@
         folder.close();
     }
 
-    private static DataFolder openSound(Path path) {
+    private static ReplicaDisk openSound(Path path, UnaryOperator<StorageFiles> wrapper) {
+        DataFolder folder = DataFolder.open(path);
         try {
-            return DataFolder.open(path);
-        } catch (StorageException e) {
-            if (!isDamage(e)) {
-                throw e;
+            StorageFiles files = wrapper.apply(folder.files());
+            boolean hasLog = hasLog(files);
+            List<String> aside = aside(files.list());
+            if (hasLog) {
+                for (String name : aside) {
+                    files.delete(name);
+                }
             }
-            return replace(path, e);
+            return new ReplicaDisk(folder, files, !hasLog && !aside.isEmpty());
+        } catch (StorageException e) {
+            folder.close();
+            throw e;
+        } catch (IOException e) {
+            folder.close();
+            throw new UncheckedIOException("cannot list or delete files of " + path, e);
+        }
+    }
+
+    private static LogStore store(StorageFiles files) {
+        return new FileLogStore(files, new ThriftRecordCodec(), SEGMENT_BYTES);
+    }
+
+    /** Reads the whole log once; returns whether it holds anything. */
+    private static boolean hasLog(StorageFiles files) {
+        try (LogStore store = store(files)) {
+            StoredState stored = store.open();
+            return stored.snapshot().position().index() > 0 || !stored.entries().isEmpty();
         }
     }
 
@@ -87,18 +123,46 @@
         return code == ResultCode.LOG_DAMAGED || code == ResultCode.SNAPSHOT_DAMAGED;
     }
 
-    private static DataFolder replace(Path path, StorageException cause) {
-        LogEvent.warning(LOG, "replica.disk.replaced")
-                .with("code", cause.failure().code().number())
-                .with("detail", cause.failure().detail())
-                .write();
-        try (Stream<Path> files = Files.list(path)) {
-            for (Path file : List.copyOf(files.toList())) {
-                Files.delete(file);
+    /**
+     * Renames all files, the disk number first: a folder without it is never read as a whole one,
+     * whenever the process ends.
+     */
+    private static void putAside(Path path, StorageException cause) {
+        StorageFiles files = new DiskFiles(path);
+        try {
+            List<String> names = files.list();
+            String suffix =
+                    ASIDE
+                            + (1
+                                    + aside(names).stream()
+                                            .mapToInt(ReplicaDisk::number)
+                                            .max()
+                                            .orElse(0));
+            LogEvent.warning(LOG, "replica.disk.replaced")
+                    .with("code", cause.failure().code().number())
+                    .with("detail", cause.failure().detail())
+                    .with("aside", suffix)
+                    .write();
+            if (names.contains(IDENTITY)) {
+                files.rename(IDENTITY, IDENTITY + suffix);
+                files.syncFolder();
             }
+            for (String name : names) {
+                if (!name.equals(IDENTITY) && !name.equals(LOCK) && !name.contains(ASIDE)) {
+                    files.rename(name, name + suffix);
+                }
+            }
+            files.syncFolder();
         } catch (IOException e) {
-            throw new UncheckedIOException("cannot empty " + path, e);
+            throw new UncheckedIOException("cannot put the files of " + path + " aside", e);
         }
-        return DataFolder.open(path);
+    }
+
+    private static List<String> aside(List<String> names) {
+        return names.stream().filter(n -> n.contains(ASIDE)).toList();
+    }
+
+    private static int number(String aside) {
+        return Integer.parseInt(aside.substring(aside.lastIndexOf(ASIDE) + ASIDE.length()));
     }
 }
--- a/siskintrail.storage/src/io/siskintrail/storage/DataFolder.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/DataFolder.java
@@ -54,20 +54,29 @@
 
     private static DataFolder open(Path folder, LongSupplier newDiskId) {
         try {
-            Files.createDirectories(folder);
+            createDurably(folder.toAbsolutePath());
             FileChannel channel = lock(folder);
-            DiskFiles files = new DiskFiles(folder);
-            boolean isNew = !files.list().contains(IDENTITY);
-            if (isNew) {
-                checkEmpty(files);
-                writeIdentity(files, newDiskId.getAsLong());
+            try {
+                return openLocked(channel, new DiskFiles(folder), newDiskId);
+            } catch (IOException | StorageException e) {
+                channel.close();
+                throw e;
             }
-            return new DataFolder(channel, files, readIdentity(files), isNew);
         } catch (IOException e) {
             throw StorageException.failed("data folder " + folder, e);
         }
     }
 
+    private static DataFolder openLocked(
+            FileChannel channel, DiskFiles files, LongSupplier newDiskId) throws IOException {
+        boolean isNew = !files.list().contains(IDENTITY);
+        if (isNew) {
+            checkEmpty(files);
+            writeIdentity(files, newDiskId.getAsLong());
+        }
+        return new DataFolder(channel, files, readIdentity(files), isNew);
+    }
+
     /** Returns the files in the folder. */
     public StorageFiles files() {
         return files;
@@ -92,6 +101,17 @@
         }
     }
 
+    /** Makes a folder that a loss of power does not take away with all that is synced in it. */
+    private static void createDurably(Path folder) throws IOException {
+        if (Files.isDirectory(folder)) {
+            return;
+        }
+        Path parent = folder.getParent();
+        createDurably(parent);
+        Files.createDirectories(folder);
+        new DiskFiles(parent).syncFolder();
+    }
+
     private static FileChannel lock(Path folder) throws IOException {
         FileChannel channel =
                 FileChannel.open(
