End a registry whose thread meets an error, and keep periodic tasks running

Cause: DiskThread handled StorageException only. Any other throwable ended the thread, the replica waited for syncs that never came and still looked alive to its peers. EventLoop and ControlLoop handled RuntimeException only: a periodic task that met an Error was never run again. The settings watch and the log writer ended at any throwable.

Change, for each thread: the disk thread tells its replica of any throwable and throws it on; a registry and a control replica end at what no thread handles (ThreadFaults: 1098, exit status 70, one line) and are started again, since all that they promised is on their disk. Errors that Netty catches in handlers of a registry end it too. Periodic tasks, the settings watch and the log writer go on after any throwable; an edge does not end by one. A disk that is found damaged when it is opened again ends the process, whose next start replaces it.

Why it works: a process that cannot sync is either told so and opens its disk again, or ends.

--- a/siskintrail.control/src/io/siskintrail/control/Main.java
+++ b/siskintrail.control/src/io/siskintrail/control/Main.java
@@ -1,6 +1,7 @@
 package io.siskintrail.control;
 
 import io.siskintrail.service.CommandFrame;
+import io.siskintrail.service.ThreadFaults;
 import io.siskintrail.storage.StorageException;
 
 /** The control binary. */
@@ -12,6 +13,7 @@
     public static void main(String[] args) {
         CommandFrame frame =
                 new CommandFrame("siskintrail-control", "Holds the shared state of a deployment.");
+        ThreadFaults.endProcessOnFaults();
         try {
             System.exit(frame.run(args, ControlSettings.class, ControlService::new));
         } catch (StorageException e) {
--- a/siskintrail.net/src/io/siskintrail/net/EventLoop.java
+++ b/siskintrail.net/src/io/siskintrail/net/EventLoop.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.ImmediateEventExecutor;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
+import io.siskintrail.service.ThreadFaults;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
@@ -112,8 +113,9 @@
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 LOG.log(System.Logger.Level.ERROR, "event=loop.task.failed", e);
+                ThreadFaults.caught(e);
             }
         };
     }
--- a/siskintrail.net/src/io/siskintrail/net/HttpService.java
+++ b/siskintrail.net/src/io/siskintrail/net/HttpService.java
@@ -19,6 +19,7 @@
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
+import io.siskintrail.service.ThreadFaults;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -160,6 +161,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             LogEvent.debug(LOG, "http.connection.broken").with("cause", cause).write();
+            ThreadFaults.caught(cause);
             ctx.close();
         }
 
--- a/siskintrail.net/src/io/siskintrail/net/LinkHandler.java
+++ b/siskintrail.net/src/io/siskintrail/net/LinkHandler.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.Future;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.service.LogEvent;
+import io.siskintrail.service.ThreadFaults;
 import io.siskintrail.wire.MessageKind;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
@@ -118,6 +119,7 @@
                 .with("peer", link == null ? ctx.channel().remoteAddress() : link.peer())
                 .with("cause", cause)
                 .write();
+        ThreadFaults.caught(cause);
         ctx.close();
     }
 
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
@@ -20,6 +20,7 @@
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
+import io.siskintrail.service.ThreadFaults;
 import io.siskintrail.storage.DiskThread;
 import io.siskintrail.storage.LogStore;
 import io.siskintrail.storage.StorageException;
@@ -385,7 +386,10 @@
         loop.after(REOPEN_MILLIS, this::reopen);
     }
 
-    /** Begins again from what the disk holds; nothing unsynced was promised to anybody. */
+    /**
+     * Begins again from what the disk holds; nothing unsynced was promised to anybody. A disk that
+     * cannot be read is a matter for the next start of the process, which replaces it.
+     */
     private void reopen() {
         writer.stop();
         closeFailedStore();
@@ -400,7 +404,13 @@
                     .with("last", replica.lastIndex())
                     .write();
         } catch (StorageException e) {
+            if (ReplicaDisk.isDamage(e)) {
+                ThreadFaults.fatal(e);
+            }
             failed(e);
+        } catch (RuntimeException e) {
+            ThreadFaults.fatal(e);
+            throw e;
         }
     }
 
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/ReplicaDisk.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/ReplicaDisk.java
@@ -118,7 +118,8 @@
         }
     }
 
-    private static boolean isDamage(StorageException e) {
+    /** Returns whether the disk holds something that cannot be read. */
+    static boolean isDamage(StorageException e) {
         ResultCode code = e.failure().code();
         return code == ResultCode.LOG_DAMAGED || code == ResultCode.SNAPSHOT_DAMAGED;
     }
--- a/siskintrail.service/src/io/siskintrail/service/BoundedLogHandler.java
+++ b/siskintrail.service/src/io/siskintrail/service/BoundedLogHandler.java
@@ -113,7 +113,7 @@
             while (true) {
                 LogRecord line = queue.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
                 if (line != null) {
-                    writeThrough(line);
+                    writeGuarded(line);
                 }
             }
         } catch (InterruptedException e) {
@@ -126,6 +126,18 @@
         out.write(bytes, 0, bytes.length);
     }
 
+    /** Keeps the thread: a line that cannot be written is counted, later ones still come. */
+    private void writeGuarded(LogRecord line) {
+        try {
+            writeThrough(line);
+        } catch (RuntimeException | Error e) {
+            synchronized (this) {
+                dropped++;
+            }
+            ThreadFaults.caught(e);
+        }
+    }
+
     private void writeThrough(LogRecord line) {
         synchronized (out) {
             write(line);
--- a/siskintrail.service/src/io/siskintrail/service/ControlLoop.java
+++ b/siskintrail.service/src/io/siskintrail/service/ControlLoop.java
@@ -95,8 +95,9 @@
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 LOG.log(System.Logger.Level.ERROR, "event=control.task.failed", e);
+                ThreadFaults.caught(e);
             }
         };
     }
--- a/siskintrail.service/src/io/siskintrail/service/SettingsWatch.java
+++ b/siskintrail.service/src/io/siskintrail/service/SettingsWatch.java
@@ -42,13 +42,23 @@
     private void run() {
         try {
             while (true) {
-                look(hangUp.await(POLL_MILLIS));
+                lookGuarded(hangUp.await(POLL_MILLIS));
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Keeps the thread: without it no further change of the settings would be heard of. */
+    private void lookGuarded(boolean asked) {
+        try {
+            look(asked);
+        } catch (RuntimeException | Error e) {
+            LOG.log(System.Logger.Level.ERROR, "event=settings.reload.failed", e);
+            ThreadFaults.caught(e);
+        }
+    }
+
     private void look(boolean asked) {
         String now = read();
         if (now == null || !asked && now.equals(content)) {
--- a/siskintrail.storage/src/io/siskintrail/storage/DiskThread.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/DiskThread.java
@@ -30,7 +30,8 @@
      *
      * @param store an open store, used by this thread alone until {@link #stop}
      * @param synced called on the thread with the number up to which all is durable
-     * @param failed called on the thread, once, when the store fails
+     * @param failed called on the thread, once, when the store fails or the thread meets any other
+     *     throwable, which it throws on: nothing is synced afterwards
      */
     public DiskThread(LogStore store, LongConsumer synced, Consumer<StorageException> failed) {
         this.store = store;
@@ -83,6 +84,9 @@
             Thread.currentThread().interrupt();
         } catch (StorageException e) {
             failed.accept(e);
+        } catch (RuntimeException | Error e) {
+            failed.accept(StorageException.broken(e));
+            throw e;
         }
     }
 }
--- a/siskintrail.storage/src/io/siskintrail/storage/StorageException.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/StorageException.java
@@ -28,6 +28,14 @@
         return e;
     }
 
+    /** Returns the failure of a store that something else than the disk has ended. */
+    static StorageException broken(Throwable cause) {
+        Failure failure = new Failure(ResultCode.STORAGE_FAILED, "disk thread: " + cause);
+        StorageException e = new StorageException(failure);
+        e.initCause(cause);
+        return e;
+    }
+
     static StorageException damaged(ResultCode code, String file, long offset, String what) {
         return new StorageException(
                 new Failure(code, "file %s, offset %d: %s".formatted(file, offset, what)));
--- a/siskintrail/src/io/siskintrail/lib/ResultCode.java
+++ b/siskintrail/src/io/siskintrail/lib/ResultCode.java
@@ -22,6 +22,7 @@
     NOT_FOUND(1007, 404, "Nothing is served at this path."),
     KEY_REUSED(1008, 409, "The key was used before with a different body."),
     BAD_HEADER(1009, 400, "A header of the request is malformed."),
+    PROCESS_BROKEN(1098, 500, "A thread met an error that it cannot handle; the process ended."),
     INTERNAL(1099, 500, "Internal error; the log has the details."),
 
     // 2xxx: settings and command line.
