Bound what a registry holds by its bytes

Cause: what a registry held was limited by a count or not at all.

Metrics: siskintrail_registry_log_bytes, call_bytes, calls_waiting.

Why it works: what grows with the number of changes is bounded in bytes, and what finds no room waits or is refused.

--- a/siskintrail.control.test/tst/io/siskintrail/control/internal/replica/TestHost.java
+++ b/siskintrail.control.test/tst/io/siskintrail/control/internal/replica/TestHost.java
@@ -20,7 +20,7 @@
 /** One host with a replica on real sockets and real files. */
 final class TestHost implements AutoCloseable {
     private static final ReplicaSettings SETTINGS =
-            new ReplicaSettings(40, 400, 300, 64, 1 << 16, 1024, 64, 5);
+            new ReplicaSettings(40, 400, 300, 64, 1 << 16, 1024, 64, 5, 1 << 20, 1 << 22);
     private static final long LOST_AFTER_MILLIS = 1_500;
     private static final int SNAPSHOT_ENTRIES = 30;
     private static final int SEGMENT_BYTES = 2_000;
--- a/siskintrail.net/src/io/siskintrail/net/HttpService.java
+++ b/siskintrail.net/src/io/siskintrail/net/HttpService.java
@@ -34,6 +34,7 @@
     private static final long REFUSAL_READ_TIME_MILLIS = 1_000;
 
     private final int maxBodyBytes;
+    private final BodyBudget bodies;
     private final Handler handler;
     private final TcpServer server;
     private final AtomicInteger openCalls = new AtomicInteger();
@@ -68,12 +69,14 @@
      * Creates a server; {@link #start()} binds its address.
      *
      * @param address the address to listen on
-     * @param maxBodyBytes the maximum size of a request body; larger requests get status 413
+     * @param maxBodyBytes the maximum size of a request body, and of all large ones of the calls in
+     *     progress; larger requests get status 413, others wait unread until there is room
      * @param handler handles the calls
      */
     public HttpService(
             EventLoop loop, InetSocketAddress address, int maxBodyBytes, Handler handler) {
         this.maxBodyBytes = maxBodyBytes;
+        this.bodies = new BodyBudget(maxBodyBytes);
         this.handler = handler;
         this.server = new TcpServer(loop, address, new ConnectionInitializer());
     }
@@ -99,14 +102,26 @@
         return openCalls.get();
     }
 
+    /** Returns the bytes of the bodies of open calls. May be called on any thread. */
+    public long bodyBytes() {
+        return bodies.held();
+    }
+
+    /** Returns the number of calls whose body waits for room. May be called on any thread. */
+    public int waitingBodies() {
+        return bodies.waiting();
+    }
+
     private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel channel) {
+            BodyGate gate = new BodyGate(bodies, maxBodyBytes);
             channel.pipeline()
                     .addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_SECONDS))
                     .addLast(new HttpServerCodec())
+                    .addLast(gate)
                     .addLast(new CallAggregator(maxBodyBytes))
-                    .addLast(new CallHandler());
+                    .addLast(new CallHandler(gate));
         }
     }
 
@@ -132,14 +147,22 @@
     }
 
     private final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final BodyGate gate;
+
+        CallHandler(BodyGate gate) {
+            this.gate = gate;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            int charge = gate.takeCharge();
             boolean keepAlive = HttpUtil.isKeepAlive(request);
             if (request.decoderResult().isFailure()) {
                 write(
-                        ctx,
-                        new Answer(HttpResponseStatus.BAD_REQUEST.code(), "", new byte[0]),
-                        false);
+                                ctx,
+                                new Answer(HttpResponseStatus.BAD_REQUEST.code(), "", new byte[0]),
+                                false)
+                        .addListener(f -> bodies.release(charge));
                 return;
             }
             byte[] body = new byte[request.content().readableBytes()];
@@ -151,9 +174,14 @@
                         call,
                         answer ->
                                 write(ctx, answer, keepAlive)
-                                        .addListener(f -> openCalls.decrementAndGet()));
+                                        .addListener(
+                                                f -> {
+                                                    openCalls.decrementAndGet();
+                                                    bodies.release(charge);
+                                                }));
             } catch (RuntimeException e) {
                 openCalls.decrementAndGet();
+                bodies.release(charge);
                 throw e;
             }
         }
--- a/siskintrail.net/src/io/siskintrail/net/Link.java
+++ b/siskintrail.net/src/io/siskintrail/net/Link.java
@@ -1,6 +1,7 @@
 package io.siskintrail.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.siskintrail.lib.HostId;
@@ -10,6 +11,9 @@
 public final class Link {
     private static final int KIND_BYTES = 2;
 
+    /** Size up to which a copy costs less than a second buffer. */
+    private static final int MAX_COPIED_BYTES = 4 << 10;
+
     /**
      * Size of the send buffer, 8 MiB; messages to a peer that reads too slowly are dropped beyond
      * it.
@@ -39,19 +43,28 @@
     }
 
     /**
-     * Sends a message; returns false when it was dropped because the link is closed or the peer
-     * reads too slowly.
+     * Sends a message, whose bytes must not be changed afterwards; returns false when it was
+     * dropped because the link is closed or the peer reads too slowly.
      */
     public boolean send(MessageKind kind, byte[] body) {
         ChannelOutboundBuffer outbound = channel.unsafe().outboundBuffer();
         if (outbound == null || outbound.totalPendingWriteBytes() > MAX_BUFFERED_BYTES) {
             return false;
         }
+        channel.writeAndFlush(frame(kind, body));
+        return true;
+    }
+
+    /** Returns the bytes of a message; a large one is not copied, so that links can share it. */
+    private ByteBuf frame(MessageKind kind, byte[] body) {
+        if (body.length > MAX_COPIED_BYTES) {
+            return Unpooled.wrappedBuffer(
+                    Unpooled.copyShort(kind.number()), Unpooled.wrappedBuffer(body));
+        }
         ByteBuf frame = channel.alloc().buffer(KIND_BYTES + body.length);
         frame.writeShort(kind.number());
         frame.writeBytes(body);
-        channel.writeAndFlush(frame);
-        return true;
+        return frame;
     }
 
     public void close() {
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/LogAccess.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/LogAccess.java
@@ -22,6 +22,9 @@
     /** Time after which a call whose answer may be lost is sent again, in milliseconds. */
     private static final long RESEND_MILLIS = 350;
 
+    /** Size of a command for which a call waits a millisecond longer before it is sent again. */
+    private static final int BYTES_PER_MILLI = 1024;
+
     private final EventLoop loop;
     private final RegistryReplica replica;
     private final RegistryPeers peers;
@@ -114,7 +117,7 @@
                 loop.after(RETRY_MILLIS, () -> again(current));
                 return;
             }
-            loop.after(RESEND_MILLIS, () -> again(current));
+            loop.after(RESEND_MILLIS + sendMillis(), () -> again(current));
         }
 
         private void sendHere(int current) {
@@ -136,6 +139,11 @@
                             : new RegistryMessage.Propose(token, command));
         }
 
+        /** Returns the time that a large command needs, in milliseconds. */
+        private long sendMillis() {
+            return command == null ? 0 : command.length / BYTES_PER_MILLI;
+        }
+
         private void again(int from) {
             if (from == round) {
                 send();
@@ -147,7 +155,7 @@
                 return;
             }
             if (index < 0) {
-                loop.after(RETRY_MILLIS, () -> again(from));
+                loop.after(RETRY_MILLIS + sendMillis() / 2, () -> again(from));
                 return;
             }
             replica.whenApplied(index, () -> end(true));
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/NewestConfiguration.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/NewestConfiguration.java
@@ -12,6 +12,7 @@
 
     private long version;
     private byte[] content = NONE;
+    private byte[] image = command(0, NONE);
 
     /** Returns the command that sets a configuration. */
     static byte[] command(long version, byte[] content) {
@@ -21,7 +22,7 @@
                 .array();
     }
 
-    /** Applies a command; returns whether the configuration changed. */
+    /** Applies a command, which must not be changed; returns whether the configuration changed. */
     boolean apply(byte[] command) {
         if (command.length < Long.BYTES) {
             return false;
@@ -32,6 +33,7 @@
         }
         version = next;
         content = Arrays.copyOfRange(command, Long.BYTES, command.length);
+        image = command;
         return true;
     }
 
@@ -45,8 +47,8 @@
         return content;
     }
 
-    /** Returns what a snapshot holds. */
+    /** Returns what a snapshot holds: the command itself, whose bytes the log shares. */
     byte[] image() {
-        return command(version, content);
+        return image;
     }
 }
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -17,6 +17,7 @@
 import io.siskintrail.wire.MessageKind;
 import io.siskintrail.wire.registry.RegistryCodec;
 import io.siskintrail.wire.registry.RegistryMessage;
+import java.lang.ref.WeakReference;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -62,6 +63,8 @@
     private final Endpoints endpoints;
     private final HttpService calls;
     private final HttpService metrics;
+    private WeakReference<byte[]> encodedContent = new WeakReference<>(null);
+    private long encodedVersion;
 
     /** Opens the disk and prepares the parts. */
     public Registry(EventLoop loop, RegistrySettings settings, RegistryProtocol protocol) {
@@ -221,11 +224,23 @@
     private void sendContent(Link link, long above) {
         NewestConfiguration held = replica.configuration();
         if (held.version() > above) {
-            RegistryMessage content = new RegistryMessage.Content(held.version(), held.content());
-            link.send(MessageKind.REGISTRY, RegistryCodec.encode(content));
+            link.send(MessageKind.REGISTRY, encodedContent(held));
         }
     }
 
+    /** Returns the message with the configuration; all edges that ask share its bytes. */
+    private byte[] encodedContent(NewestConfiguration held) {
+        byte[] encoded = encodedVersion == held.version() ? encodedContent.get() : null;
+        if (encoded == null) {
+            encoded =
+                    RegistryCodec.encode(
+                            new RegistryMessage.Content(held.version(), held.content()));
+            encodedContent = new WeakReference<>(encoded);
+            encodedVersion = held.version();
+        }
+        return encoded;
+    }
+
     private void tellStatus() {
         if (replica == null) {
             return;
@@ -256,6 +271,9 @@
                 siskintrail_registry_edges %d
                 siskintrail_registry_endpoints %d
                 siskintrail_registry_files_aside %d
+                siskintrail_registry_log_bytes %d
+                siskintrail_registry_call_bytes %d
+                siskintrail_registry_calls_waiting %d
                 """
                         .formatted(
                                 replica.term(),
@@ -265,7 +283,10 @@
                                 replica.isCurrent() ? 1 : 0,
                                 feed.count(),
                                 endpoints.records().size(),
-                                replica.hasFilesAside() ? 1 : 0);
+                                replica.hasFilesAside() ? 1 : 0,
+                                replica.logBytes(),
+                                calls.bodyBytes(),
+                                calls.waitingBodies());
         answer.accept(
                 new HttpService.Answer(200, "text/plain", text.getBytes(StandardCharsets.UTF_8)));
     }
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
@@ -26,6 +26,7 @@
 import io.siskintrail.storage.StorageException;
 import io.siskintrail.wire.ConsensusCodec;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -45,7 +46,7 @@
      * passed, so a read always waits for a round to a majority.
      */
     private static final ReplicaSettings SETTINGS =
-            new ReplicaSettings(100, 900, 0, 64, 1 << 20, 256, 256 << 10, 16);
+            new ReplicaSettings(100, 900, 0, 64, 256 << 10, 256, 256 << 10, 16, 2L << 20, 8L << 20);
 
     private static final long TICK_MILLIS = 50;
     private static final long OFFER_MILLIS = 150;
@@ -54,9 +55,12 @@
     /** Silence after which a replica is replaced if a spare is there; two elections. */
     private static final long LOST_AFTER_MILLIS = 1_800;
 
-    /** Entries between two snapshots; a configuration can be a hundred kilobytes. */
+    /** Most entries between two snapshots. */
     private static final int SNAPSHOT_ENTRIES = 32;
 
+    /** Payload of the entries between two snapshots, in bytes: a configuration can be megabytes. */
+    private static final long SNAPSHOT_BYTES = 4L << 20;
+
     /** Silence of a leader or a majority after which what is held may be outdated. */
     private static final long CURRENT_MILLIS = 1_000;
 
@@ -71,7 +75,7 @@
     private final NewestConfiguration state = new NewestConfiguration();
     private final List<ReplicaEffect.Persist> unsynced = new ArrayList<>();
     private final Map<HostId, FailureDomain> domains = new HashMap<>();
-    private final Map<Long, LongConsumer> proposals = new HashMap<>();
+    private final Map<Long, PendingCommand> proposals = new HashMap<>();
     private final Map<Long, LongConsumer> reads = new HashMap<>();
     private final TreeMap<Long, AppendedProposal> appended = new TreeMap<>();
     private final TreeMap<Long, List<Runnable>> applyWaiters = new TreeMap<>();
@@ -85,8 +89,12 @@
     private long applied;
     private long nextToken = 1;
     private long snapshotAt;
+    private long bytesSinceSnapshot;
     private int opened;
 
+    /** A command that is proposed and not committed, and who waits for it. */
+    private record PendingCommand(byte[] command, List<LongConsumer> waiting) {}
+
     /** A proposal that stands in the log and waits for its commit. */
     private record AppendedProposal(long token, long term) {}
 
@@ -191,6 +199,11 @@
         return replica.role() == Role.LEADER;
     }
 
+    /** Returns the payload bytes of the log in memory, for metrics. */
+    long logBytes() {
+        return replica.logBytes();
+    }
+
     /** Returns whether files of this disk were put aside, for metrics. */
     boolean hasFilesAside() {
         return disk.hasFilesAside();
@@ -206,10 +219,19 @@
         return applied;
     }
 
-    /** Commits a command; {@code done} gets its index, or -1 when this replica did not take it. */
+    /**
+     * Commits a command; {@code done} gets its index, or -1 when this replica did not take it. A
+     * command that is sent again while it waits is not put into the log again.
+     */
     void propose(byte[] command, LongConsumer done) {
+        for (PendingCommand pending : proposals.values()) {
+            if (Arrays.equals(pending.command(), command)) {
+                pending.waiting().add(done);
+                return;
+            }
+        }
         long token = nextToken++;
-        proposals.put(token, done);
+        proposals.put(token, new PendingCommand(command, new ArrayList<>(List.of(done))));
         var proposal = new ReplicaInput.Proposal(token, Payload.wrap(command));
         step(new ReplicaInput.Propose(List.of(proposal), System.currentTimeMillis()));
     }
@@ -305,11 +327,11 @@
             appended.put(
                     p.position().index(), new AppendedProposal(p.token(), p.position().term()));
         } else if (effect instanceof ReplicaEffect.ProposalRefused p) {
-            finish(proposals, p.token(), REFUSED);
+            finishProposal(p.token(), REFUSED);
         } else if (effect instanceof ReplicaEffect.ReadReady r) {
-            finish(reads, r.token(), r.index());
+            finishRead(r.token(), r.index());
         } else if (effect instanceof ReplicaEffect.ReadRefused r) {
-            finish(reads, r.token(), REFUSED);
+            finishRead(r.token(), REFUSED);
         } else if (effect instanceof ReplicaEffect.RoleChanged r) {
             roleChanged(r);
         }
@@ -317,11 +339,14 @@
 
     private void commit(LogEntry entry) {
         applied = entry.index();
-        boolean isNew =
-                entry.body() instanceof EntryBody.Command c && state.apply(c.payload().array());
+        boolean isNew = false;
+        if (entry.body() instanceof EntryBody.Command c) {
+            bytesSinceSnapshot += c.payload().length();
+            isNew = state.apply(c.payload().array());
+        }
         AppendedProposal mine = appended.remove(entry.index());
         if (mine != null) {
-            finish(proposals, mine.token(), mine.term() == entry.term() ? applied : REFUSED);
+            finishProposal(mine.token(), mine.term() == entry.term() ? applied : REFUSED);
         }
         if (isNew) {
             LogEvent.info(LOG, "configuration.committed")
@@ -338,6 +363,7 @@
         state.apply(image.array());
         applied = Math.max(applied, index);
         snapshotAt = Math.max(snapshotAt, index);
+        bytesSinceSnapshot = 0;
         runApplied();
     }
 
@@ -348,15 +374,16 @@
     }
 
     private void takeSnapshot() {
-        if (applied - snapshotAt >= SNAPSHOT_ENTRIES) {
+        if (applied - snapshotAt >= SNAPSHOT_ENTRIES || bytesSinceSnapshot >= SNAPSHOT_BYTES) {
             snapshotAt = applied;
+            bytesSinceSnapshot = 0;
             step(new ReplicaInput.SnapshotTaken(applied, Payload.wrap(state.image())));
         }
     }
 
     private void roleChanged(ReplicaEffect.RoleChanged change) {
         if (change.role() != Role.LEADER) {
-            appended.values().forEach(p -> finish(proposals, p.token(), REFUSED));
+            appended.values().forEach(p -> finishProposal(p.token(), REFUSED));
             appended.clear();
         }
         LogEvent.info(LOG, "replica.role")
@@ -394,7 +421,7 @@
         writer.stop();
         closeFailedStore();
         unsynced.clear();
-        appended.values().forEach(p -> finish(proposals, p.token(), REFUSED));
+        appended.values().forEach(p -> finishProposal(p.token(), REFUSED));
         appended.clear();
         try {
             open();
@@ -428,8 +455,15 @@
         }
     }
 
-    private static void finish(Map<Long, LongConsumer> waiting, long token, long index) {
-        LongConsumer done = waiting.remove(token);
+    private void finishProposal(long token, long index) {
+        PendingCommand pending = proposals.remove(token);
+        if (pending != null) {
+            pending.waiting().forEach(done -> done.accept(index));
+        }
+    }
+
+    private void finishRead(long token, long index) {
+        LongConsumer done = reads.remove(token);
         if (done != null) {
             done.accept(index);
         }
--- a/siskintrail.storage/src/io/siskintrail/storage/DiskFiles.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/DiskFiles.java
@@ -12,6 +12,9 @@
 
 /** {@link StorageFiles} in a folder of the file system. */
 public final class DiskFiles implements StorageFiles {
+    /** Size of a write: the runtime copies it to memory outside of the heap, which it keeps. */
+    private static final int MAX_WRITE_BYTES = 256 << 10;
+
     private final Path folder;
 
     /** Works in {@code folder}, which must exist. */
@@ -67,7 +70,9 @@
 
         @Override
         public void write(ByteBuffer bytes) throws IOException {
-            while (bytes.hasRemaining()) {
+            int end = bytes.limit();
+            while (bytes.position() < end) {
+                bytes.limit(Math.min(end, bytes.position() + MAX_WRITE_BYTES));
                 channel.write(bytes);
             }
         }
--- a/siskintrail.storage/src/io/siskintrail/storage/FileLogStore.java
+++ b/siskintrail.storage/src/io/siskintrail/storage/FileLogStore.java
@@ -22,12 +22,19 @@
     /** The size from which on a new segment is begun, in bytes. */
     public static final long DEFAULT_SEGMENT_BYTES = 16L << 20;
 
+    /** The records that wait for a sync; written without another copy of them. */
+    private static final class PendingBytes extends ByteArrayOutputStream {
+        ByteBuffer asBuffer() {
+            return ByteBuffer.wrap(buf, 0, count);
+        }
+    }
+
     private final StorageFiles files;
     private final RecordCodec codec;
     private final SnapshotFiles snapshots;
     private final long segmentBytes;
     private final Deque<Segment> segments = new ArrayDeque<>();
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private PendingBytes pending = new PendingBytes();
     private HardState hardState = HardState.INITIAL;
     private StorageFiles.Output output;
     private long outputBytes;
@@ -111,10 +118,10 @@
         if (pending.size() == 0) {
             return;
         }
-        output.write(ByteBuffer.wrap(pending.toByteArray()));
+        output.write(pending.asBuffer());
         output.sync();
         outputBytes += pending.size();
-        pending.reset();
+        pending = new PendingBytes();
         if (outputBytes >= segmentBytes) {
             beginSegment(segments.getLast().number() + 1);
         }
--- a/siskintrail.test/tst/io/siskintrail/internal/consensus/Simulation.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/consensus/Simulation.java
@@ -18,11 +18,12 @@
 
 /** Several replicas in virtual time on a network and on disks that fail. */
 final class Simulation {
-    static final ReplicaSettings SETTINGS = new ReplicaSettings(20, 100, 80, 4, 8, 12, 7, 3);
+    static final ReplicaSettings SETTINGS =
+            new ReplicaSettings(20, 100, 80, 4, 8, 12, 7, 3, 20, 60);
     private static final ReplicaSettings NO_LEASES =
-            new ReplicaSettings(20, 100, 0, 4, 8, 12, 7, 3);
+            new ReplicaSettings(20, 100, 0, 4, 8, 12, 7, 3, 20, 60);
     private static final ReplicaSettings ONE_BY_ONE =
-            new ReplicaSettings(20, 100, 80, 1, 64, 12, 7, 3);
+            new ReplicaSettings(20, 100, 80, 1, 64, 12, 7, 3, 1 << 10, 1 << 10);
     private static final long TICK_MILLIS = 10;
     private static final int PERCENT = 100;
 
--- a/siskintrail/src/io/siskintrail/internal/consensus/Leadership.java
+++ b/siskintrail/src/io/siskintrail/internal/consensus/Leadership.java
@@ -100,6 +100,13 @@
         append(entries);
     }
 
+    /** Returns whether the log takes these proposals before more of it is committed. */
+    boolean hasRoom(ReplicaInput.Propose input) {
+        long waiting = core.log.bytesAfter(core.commitIndex());
+        long more = input.proposals().stream().mapToLong(p -> p.command().length()).sum();
+        return waiting == 0 || waiting + more <= core.settings.maxUncommittedBytes();
+    }
+
     boolean isTransferring() {
         return transferTarget != null;
     }
--- a/siskintrail/src/io/siskintrail/internal/consensus/RaftLog.java
+++ b/siskintrail/src/io/siskintrail/internal/consensus/RaftLog.java
@@ -173,6 +173,29 @@
         replicaSets.put(to.position().index(), to.replicas());
     }
 
+    /** Returns the payload bytes of the entries behind {@code index}. */
+    long bytesAfter(long index) {
+        long bytes = 0;
+        for (long i = Math.max(index, base.index()) + 1; i <= lastIndex(); i++) {
+            bytes += entry(i).size();
+        }
+        return bytes;
+    }
+
+    /**
+     * Returns the lowest index, at least that of the base, behind which the entries up to {@code
+     * last} have at most {@code maxBytes} of payload.
+     */
+    long indexBeforeBytes(long last, long maxBytes) {
+        long bytes = 0;
+        long index = last;
+        while (index > base.index() && bytes + entry(index).size() <= maxBytes) {
+            bytes += entry(index).size();
+            index--;
+        }
+        return index;
+    }
+
     /** Drops entries up to {@code index}. */
     void compactTo(long index) {
         if (index <= base.index()) {
--- a/siskintrail/src/io/siskintrail/internal/consensus/Replica.java
+++ b/siskintrail/src/io/siskintrail/internal/consensus/Replica.java
@@ -152,6 +152,11 @@
         return leadership != null ? 0 : nowMillis - core.heardLeaderAt;
     }
 
+    /** Returns the payload bytes of the entries in memory. */
+    public long logBytes() {
+        return core.log.bytesAfter(core.log.baseIndex());
+    }
+
     RaftLog log() {
         return core.log;
     }
@@ -286,7 +291,7 @@
     }
 
     private void propose(Propose input) {
-        if (leadership != null && !leadership.isTransferring()) {
+        if (leadership != null && !leadership.isTransferring() && leadership.hasRoom(input)) {
             leadership.propose(input.proposals(), input.wallMillis());
             return;
         }
@@ -329,7 +334,11 @@
             return;
         }
         core.log.setSnapshot(saved);
-        long keepFrom = saved.position().index() - core.settings.keepEntries();
+        long last = saved.position().index();
+        long keepFrom =
+                Math.max(
+                        last - core.settings.keepEntries(),
+                        core.log.indexBeforeBytes(last, core.settings.keepBytes()));
         if (keepFrom > core.log.baseIndex()) {
             core.log.compactTo(keepFrom);
             core.out.persist(new ReplicaEffect.CompactTo(keepFrom));
--- a/siskintrail/src/io/siskintrail/internal/consensus/ReplicaSettings.java
+++ b/siskintrail/src/io/siskintrail/internal/consensus/ReplicaSettings.java
@@ -14,7 +14,10 @@
  *     four times as many can be on the way to one replica
  * @param windowEntries the most entries on the way to one replica
  * @param chunkBytes the size of a piece of a snapshot
- * @param keepEntries the entries that stay in the log behind a snapshot for slow replicas
+ * @param keepEntries the most entries that stay in the log behind a snapshot for slow replicas
+ * @param keepBytes the most payload bytes of these; a replica that lacks more gets the snapshot
+ * @param maxUncommittedBytes payload bytes behind the last committed entry from which on a leader
+ *     refuses proposals; a single larger one is taken when nothing else waits
  */
 public record ReplicaSettings(
         long heartbeatMillis,
@@ -24,12 +27,24 @@
         int maxBatchBytes,
         int windowEntries,
         int chunkBytes,
-        int keepEntries) {
+        int keepEntries,
+        long keepBytes,
+        long maxUncommittedBytes) {
     private static final int KIB = 1024;
 
     /** What a replica uses when its settings say nothing else. */
     public static final ReplicaSettings DEFAULT =
-            new ReplicaSettings(100, 1_000, 800, 512, 1024 * KIB, 4096, 256 * KIB, 4096);
+            new ReplicaSettings(
+                    100,
+                    1_000,
+                    800,
+                    512,
+                    1024 * KIB,
+                    4096,
+                    256 * KIB,
+                    4096,
+                    32L * 1024 * KIB,
+                    64L * 1024 * KIB);
 
     /** Checks the order of the times. */
     public ReplicaSettings {
