Send a request only where its answer can be told from an earlier one

Cause: an endpoint that answers twice writes its second answer where the next one on the connection is expected. The request ID alone tells them apart, and nothing kept an edge from sending one ID twice on one connection: then the late 200 to the first sending was delivered as the answer to the second, which the endpoint failed. That this is the record's cause is suspected, not shown: each attempt of a client has an ID of its own, and an edge does not send a call to one endpoint twice; an ID comes again when a client uses it again.

Change: a connection remembers the last 64 IDs that it carried and is not used for a request with one of them, nor for a second request without an ID in its answer. Another idle connection or a new one is taken.

Why it works: on the connection that is used, no answer to an earlier request can bear the expected ID.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -17,6 +17,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.siskintrail.net.EventLoop;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
 
 /**
  * Connection to an endpoint. Carries one request at a time. It is reused only if the previous
@@ -36,11 +39,16 @@
      */
     private static final int MAX_HEAD_BYTES = 96 << 10;
 
+    /** Number of requests whose answers may still come once more. */
+    private static final int MAX_CARRIED_IDS = 64;
+
     /** Assumed keep-alive timeout of an endpoint that does not announce one. */
     private static final long DEFAULT_KEEP_ALIVE_MILLIS = 2_000;
 
     private final String address;
     private final EndpointPool pool;
+    private final Set<String> carriedIds = new LinkedHashSet<>();
+    private boolean carriedWithoutId;
     private ChannelHandlerContext ctx;
     private Attempt attempt;
     private boolean reusable;
@@ -62,6 +70,7 @@
     /** Sends the request of {@code next}. */
     void send(Attempt next) {
         attempt = next;
+        recordCarried(next);
         responseComplete = false;
         interimResponses = 0;
         headReceived = false;
@@ -81,6 +90,25 @@
         ctx.writeAndFlush(message).addListener(write -> requestSent = write.isSuccess());
     }
 
+    /**
+     * Returns whether the answer to {@code next} could be told from a second answer to a request
+     * that this connection carried before: the ID is all that tells them apart.
+     */
+    boolean canTellAnswerTo(Attempt next) {
+        boolean sameId = carriedIds.contains(next.requestId());
+        return !sameId && (next.isIdEchoed() || !carriedWithoutId);
+    }
+
+    private void recordCarried(Attempt next) {
+        carriedWithoutId |= !next.isIdEchoed();
+        carriedIds.add(next.requestId());
+        if (carriedIds.size() > MAX_CARRIED_IDS) {
+            Iterator<String> oldest = carriedIds.iterator();
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
     /** Closes the connection without notifying the listener of its attempt, if any. */
     void close() {
         attempt = null;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -92,7 +92,7 @@
     void send(Attempt attempt, ConnectionUse use) {
         String address = attempt.endpoint().record().address();
         EndpointConnection idleConnection =
-                use == ConnectionUse.NEW ? null : takeIdle(address, maxIdleMillis(use));
+                use == ConnectionUse.NEW ? null : takeIdle(address, attempt, maxIdleMillis(use));
         if (idleConnection != null) {
             idleConnection.send(attempt);
             return;
@@ -187,15 +187,23 @@
         return use == ConnectionUse.ANY ? MAX_IDLE_MILLIS : MAX_IDLE_NON_REPEATABLE_MILLIS;
     }
 
-    private EndpointConnection takeIdle(String address, long maxIdleMillis) {
+    /** Returns the connection that was used last of those that can carry {@code attempt}. */
+    private EndpointConnection takeIdle(String address, Attempt attempt, long maxIdleMillis) {
         Deque<EndpointConnection> connections = idleByAddress.get(address);
+        if (connections == null) {
+            return null;
+        }
         long now = EventLoop.nowMillis();
-        while (connections != null && !connections.isEmpty()) {
-            EndpointConnection connection = connections.pop();
-            if (connection.isFresh(now, maxIdleMillis)) {
+        Iterator<EndpointConnection> iterator = connections.iterator();
+        while (iterator.hasNext()) {
+            EndpointConnection connection = iterator.next();
+            if (!connection.isFresh(now, maxIdleMillis)) {
+                iterator.remove();
+                connection.close();
+            } else if (connection.canTellAnswerTo(attempt)) {
+                iterator.remove();
                 return connection;
             }
-            connection.close();
         }
         return null;
     }
