--- a/siskintrail.net/src/io/siskintrail/net/BodyGate.java
+++ b/siskintrail.net/src/io/siskintrail/net/BodyGate.java
@@ -101,7 +101,10 @@
     private void bodyTaken() {
         waiting = false;
         charges.add(asked);
-        timeout = ctx.executor().schedule(() -> ctx.close(), BODY_MILLIS, TimeUnit.MILLISECONDS);
+        if (asked > 0) {
+            timeout =
+                    ctx.executor().schedule(() -> ctx.close(), BODY_MILLIS, TimeUnit.MILLISECONDS);
+        }
         passNext();
         if (paused) {
             paused = false;
