--- a/siskintrail.control/src/io/siskintrail/control/Main.java
+++ b/siskintrail.control/src/io/siskintrail/control/Main.java
@@ -1,7 +1,6 @@
 package io.siskintrail.control;
 
 import io.siskintrail.service.CommandFrame;
-import io.siskintrail.service.ThreadFaults;
 import io.siskintrail.storage.StorageException;
 
 /** The control binary. */
@@ -12,8 +11,8 @@
     /** Runs {@code siskintrail-control --settings FILE}. */
     public static void main(String[] args) {
         CommandFrame frame =
-                new CommandFrame("siskintrail-control", "Holds the shared state of a deployment.");
-        ThreadFaults.endProcessOnFaults();
+                new CommandFrame("siskintrail-control", "Holds the shared state of a deployment.")
+                        .endingOnFaults();
         try {
             System.exit(frame.run(args, ControlSettings.class, ControlService::new));
         } catch (StorageException e) {
--- a/siskintrail.service/src/io/siskintrail/service/CommandFrame.java
+++ b/siskintrail.service/src/io/siskintrail/service/CommandFrame.java
@@ -33,6 +33,7 @@
     private final String name;
     private final String purpose;
     private boolean boundedLogs;
+    private boolean endsOnFaults;
 
     /**
      * Describes a binary.
@@ -51,6 +52,15 @@
         return this;
     }
 
+    /**
+     * Lets the process end at what none of its threads handles; for programs that keep nothing but
+     * what their disk holds.
+     */
+    public CommandFrame endingOnFaults() {
+        endsOnFaults = true;
+        return this;
+    }
+
     /**
      * Reads the settings that the arguments name, builds the service from them, runs it until the
      * process is asked to end, and stops it.
@@ -77,6 +87,9 @@
     public <T> int run(
             String[] args, SettingsFormat<T> format, Function<T, ? extends Service> factory) {
         HangUp hangUp = HangUp.install();
+        if (endsOnFaults) {
+            ThreadFaults.endProcessOnFaults();
+        }
         if (boundedLogs) {
             LogSetup.installBounded();
         } else {
