Let orders of copies use kept connections again

Suspected: it took a new connection for each order of a copy of a stream's memory after the first on a connection, and a new one may hold a slot at a busy engine.

Change: the rule for answers without an ID is taken back; their answers reach no client. The rule for IDs stays.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -48,7 +48,6 @@
     private final String address;
     private final EndpointPool pool;
     private final Set<String> carriedIds = new LinkedHashSet<>();
-    private boolean carriedWithoutId;
     private ChannelHandlerContext ctx;
     private Attempt attempt;
     private boolean reusable;
@@ -95,12 +94,10 @@
      * that this connection carried before: the ID is all that tells them apart.
      */
     boolean canTellAnswerTo(Attempt next) {
-        boolean sameId = carriedIds.contains(next.requestId());
-        return !sameId && (next.isIdEchoed() || !carriedWithoutId);
+        return !carriedIds.contains(next.requestId());
     }
 
     private void recordCarried(Attempt next) {
-        carriedWithoutId |= !next.isIdEchoed();
         carriedIds.add(next.requestId());
         if (carriedIds.size() > MAX_CARRIED_IDS) {
             Iterator<String> oldest = carriedIds.iterator();
