Let repeated orders of copies use kept connections, too

Cause: the orders of copies of one stream repeat its ID, about once an interval. A connection that had carried the ID was not used for it again, so that each further order still opened a connection to a busy engine.

Change: attempts whose answer carries no ID are neither recorded nor held to the rule. Their answers reach no client.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -91,13 +91,17 @@
 
     /**
      * Returns whether the answer to {@code next} could be told from a second answer to a request
-     * that this connection carried before: the ID is all that tells them apart.
+     * that this connection carried before: the ID is all that tells them apart. Orders of copies,
+     * which repeat the ID of a stream, have answers without one, which reach no client.
      */
     boolean canTellAnswerTo(Attempt next) {
-        return !carriedIds.contains(next.requestId());
+        return !next.isIdEchoed() || !carriedIds.contains(next.requestId());
     }
 
     private void recordCarried(Attempt next) {
+        if (!next.isIdEchoed()) {
+            return;
+        }
         carriedIds.add(next.requestId());
         if (carriedIds.size() > MAX_CARRIED_IDS) {
             Iterator<String> oldest = carriedIds.iterator();
