Answer a call during which its handler throws

What callers saw: an operator or endpoint whose call made a handler of a registry or an edge throw got no status; its connection was closed, and calls behind it on the connection went with it.

Cause: the exception went to the end of the connection's pipeline, which closes the connection and does not know of the call inside.

Change: the service catches what a handler throws and answers 500 (1099) in place of the handler; a later answer of the handler is dropped. The exception is in the log as http.call.failed. An error still ends the process where the program asks for that.

Why it works: a call has one owner of its answer, and the place that sees the exception has that owner at hand; the connection is not touched.

--- a/siskintrail.net/src/io/siskintrail/net/HttpService.java
+++ b/siskintrail.net/src/io/siskintrail/net/HttpService.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.siskintrail.lib.ResultCode;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
 import io.siskintrail.service.ThreadFaults;
@@ -43,7 +44,10 @@
     @FunctionalInterface
     public interface Handler {
 
-        /** Handles {@code call}; passes the answer to {@code answer} exactly once, now or later. */
+        /**
+         * Handles {@code call}; passes the answer to {@code answer} exactly once, now or later. A
+         * call during which it throws is answered with an internal error.
+         */
         void handle(Call call, Consumer<Answer> answer);
     }
 
@@ -146,6 +150,24 @@
         }
     }
 
+    /** Passes on the first answer of a call and drops others. */
+    private static final class AnswerOnce implements Consumer<Answer> {
+        private final Consumer<Answer> next;
+        private boolean answered;
+
+        AnswerOnce(Consumer<Answer> next) {
+            this.next = next;
+        }
+
+        @Override
+        public void accept(Answer answer) {
+            if (!answered) {
+                answered = true;
+                next.accept(answer);
+            }
+        }
+    }
+
     private final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final BodyGate gate;
 
@@ -169,23 +191,35 @@
             request.content().readBytes(body);
             Call call = new Call(request.method().name(), request.uri(), body);
             openCalls.incrementAndGet();
+            handle(call, new AnswerOnce(a -> answer(ctx, a, keepAlive, charge)));
+        }
+
+        /** Handles {@code call}; answers it itself when the handler fails. */
+        private void handle(Call call, AnswerOnce answer) {
             try {
-                handler.handle(
-                        call,
-                        answer ->
-                                write(ctx, answer, keepAlive)
-                                        .addListener(
-                                                f -> {
-                                                    openCalls.decrementAndGet();
-                                                    bodies.release(charge);
-                                                }));
-            } catch (RuntimeException e) {
-                openCalls.decrementAndGet();
-                bodies.release(charge);
-                throw e;
+                handler.handle(call, answer);
+            } catch (RuntimeException | Error e) {
+                LogEvent.warning(LOG, "http.call.failed")
+                        .with("code", ResultCode.INTERNAL.number())
+                        .with("method", call.method())
+                        .with("target", call.target())
+                        .with("cause", e)
+                        .write();
+                ThreadFaults.caught(e);
+                answer.accept(new Answer(ResultCode.INTERNAL.httpStatus(), "", new byte[0]));
             }
         }
 
+        private void answer(
+                ChannelHandlerContext ctx, Answer answer, boolean keepAlive, int charge) {
+            write(ctx, answer, keepAlive)
+                    .addListener(
+                            f -> {
+                                openCalls.decrementAndGet();
+                                bodies.release(charge);
+                            });
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             LogEvent.debug(LOG, "http.connection.broken").with("cause", cause).write();
