Answer pipelined calls in the order of the calls

What callers saw: with two calls on a connection of a registry, the one that ended first was answered first, so that the caller took its answer for that of the earlier call; when it asked for the close, the earlier call was cut off without an answer though it was still carried out.

Cause: each call wrote its answer when it had it; nothing knew of the calls before it.

Change: AnswerQueue keeps the calls of a connection and writes answers in their order; the connection is closed behind the last answer only. A call that comes behind one that ends its connection can have no answer, so it is not handled (RFC 9112, 9.6). Malformed calls take their turn, too.

Evidence: two tests of HttpServiceTest failed before, one run: pipelinedCallsAreAnsweredInTheirOrder (only "/next" came, /slow was cut) and callBehindTheLastOneOfItsConnectionIsNotHandled ("unexpected (1): /next"). Both pass now, with EndlessCallTest and LargeBodiesTest (one run).

Why it works: the queue is the only writer of answers and the only place that closes behind one; it closes when no call is left before it.

--- a/siskintrail.net/src/io/siskintrail/net/HttpService.java
+++ b/siskintrail.net/src/io/siskintrail/net/HttpService.java
@@ -1,7 +1,5 @@
 package io.siskintrail.net;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -9,7 +7,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -150,52 +147,50 @@
         }
     }
 
-    /** Passes on the first answer of a call and drops others. */
-    private static final class AnswerOnce implements Consumer<Answer> {
-        private final Consumer<Answer> next;
-        private boolean answered;
+    private final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final BodyGate gate;
+        private AnswerQueue answers;
 
-        AnswerOnce(Consumer<Answer> next) {
-            this.next = next;
+        CallHandler(BodyGate gate) {
+            this.gate = gate;
         }
 
         @Override
-        public void accept(Answer answer) {
-            if (!answered) {
-                answered = true;
-                next.accept(answer);
-            }
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            answers = new AnswerQueue(ctx.channel());
         }
-    }
 
-    private final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final BodyGate gate;
-
-        CallHandler(BodyGate gate) {
-            this.gate = gate;
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            answers.closed();
+            ctx.fireChannelInactive();
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             int charge = gate.takeCharge();
-            boolean keepAlive = HttpUtil.isKeepAlive(request);
-            if (request.decoderResult().isFailure()) {
-                write(
-                                ctx,
-                                new Answer(HttpResponseStatus.BAD_REQUEST.code(), "", new byte[0]),
-                                false)
-                        .addListener(f -> bodies.release(charge));
+            if (answers.hasEnded()) {
+                bodies.release(charge);
                 return;
             }
-            byte[] body = new byte[request.content().readableBytes()];
-            request.content().readBytes(body);
-            Call call = new Call(request.method().name(), request.uri(), body);
+            boolean isReadable = !request.decoderResult().isFailure();
             openCalls.incrementAndGet();
-            handle(call, new AnswerOnce(a -> answer(ctx, a, keepAlive, charge)));
+            Consumer<Answer> answer =
+                    answers.add(
+                            isReadable && HttpUtil.isKeepAlive(request),
+                            () -> {
+                                openCalls.decrementAndGet();
+                                bodies.release(charge);
+                            });
+            if (isReadable) {
+                handle(toCall(request), answer);
+            } else {
+                answer.accept(empty(HttpResponseStatus.BAD_REQUEST.code()));
+            }
         }
 
         /** Handles {@code call}; answers it itself when the handler fails. */
-        private void handle(Call call, AnswerOnce answer) {
+        private void handle(Call call, Consumer<Answer> answer) {
             try {
                 handler.handle(call, answer);
             } catch (RuntimeException | Error e) {
@@ -206,45 +201,25 @@
                         .with("cause", e)
                         .write();
                 ThreadFaults.caught(e);
-                answer.accept(new Answer(ResultCode.INTERNAL.httpStatus(), "", new byte[0]));
+                answer.accept(empty(ResultCode.INTERNAL.httpStatus()));
             }
         }
 
-        private void answer(
-                ChannelHandlerContext ctx, Answer answer, boolean keepAlive, int charge) {
-            write(ctx, answer, keepAlive)
-                    .addListener(
-                            f -> {
-                                openCalls.decrementAndGet();
-                                bodies.release(charge);
-                            });
-        }
-
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             LogEvent.debug(LOG, "http.connection.broken").with("cause", cause).write();
             ThreadFaults.caught(cause);
             ctx.close();
         }
+    }
 
-        private ChannelFuture write(ChannelHandlerContext ctx, Answer answer, boolean keepAlive) {
-            FullHttpResponse response =
-                    new DefaultFullHttpResponse(
-                            HttpVersion.HTTP_1_1,
-                            HttpResponseStatus.valueOf(answer.status()),
-                            Unpooled.wrappedBuffer(answer.body()));
-            if (!answer.contentType().isEmpty()) {
-                response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
-            }
-            HttpUtil.setContentLength(response, answer.body().length);
-            HttpUtil.setKeepAlive(response, keepAlive);
-            return ctx.writeAndFlush(response)
-                    .addListener(
-                            f -> {
-                                if (!keepAlive) {
-                                    ctx.close();
-                                }
-                            });
-        }
+    private static Call toCall(FullHttpRequest request) {
+        byte[] body = new byte[request.content().readableBytes()];
+        request.content().readBytes(body);
+        return new Call(request.method().name(), request.uri(), body);
+    }
+
+    private static Answer empty(int status) {
+        return new Answer(status, "", new byte[0]);
     }
 }
--- a/siskintrail.platform.test/tst/io/siskintrail/net/HttpServiceTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/net/HttpServiceTest.java
@@ -10,6 +10,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -21,10 +23,12 @@
 class HttpServiceTest {
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final int READ_TIMEOUT_MILLIS = 5_000;
+    private static final long SLOW_MILLIS = 200;
 
     private final EventLoop loop = new EventLoop("test");
     private final InetSocketAddress address =
             new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePorts.next());
+    private final List<String> handled = new CopyOnWriteArrayList<>();
     private HttpService service;
 
     @BeforeEach
@@ -49,11 +53,35 @@
         assertThat(service.openCalls()).isEqualTo(0);
     }
 
+    /** Guards against an answer that a caller takes for that of an earlier call. */
+    @Test
+    void pipelinedCallsAreAnsweredInTheirOrder() throws IOException {
+        String answers = exchange(call("/slow", "keep-alive") + call("/next", "close"));
+
+        assertThat(answers).containsMatch("(?s)\r\n\r\n/slowHTTP/1.1 200 .*\r\n\r\n/next$");
+        assertThat(service.openCalls()).isEqualTo(0);
+    }
+
+    /** Guards against a call that is carried out although its connection has been ended. */
+    @Test
+    void callBehindTheLastOneOfItsConnectionIsNotHandled() throws IOException {
+        String answers = exchange(call("/slow", "close") + call("/next", "keep-alive"));
+
+        assertThat(answers).endsWith("\r\n\r\n/slow");
+        assertThat(handled).containsExactly("/slow");
+    }
+
     private void handle(Call call, Consumer<Answer> answer) {
+        handled.add(call.target());
         if (call.target().equals("/fail")) {
             throw new IllegalStateException("the handler fails");
         }
-        answer.accept(new Answer(200, "", call.target().getBytes(StandardCharsets.US_ASCII)));
+        Answer echo = new Answer(200, "", call.target().getBytes(StandardCharsets.US_ASCII));
+        if (call.target().equals("/slow")) {
+            loop.after(SLOW_MILLIS, () -> answer.accept(echo));
+        } else {
+            answer.accept(echo);
+        }
     }
 
     private static String call(String target, String connection) {
