Refuse a call that is too large behind the answers before it

What callers saw: a call with too large a body, sent behind another on a connection of a registry, was refused before the other was answered: the caller took 413 for the answer of the first call, and the connection was closed a second later, with or without that answer.

Cause: the handler that collects bodies wrote the refusal and closed the connection itself, and does not know of the calls inside.

Change: the refusal takes its turn in the AnswerQueue, which closes the connection behind it after the time that a caller has to read it.

Why it works: one writer of answers is left, and the time until the close begins when the refusal is written, not when the call is seen.

--- a/siskintrail.net/src/io/siskintrail/net/AnswerQueue.java
+++ b/siskintrail.net/src/io/siskintrail/net/AnswerQueue.java
@@ -13,6 +13,7 @@
 import io.siskintrail.net.HttpService.Answer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -20,19 +21,34 @@
  * the connection.
  */
 final class AnswerQueue {
+    /** Time for a caller to read an answer before its connection, with unread bytes, is reset. */
+    private static final long READ_TIME_MILLIS = 1_000;
+
     private final Channel channel;
     private final Deque<Turn> turns = new ArrayDeque<>();
     private boolean ended;
     private boolean closed;
 
+    /** What becomes of the connection behind an answer. */
+    enum Next {
+        /** Further calls may follow. */
+        FURTHER_CALLS,
+
+        /** The connection is closed. */
+        CLOSE,
+
+        /** The connection, which has unread bytes, is closed when the caller had time to read. */
+        DELAYED_CLOSE
+    }
+
     /** The turn of a call; takes its answer, and drops further ones. */
     private final class Turn implements Consumer<Answer> {
-        private final boolean keepAlive;
+        private final Next next;
         private final Runnable sent;
         private Answer answer;
 
-        Turn(boolean keepAlive, Runnable sent) {
-            this.keepAlive = keepAlive;
+        Turn(Next next, Runnable sent) {
+            this.next = next;
             this.sent = sent;
         }
 
@@ -58,15 +74,14 @@
     /**
      * Adds a call; must not be called when the queue {@linkplain #hasEnded() has ended}.
      *
-     * @param keepAlive whether further calls may follow; else the connection is closed behind the
-     *     answer
+     * @param next what becomes of the connection behind the answer
      * @param sent called once, when the answer has left or is lost with its connection
      * @return takes the answer, now or later
      */
-    Consumer<Answer> add(boolean keepAlive, Runnable sent) {
-        Turn turn = new Turn(keepAlive, sent);
+    Consumer<Answer> add(Next next, Runnable sent) {
+        Turn turn = new Turn(next, sent);
         turns.add(turn);
-        ended = !keepAlive;
+        ended = next != Next.FURTHER_CALLS;
         return turn;
     }
 
@@ -87,12 +102,19 @@
             Turn turn = turns.poll();
             ChannelFuture written = channel.writeAndFlush(response(turn));
             written.addListener(f -> turn.sent.run());
-            if (!turn.keepAlive) {
+            if (turn.next == Next.CLOSE) {
                 written.addListener(ChannelFutureListener.CLOSE);
+            } else if (turn.next == Next.DELAYED_CLOSE) {
+                closeLater();
             }
         }
     }
 
+    private void closeLater() {
+        channel.eventLoop()
+                .schedule(() -> channel.close(), READ_TIME_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private static FullHttpResponse response(Turn turn) {
         Answer answer = turn.answer;
         FullHttpResponse response =
@@ -104,7 +126,7 @@
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
         }
         HttpUtil.setContentLength(response, answer.body().length);
-        HttpUtil.setKeepAlive(response, turn.keepAlive);
+        HttpUtil.setKeepAlive(response, turn.next == Next.FURTHER_CALLS);
         return response;
     }
 }
--- a/siskintrail.net/src/io/siskintrail/net/HttpService.java
+++ b/siskintrail.net/src/io/siskintrail/net/HttpService.java
@@ -4,22 +4,19 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.siskintrail.lib.ResultCode;
+import io.siskintrail.net.AnswerQueue.Next;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.service.Service;
 import io.siskintrail.service.ThreadFaults;
 import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
@@ -28,9 +25,6 @@
     private static final System.Logger LOG = System.getLogger(HttpService.class.getName());
     private static final int IDLE_TIMEOUT_SECONDS = 60;
 
-    /** Time for a caller to read a refusal before its connection, with unread bytes, is reset. */
-    private static final long REFUSAL_READ_TIME_MILLIS = 1_000;
-
     private final int maxBodyBytes;
     private final BodyBudget bodies;
     private final Handler handler;
@@ -117,33 +111,29 @@
         @Override
         protected void initChannel(SocketChannel channel) {
             BodyGate gate = new BodyGate(bodies, maxBodyBytes);
+            CallHandler calls = new CallHandler(gate);
             channel.pipeline()
                     .addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_SECONDS))
                     .addLast(new HttpServerCodec())
                     .addLast(gate)
-                    .addLast(new CallAggregator(maxBodyBytes))
-                    .addLast(new CallHandler(gate));
+                    .addLast(new CallAggregator(maxBodyBytes, calls::refuseTooLarge))
+                    .addLast(calls);
         }
     }
 
-    /** Collects calls; refuses a call whose body is too large and reads no more of it. */
+    /** Collects calls; reads no more of a call whose body is too large. */
     private static final class CallAggregator extends HttpObjectAggregator {
+        private final Runnable tooLarge;
 
-        CallAggregator(int maxBodyBytes) {
+        CallAggregator(int maxBodyBytes, Runnable tooLarge) {
             super(maxBodyBytes);
+            this.tooLarge = tooLarge;
         }
 
         @Override
         protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
             ctx.channel().config().setAutoRead(false);
-            FullHttpResponse response =
-                    new DefaultFullHttpResponse(
-                            HttpVersion.HTTP_1_1, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-            HttpUtil.setContentLength(response, 0);
-            HttpUtil.setKeepAlive(response, false);
-            ctx.writeAndFlush(response);
-            ctx.executor()
-                    .schedule(() -> ctx.close(), REFUSAL_READ_TIME_MILLIS, TimeUnit.MILLISECONDS);
+            tooLarge.run();
         }
     }
 
@@ -173,20 +163,30 @@
                 bodies.release(charge);
                 return;
             }
-            boolean isReadable = !request.decoderResult().isFailure();
-            openCalls.incrementAndGet();
-            Consumer<Answer> answer =
-                    answers.add(
-                            isReadable && HttpUtil.isKeepAlive(request),
-                            () -> {
-                                openCalls.decrementAndGet();
-                                bodies.release(charge);
-                            });
-            if (isReadable) {
-                handle(toCall(request), answer);
-            } else {
-                answer.accept(empty(HttpResponseStatus.BAD_REQUEST.code()));
+            if (request.decoderResult().isFailure()) {
+                open(Next.CLOSE, charge).accept(empty(HttpResponseStatus.BAD_REQUEST.code()));
+                return;
             }
+            Next next = HttpUtil.isKeepAlive(request) ? Next.FURTHER_CALLS : Next.CLOSE;
+            handle(toCall(request), open(next, charge));
+        }
+
+        /** Refuses a call whose body is not read; the gate gives its charge back. */
+        void refuseTooLarge() {
+            if (!answers.hasEnded()) {
+                open(Next.DELAYED_CLOSE, 0)
+                        .accept(empty(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code()));
+            }
+        }
+
+        private Consumer<Answer> open(Next next, int charge) {
+            openCalls.incrementAndGet();
+            return answers.add(
+                    next,
+                    () -> {
+                        openCalls.decrementAndGet();
+                        bodies.release(charge);
+                    });
         }
 
         /** Handles {@code call}; answers it itself when the handler fails. */
--- a/siskintrail.platform.test/tst/io/siskintrail/net/HttpServiceTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/net/HttpServiceTest.java
@@ -71,6 +71,18 @@
         assertThat(handled).containsExactly("/slow");
     }
 
+    /** Guards against a refusal that overtakes, and cuts off, the call before it. */
+    @Test
+    void refusalOfATooLargeCallComesBehindTheAnswerBeforeIt() throws IOException {
+        String tooLarge = "PUT /large HTTP/1.1\r\nContent-Length: %d\r\n\r\n";
+
+        String answers =
+                exchange(call("/slow", "keep-alive") + tooLarge.formatted(2 * MAX_BODY_BYTES));
+
+        assertThat(answers).containsMatch("(?s)^HTTP/1.1 200 .*\r\n\r\n/slowHTTP/1.1 413 ");
+        assertThat(handled).containsExactly("/slow");
+    }
+
     private void handle(Call call, Consumer<Answer> answer) {
         handled.add(call.target());
         if (call.target().equals("/fail")) {
