Answer calls of operators that outlast the stop of a registry

What callers saw: a configuration of 1 MiB has 7 s for its commit; when its registry was asked to stop meanwhile, the connection was closed after 2 s without an answer.

Cause: at the end of its wait the stop ended the event loop, which closes connections and does not know of the calls inside. Beside that, the main thread looked for open calls and the loop closed the connections later, so that a call could come between; and a large body that was partly read counted as nothing.

Change: at the end of the wait LogAccess ends its calls as if their time were over, so that the operator reads that the outcome is not confirmed (3021), and the stop waits up to 0.5 s more until this has left. The look and the close are one step on the event loop (HttpService.stopIfIdle), and bodies that are charged count as open. registry.stopped logs what is left.

No test covers the moment between look and close: read in the code.

Why it works: the end of the calls is told to their owner before the loop ends, and nothing is read between the last look and the close.

--- a/siskintrail.net/src/io/siskintrail/net/HttpService.java
+++ b/siskintrail.net/src/io/siskintrail/net/HttpService.java
@@ -3,6 +3,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
@@ -11,6 +13,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.ImmediateEventExecutor;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.AnswerQueue.Next;
 import io.siskintrail.service.LogEvent;
@@ -29,6 +32,8 @@
     private final BodyBudget bodies;
     private final Handler handler;
     private final TcpServer server;
+    private final ChannelGroup connections =
+            new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE);
     private final AtomicInteger openCalls = new AtomicInteger();
 
     /** Handles calls, on the event loop. */
@@ -92,6 +97,22 @@
         server.close();
     }
 
+    /**
+     * Ends the service if no call is open and no large body is on its way: stops to listen and
+     * closes its connections. To be called on the event loop, so that no call comes between the
+     * look and the end.
+     *
+     * @return whether the service has ended
+     */
+    public boolean stopIfIdle() {
+        if (openCalls() > 0 || bodyBytes() > 0 || waitingBodies() > 0) {
+            return false;
+        }
+        stop();
+        connections.close();
+        return true;
+    }
+
     /** Returns the number of calls whose answer has not left yet. May be called on any thread. */
     public int openCalls() {
         return openCalls.get();
@@ -112,6 +133,7 @@
         protected void initChannel(SocketChannel channel) {
             BodyGate gate = new BodyGate(bodies, maxBodyBytes);
             CallHandler calls = new CallHandler(gate);
+            connections.add(channel);
             channel.pipeline()
                     .addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_SECONDS))
                     .addLast(new HttpServerCodec())
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryStopTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryStopTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -20,6 +21,9 @@
     private static final String CONFIGURATION =
             "{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":[]}";
 
+    /** Size of a configuration for which a call has more time than the stop. */
+    private static final int LARGE_BYTES = 1 << 20;
+
     @TempDir Path folder;
 
     /** Guards against a call that waits for a quorum and is cut off by the stop. */
@@ -48,6 +52,25 @@
         }
     }
 
+    /** Guards against a call whose own time outlasts the stop and that is cut off at its end. */
+    @Test
+    void largeCallThatOutlastsTheStopIsAnswered() throws Exception {
+        int callPort = FreePorts.next();
+        RegistryService registry = startWithoutQuorum(callPort);
+        try (Socket operator = new Socket("127.0.0.1", callPort)) {
+            operator.setSoTimeout(10_000);
+            String body = CONFIGURATION + " ".repeat(LARGE_BYTES);
+            String head = "PUT /api/config HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n";
+            operator.getOutputStream().write(Http.toBytes(head.formatted(body.length()) + body));
+            Http.sleep(500);
+
+            registry.stop();
+
+            byte[] answer = operator.getInputStream().readNBytes(12);
+            assertThat(new String(answer, StandardCharsets.US_ASCII)).startsWith("HTTP/1.1 50");
+        }
+    }
+
     /** Starts one of three registries of which the others never come. */
     private RegistryService startWithoutQuorum(int callPort) {
         String callAddress = "127.0.0.1:" + callPort;
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/LogAccess.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/LogAccess.java
@@ -7,7 +7,10 @@
 import io.siskintrail.wire.registry.RegistryCodec;
 import io.siskintrail.wire.registry.RegistryMessage;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 
@@ -29,7 +32,9 @@
     private final RegistryReplica replica;
     private final RegistryPeers peers;
     private final Map<Long, LongConsumer> asked = new HashMap<>();
+    private final Set<Call> open = new LinkedHashSet<>();
     private long nextToken = 1;
+    private boolean stopped;
 
     LogAccess(EventLoop loop, RegistryReplica replica, RegistryPeers peers) {
         this.loop = loop;
@@ -59,6 +64,12 @@
         call.send();
     }
 
+    /** Ends the open calls without a result, as if their time were over, and all that follow. */
+    void stop() {
+        stopped = true;
+        List.copyOf(open).forEach(c -> c.end(false));
+    }
+
     /** Takes a message between registries that concerns the log; false when it is another. */
     boolean receive(Link from, RegistryMessage message) {
         if (message instanceof RegistryMessage.Propose p) {
@@ -99,13 +110,14 @@
             this.command = command;
             this.deadline = deadline;
             this.done = done;
+            open.add(this);
         }
 
         void send() {
             if (ended) {
                 return;
             }
-            if (EventLoop.nowMillis() >= deadline) {
+            if (stopped || EventLoop.nowMillis() >= deadline) {
                 end(false);
                 return;
             }
@@ -164,6 +176,7 @@
         private void end(boolean reached) {
             if (!ended) {
                 ended = true;
+                open.remove(this);
                 done.accept(reached && EventLoop.nowMillis() < deadline);
             }
         }
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -25,6 +25,7 @@
 import java.util.List;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 /** Puts the parts of a registry together and hands messages to them. */
@@ -45,9 +46,12 @@
     /** Time after which a host that was a registry once is no longer dialed. */
     private static final long FORGET_HOST_MILLIS = 60_000;
 
-    /** Longest wait of a stop for open calls, which takes in their own time. */
+    /** Longest wait of a stop for open calls, which takes in the own time of most. */
     private static final long STOP_MILLIS = 2_000;
 
+    /** Longest wait of a stop until the calls that it ends have their answer. */
+    private static final long STOP_ANSWERS_MILLIS = 500;
+
     private static final long STOP_POLL_MILLIS = 10;
 
     private final EventLoop loop;
@@ -130,22 +134,37 @@
         loop.execute(() -> peers.add(hosts));
     }
 
-    /** Hands leadership on and returns when the open calls are answered, for a bounded time. */
+    /**
+     * Hands leadership on and returns when the open calls are answered. Those that take longer than
+     * a bounded time are told that their outcome is not confirmed.
+     */
     @Override
     public void stop() {
         LogEvent.info(LOG, "registry.stopping").with("host", settings.host()).write();
         loop.execute(replica::stop);
-        awaitCalls(EventLoop.nowMillis() + STOP_MILLIS);
+        if (!awaitCalls(STOP_MILLIS)) {
+            loop.execute(log::stop);
+            awaitCalls(STOP_ANSWERS_MILLIS);
+        }
+        LogEvent.info(LOG, "registry.stopped")
+                .with("host", settings.host())
+                .with("open", calls.openCalls())
+                .write();
     }
 
-    private void awaitCalls(long deadlineMillis) {
+    /** Returns whether all calls are answered within {@code millis}; then there are no others. */
+    private boolean awaitCalls(long millis) {
+        long deadline = EventLoop.nowMillis() + millis;
+        AtomicBoolean ended = new AtomicBoolean();
         try {
-            while (calls.openCalls() > 0 && EventLoop.nowMillis() < deadlineMillis) {
+            while (!ended.get() && EventLoop.nowMillis() < deadline) {
+                loop.execute(() -> ended.set(calls.stopIfIdle()));
                 TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        return ended.get();
     }
 
     /** Lets go of the data folder; to be called when the event loop has ended. */
