Know a request from its first byte to the last of its answer

What callers saw: a request of which a part had come was cut without an answer, by a stop of the edge (its connection counted as idle, and the process as empty), by the end of the grace, and by the limit of idle time while its body was still coming.

Cause: a connection knew of a request once it was whole, and the process asked two counters beside the connections, in which requests that are held, queued behind another one or half received were missing.

Change: the decoder tells its connection of the first byte of each request. The connections alone know what is inside; the counters are gone, and the edge terminates when no connection is unfinished (edge.terminating logs unfinished=). The stop leaves a connection with a part of a request open, also behind an answer, so that the request is received, answered and then closed. At the end of the grace the rest is not waited for: 503, 8001. A client that sends nothing more for the idle limit, or takes over 60 s, gets 408. What still comes behind such a refusal is discarded.

Evidence: EdgeRequestInsideTest, real sockets.

Why it works: one object sees the first byte and the last one; there is no second record that could differ from it.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -44,6 +44,9 @@
     /** Requests that may queue behind the current one before reading pauses. */
     private static final int MAX_PENDING = 4;
 
+    /** Longest time in which a request is received; that of a client that gives no deadline. */
+    private static final long MAX_RECEIVE_MILLIS = 60_000;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final ClientServer server;
@@ -57,6 +60,14 @@
     private boolean keepAlive = true;
     private boolean closing;
 
+    /** Whether a part of a request has come of which the rest is still to come. */
+    private boolean receiving;
+
+    private long receivingSinceMillis;
+
+    /** Whether nothing that still comes is read as a request. */
+    private boolean inputEnded;
+
     /** Whether the last bytes of a response are still to be written to the socket. */
     private boolean responsePending;
 
@@ -90,12 +101,20 @@
         context.fireChannelActive();
     }
 
+    /** Records that the first bytes of a request have come. */
+    void startReceiving() {
+        receiving = true;
+        receivingSinceMillis = EventLoop.nowMillis();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        if (closing) {
+        if (closing || inputEnded) {
             return;
         }
-        pending.add(receive(request));
+        ReceivedRequest received = receive(request);
+        receiving = false;
+        pending.add(received);
         if (pending.size() > MAX_PENDING) {
             ctx.channel().config().setAutoRead(false);
         }
@@ -154,18 +173,65 @@
                 idle.state() == IdleState.WRITER_IDLE && !idle.isFirst() && responsePending;
         if (stoppedReading || isIdle()) {
             ctx.close();
+        } else if (receiving && !isAnswering() && isTooSlow(idle)) {
+            refuseRest();
+            sendEmpty(HttpResponseStatus.REQUEST_TIMEOUT);
         }
     }
 
+    /** Returns whether a client sends nothing more of its request, or took too long to send it. */
+    private boolean isTooSlow(IdleStateEvent idle) {
+        return idle.state() == IdleState.READER_IDLE
+                || EventLoop.nowMillis() - receivingSinceMillis > MAX_RECEIVE_MILLIS;
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         closeCause = cause.toString();
         ctx.close();
     }
 
-    /** Returns whether no request is being processed or queued, and all responses were sent. */
+    /** Discards what still comes; a disconnect is noticed as before. */
+    private void endInput() {
+        receiving = false;
+        inputEnded = true;
+        ctx.pipeline().addFirst(new DiscardingReader());
+        ctx.channel().config().setAutoRead(true);
+    }
+
+    /** Ends the reception of a request that is answered before it is whole. */
+    private void refuseRest() {
+        endInput();
+        keepAlive = false;
+    }
+
+    /** Returns whether no request is inside, not even in part, and all responses were sent. */
     boolean isIdle() {
-        return current == null && !holding && !responsePending && pending.isEmpty();
+        return !receiving && !isAnswering();
+    }
+
+    /** Returns whether a request was received whole whose response is not yet sent. */
+    boolean isAnswering() {
+        return isRunning() || holding || responsePending || !pending.isEmpty();
+    }
+
+    /** Returns whether a request is processed whose response is not complete. */
+    boolean isRunning() {
+        return current != null;
+    }
+
+    /** Returns whether a response is complete but not yet written to the socket. */
+    boolean isResponsePending() {
+        return responsePending;
+    }
+
+    /** Returns whether no request is known behind the current one that will be answered. */
+    private boolean isLast() {
+        return pending.isEmpty() && (!receiving || server.isTerminating());
+    }
+
+    private boolean closesBehindLast() {
+        return (server.isStopping() || inputEnded) && isLast();
     }
 
     /** Closes the connection if it is idle; otherwise its last response will. */
@@ -175,10 +241,17 @@
         }
     }
 
-    /** Ends the current request because the process stops. */
+    /**
+     * Ends the current request because the process stops, or refuses the one that is being
+     * received.
+     */
     void terminate() {
         if (current != null) {
             current.terminate();
+        } else if (receiving && !isAnswering()) {
+            refuseRest();
+            ResultCode code = ResultCode.NOT_RUN_SHUTTING_DOWN;
+            sendFailure(new Failure(code, "the host ends"), server.retryAfterMillis(code));
         }
     }
 
@@ -309,6 +382,10 @@
         } else if (tooLong) {
             status = HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
         }
+        sendEmpty(status);
+    }
+
+    private void sendEmpty(HttpResponseStatus status) {
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
         HttpUtil.setContentLength(response, 0);
         sendFinal(response);
@@ -327,19 +404,17 @@
     private void writeEnd(HttpObject lastPart) {
         current = null;
         responsePending = true;
-        server.addUnsentResponse();
         ctx.writeAndFlush(lastPart).addListener(write -> onResponseSent(write.isSuccess()));
     }
 
     private void onResponseSent(boolean success) {
         responsePending = false;
-        server.removeUnsentResponse();
         if (!success) {
             closing = true;
             ctx.close();
             return;
         }
-        if (closeAnnounced || server.isStopping() && pending.isEmpty()) {
+        if (closeAnnounced || closesBehindLast()) {
             closing = true;
             closeCause = "last response sent";
             ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
@@ -359,7 +434,7 @@
     }
 
     private void setConnectionHeader(HttpResponse response) {
-        if (!keepAlive || server.isStopping() && pending.isEmpty()) {
+        if (!keepAlive || closesBehindLast()) {
             closeAnnounced = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -58,10 +59,9 @@
     private final HeldRequests heldRequests;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final TcpServer server;
-    private int openRequests;
-    private int unsentResponses;
     private long bufferedBodyBytes;
     private boolean stopping;
+    private boolean terminating;
 
     ClientServer(
             EventLoop loop,
@@ -100,6 +100,7 @@
      * connections, and ends the open requests.
      */
     void terminate() {
+        terminating = true;
         server.close();
         context.stopPlan().markTerminating();
         List.copyOf(connections).forEach(ClientConnection::terminate);
@@ -110,9 +111,19 @@
         return stopping;
     }
 
-    /** Returns the number of requests whose response is not complete. */
+    /** Returns whether requests of which only a part has come are no longer waited for. */
+    boolean isTerminating() {
+        return terminating;
+    }
+
+    /** Returns the number of connections that have a request inside, be it only in part. */
+    int unfinishedConnections() {
+        return count(connection -> !connection.isIdle());
+    }
+
+    /** Returns the number of requests that are processed and whose response is not complete. */
     int openRequests() {
-        return openRequests;
+        return count(ClientConnection::isRunning);
     }
 
     /** Returns the number of open client connections. */
@@ -122,15 +133,11 @@
 
     /** Returns the number of responses that are complete but not yet written to their sockets. */
     int unsentResponses() {
-        return unsentResponses;
+        return count(ClientConnection::isResponsePending);
     }
 
-    void addUnsentResponse() {
-        unsentResponses++;
-    }
-
-    void removeUnsentResponse() {
-        unsentResponses--;
+    private int count(Predicate<ClientConnection> condition) {
+        return (int) connections.stream().filter(condition).count();
     }
 
     void addConnection(ClientConnection connection) {
@@ -190,12 +197,11 @@
 
     /** Creates the exchange of a request that passed the filters. */
     Exchange createExchange(ClientConnection connection, CallContext call) {
-        openRequests++;
-        bufferedBodyBytes += call.body().length;
         Exchange exchange =
                 call.route().kind() == RouteKind.STREAM
                         ? new StreamExchange(context, call, connection, this::removeExchange)
                         : new UnaryExchange(context, call, connection, this::removeExchange);
+        bufferedBodyBytes += call.body().length;
         context.add(exchange);
         return exchange;
     }
@@ -214,7 +220,6 @@
     }
 
     private void removeExchange(Exchange exchange) {
-        openRequests--;
         bufferedBodyBytes -= exchange.bodyBytes();
         context.remove(exchange);
     }
@@ -244,7 +249,9 @@
                     .addLast(
                             new IdleStateHandler(
                                     true, idleMillis, idleMillis, 0, TimeUnit.MILLISECONDS))
-                    .addLast(new StrictServerCodec(limits.maxHeaderBytes()))
+                    .addLast(
+                            new StrictServerCodec(
+                                    limits.maxHeaderBytes(), connection::startReceiving))
                     .addLast(new RequestAggregator(limits.maxBodyBytes(), connection))
                     .addLast(connection);
         }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -283,7 +283,7 @@
         CompletableFuture<Boolean> terminated = new CompletableFuture<>();
         loop.execute(
                 () -> {
-                    int unfinished = server.openRequests() + server.unsentResponses();
+                    int unfinished = server.unfinishedConnections();
                     boolean mayTerminate =
                             context.stopPlan().mayTerminate(EventLoop.nowMillis(), unfinished);
                     if (mayTerminate) {
@@ -311,6 +311,7 @@
         LogEvent.info(LOG, "edge.terminating")
                 .with("host", settings.host())
                 .with("connections", server.connections())
+                .with("unfinished", server.unfinishedConnections())
                 .with("open", server.openRequests())
                 .with("unsent", server.unsentResponses())
                 .write();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RequestAggregator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestAggregator.java
@@ -26,9 +26,9 @@
     @Override
     protected Object newContinueResponse(
             HttpMessage start, int maxContentLength, ChannelPipeline pipeline) {
-        return connection.isIdle()
-                ? super.newContinueResponse(start, maxContentLength, pipeline)
-                : null;
+        return connection.isAnswering()
+                ? null
+                : super.newContinueResponse(start, maxContentLength, pipeline);
     }
 
     @Override
--- /dev/null
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeRequestInsideTest.java
@@ -0,0 +1,201 @@
+package io.siskintrail.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Requests, whole or in part, on connections that fall silent or are ended by a stop. */
+@Timeout(60)
+class EdgeRequestInsideTest {
+    private static final String CONFIGURATION =
+            """
+            {"version":7,"routes":[
+             {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"unsafe",
+              "timeoutMs":60000,"targetLatencyMs":500,"priority":1,"service":"app",
+              "maxAttempts":1},
+             {"name":"gen","host":"h.example","pathPrefix":"/gen/","kind":"streaming",
+              "timeoutMs":60000,"targetLatencyMs":4000,"priority":0,"service":"app",
+              "maxAttempts":5,"resumable":false,"targetGapMs":20000}],
+             "services":[{"name":"app"}],
+             "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,
+              "idleTimeoutMs":500},
+             "tenants":[{"name":"acme","apiKeys":["key-1"]}]}
+            """;
+
+    /** More than the idle limit and what an edge adds to it. */
+    private static final long LONGER_THAN_IDLE_MILLIS = 4_000;
+
+    private LoopbackSystem system;
+
+    @TempDir Path folder;
+
+    @BeforeEach
+    void start() throws Exception {
+        system = new LoopbackSystem(folder, 3);
+        system.configure(CONFIGURATION);
+    }
+
+    @AfterEach
+    void stop() {
+        system.close();
+    }
+
+    /** Guards against a stop that takes a connection with a part of a request for an idle one. */
+    @ParameterizedTest
+    @ValueSource(ints = {20, 300})
+    void halfReceivedRequestIsAnsweredWhenTheEdgeStops(int sentBytes) throws Exception {
+        try (ScriptedEndpoint app = new ScriptedEndpoint(fine());
+                Socket client = connectWhenReady(app)) {
+            String request = keepAlive("/once/x", "p".repeat(1_000));
+            client.getOutputStream().write(Http.toBytes(request.substring(0, sentBytes)));
+            Http.sleep(200);
+
+            var stopping = CompletableFuture.runAsync(system::stopEdge);
+            while (system.readinessStatus() == 200) {
+                Http.sleep(10);
+            }
+            Http.sleep(500);
+            String text = sendAndReadAll(client, request.substring(sentBytes));
+            stopping.get();
+
+            assertThat(text).startsWith(app.requests().isEmpty() ? "HTTP/1.1 503" : "HTTP/1.1 200");
+            assertThat(text).containsMatch("(?i)connection: close");
+        }
+    }
+
+    /** Guards against the end of a grace that drops a part of a request without an answer. */
+    @ParameterizedTest
+    @ValueSource(ints = {20, 300})
+    void halfReceivedRequestIsRefusedAtTheEndOfTheGrace(int sentBytes) throws Exception {
+        LoopbackSystem shortSystem = new LoopbackSystem(folder.resolve("short"), 1.5);
+        shortSystem.configure(CONFIGURATION);
+        try (ScriptedEndpoint app = new ScriptedEndpoint(fine());
+                Socket client = connectWhenReady(shortSystem, app)) {
+            String request = keepAlive("/once/x", "p".repeat(1_000));
+            client.getOutputStream().write(Http.toBytes(request.substring(0, sentBytes)));
+            Http.sleep(200);
+
+            shortSystem.stopEdge();
+
+            String text = readAll(client);
+            assertThat(text).startsWith("HTTP/1.1 503");
+            assertThat(text).contains("8001");
+            assertThat(app.requests()).isEmpty();
+        } finally {
+            shortSystem.closeRegistry();
+        }
+    }
+
+    /** Guards against a slow but steady upload that is cut off as idle. */
+    @Test
+    void requestThatIsSentForLongerThanTheIdleLimitIsAnswered() throws Exception {
+        try (ScriptedEndpoint app = new ScriptedEndpoint(fine());
+                Socket client = connectWhenReady(app)) {
+            String request = keepAlive("/once/x", "p".repeat(1_000));
+            int bodyStart = request.length() - 1_000;
+            client.getOutputStream().write(Http.toBytes(request.substring(0, bodyStart)));
+            int pieces = 20;
+            int pieceBytes = 1_000 / pieces;
+            for (int i = 0; i < pieces - 1; i++) {
+                Http.sleep(LONGER_THAN_IDLE_MILLIS / pieces);
+                trySend(client, "p".repeat(pieceBytes));
+            }
+            String text = sendAndReadAll(client, "p".repeat(pieceBytes), "fine");
+
+            assertThat(text).startsWith("HTTP/1.1 200");
+        }
+    }
+
+    /** Guards against a client that falls silent in a request and learns nothing. */
+    @Test
+    void requestThatStopsComingIsRefusedAtTheIdleLimit() throws Exception {
+        try (ScriptedEndpoint app = new ScriptedEndpoint(fine());
+                Socket client = connectWhenReady(app)) {
+            client.getOutputStream()
+                    .write(Http.toBytes(keepAlive("/once/x", "p").substring(0, 60)));
+
+            assertThat(readAll(client)).startsWith("HTTP/1.1 408");
+        }
+    }
+
+    private static ScriptedEndpoint.Script fine() {
+        return (number, request, out) -> {
+            out.write(ScriptedEndpoint.signedResponse(request, 200, "", "fine"));
+            return true;
+        };
+    }
+
+    private Socket connectWhenReady(ScriptedEndpoint app) throws Exception {
+        return connectWhenReady(system, app);
+    }
+
+    /** Connects once the edge knows the limits of the configuration. */
+    private static Socket connectWhenReady(LoopbackSystem target, ScriptedEndpoint app)
+            throws Exception {
+        target.register("app", "app", app.address(), "a");
+        while (target.readinessStatus() != 200) {
+            Http.sleep(10);
+        }
+        return target.connect();
+    }
+
+    private static String keepAlive(String path, String body) {
+        return Http.request("POST", path, "key-1", body)
+                .replace("Connection: close\r\n", "")
+                .replace("Deadline-Ms: 2000", "Deadline-Ms: 60000");
+    }
+
+    private static void trySend(Socket client, String text) {
+        try {
+            client.getOutputStream().write(Http.toBytes(text));
+        } catch (IOException e) {
+            // The answer, or its lack, tells.
+        }
+    }
+
+    private static String sendAndReadAll(Socket client, String text) {
+        trySend(client, text);
+        return readAll(client);
+    }
+
+    private static String sendAndReadAll(Socket client, String text, String end) {
+        trySend(client, text);
+        return readUntil(client, end);
+    }
+
+    private static String readAll(Socket client) {
+        return readUntil(client, null);
+    }
+
+    /** Reads until {@code end} or the connection ends, also by a reset. */
+    private static String readUntil(Socket client, String end) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            InputStream in = client.getInputStream();
+            int octet = in.read();
+            while (octet >= 0) {
+                bytes.write(octet);
+                if (end != null && bytes.toString(StandardCharsets.US_ASCII).endsWith(end)) {
+                    break;
+                }
+                octet = in.read();
+            }
+        } catch (IOException e) {
+            bytes.writeBytes(Http.toBytes("\n" + e));
+        }
+        return bytes.toString(StandardCharsets.US_ASCII);
+    }
+}
