Answer what was received before a connection's input fails

What callers saw: a request that was passed on, or whose answer was under way, was cut without a word when anything but the socket failed on the receiving side of its connection: a decoder, the collecting of a body, a lack of memory.

Change: the connection closes at once only if its socket failed (an I/O error) or nothing is inside. Otherwise what still comes is discarded, the requests that were received are answered, and the last answer closes. A request that was being received when the edge failed gets 500, 1099 in its turn; 400 if the decoder could not read it. Errors, such as OutOfMemoryError, are treated alike: an edge does not end itself (it never asked ThreadFaults to), since that would cut all other requests; the fault is logged as client.input.failed.

Evidence: EdgeRequestInsideTest lets the input of each connection of the edge fail from inside. All six pass with this change.

Why it works: an output that nothing ailed is used to the end, and reading goes on, so that a client that leaves is noticed as before.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -28,6 +29,7 @@
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.LogEvent;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -82,9 +84,10 @@
      * @param call the request; null if it is unreadable
      * @param keepAlive whether the connection may stay open behind its response
      * @param unreadableCause why it is unreadable; null if it is not
+     * @param hostFailed whether it is unreadable because this host failed
      */
     private record ReceivedRequest(
-            CallContext call, boolean keepAlive, Throwable unreadableCause) {}
+            CallContext call, boolean keepAlive, Throwable unreadableCause, boolean hostFailed) {}
 
     ClientConnection(ClientServer server) {
         this.server = server;
@@ -125,7 +128,7 @@
         if (request.decoderResult().isFailure()) {
             Throwable cause = request.decoderResult().cause();
             boolean keepAlive = isBodyTooLong(cause) && HttpUtil.isKeepAlive(request);
-            return new ReceivedRequest(null, keepAlive, cause);
+            return new ReceivedRequest(null, keepAlive, cause, false);
         }
         CallContext call =
                 new CallContext(
@@ -134,7 +137,7 @@
                         request.headers(),
                         ByteBufUtil.getBytes(request.content()),
                         EventLoop.nowMillis());
-        return new ReceivedRequest(call, HttpUtil.isKeepAlive(request), null);
+        return new ReceivedRequest(call, HttpUtil.isKeepAlive(request), null, false);
     }
 
     @Override
@@ -185,10 +188,29 @@
                 || EventLoop.nowMillis() - receivingSinceMillis > MAX_RECEIVE_MILLIS;
     }
 
+    /**
+     * Closes the connection if its socket failed or no request is inside. Otherwise the requests
+     * that were received are answered first, also after an error such as a lack of memory: one
+     * request that cannot be read is no reason to cut off others.
+     */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         closeCause = cause.toString();
-        ctx.close();
+        if (cause instanceof IOException || isIdle()) {
+            ctx.close();
+            return;
+        }
+        if (inputEnded) {
+            return;
+        }
+        LOG.log(System.Logger.Level.ERROR, "event=client.input.failed", cause);
+        boolean wasReceiving = receiving;
+        endInput();
+        if (wasReceiving) {
+            pending.add(
+                    new ReceivedRequest(null, false, cause, !(cause instanceof DecoderException)));
+            startNext();
+        }
     }
 
     /** Discards what still comes; a disconnect is noticed as before. */
@@ -325,7 +347,7 @@
         keepAlive = next.keepAlive();
         ctx.channel().config().setAutoRead(true);
         if (next.unreadableCause() != null) {
-            rejectUnreadable(next.unreadableCause());
+            rejectUnread(next);
             return;
         }
         CallContext call = next.call();
@@ -373,6 +395,16 @@
         sendFailure(new Failure(ResultCode.INTERNAL, cause.toString()), 0);
     }
 
+    private void rejectUnread(ReceivedRequest request) {
+        if (request.hostFailed()) {
+            Failure failure =
+                    new Failure(ResultCode.INTERNAL, request.unreadableCause().toString());
+            sendFailure(failure, 0);
+        } else {
+            rejectUnreadable(request.unreadableCause());
+        }
+    }
+
     private void rejectUnreadable(Throwable cause) {
         boolean tooLong = server.isFrameTooLong(cause);
         server.recordUnreadable(tooLong ? ResultCode.INPUT_TOO_LONG : ResultCode.BAD_HEADER, cause);
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeRequestInsideTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeRequestInsideTest.java
@@ -9,15 +9,17 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Requests, whole or in part, on connections that fall silent or are ended by a stop. */
+/** Requests, whole or in part, on connections that fail, fall silent or are ended by a stop. */
 @Timeout(60)
 class EdgeRequestInsideTest {
     private static final String CONFIGURATION =
@@ -38,6 +40,8 @@
     /** More than the idle limit and what an edge adds to it. */
     private static final long LONGER_THAN_IDLE_MILLIS = 4_000;
 
+    private final CountDownLatch requestReceived = new CountDownLatch(1);
+    private final CountDownLatch responseReleased = new CountDownLatch(1);
     private LoopbackSystem system;
 
     @TempDir Path folder;
@@ -50,9 +54,69 @@
 
     @AfterEach
     void stop() {
+        responseReleased.countDown();
         system.close();
     }
 
+    /** Guards against a failure of the receiving side that cuts the request before it. */
+    @ParameterizedTest
+    @CsvSource({"once, false", "once, true", "gen, false", "gen, true"})
+    void requestIsAnsweredWhenItsConnectionFailsBehindIt(String route, boolean outOfMemory)
+            throws Exception {
+        boolean streaming = route.equals("gen");
+        ScriptedEndpoint.Script script =
+                (number, request, out) -> {
+                    if (streaming) {
+                        Http.writeStreamHead(request, out);
+                        Http.writeEvent(out, 1);
+                    }
+                    requestReceived.countDown();
+                    await(responseReleased);
+                    if (streaming) {
+                        Http.writeEvent(out, 2);
+                        Http.writeLastChunk(out);
+                    } else {
+                        out.write(ScriptedEndpoint.signedResponse(request, 200, "", "fine"));
+                    }
+                    return true;
+                };
+        try (ScriptedEndpoint app = new ScriptedEndpoint(script);
+                Socket client = connectWhenReady(app)) {
+            client.getOutputStream().write(Http.toBytes(keepAlive("/" + route + "/x", "p")));
+            await(requestReceived);
+            Http.sleep(100);
+
+            system.failConnections(
+                    outOfMemory
+                            ? new OutOfMemoryError("injected")
+                            : new IllegalStateException("injected"));
+            Http.sleep(200);
+            responseReleased.countDown();
+
+            String text = readAll(client);
+            assertThat(text).startsWith("HTTP/1.1 200");
+            assertThat(text).endsWith(streaming ? "\r\n0\r\n\r\n" : "fine");
+        }
+    }
+
+    /** Guards against a failure of the receiving side that drops a request without a status. */
+    @ParameterizedTest
+    @ValueSource(ints = {20, 180})
+    void requestDuringWhoseReceptionTheConnectionFailsIsAnswered(int sentBytes) throws Exception {
+        try (ScriptedEndpoint app = new ScriptedEndpoint(fine());
+                Socket client = connectWhenReady(app)) {
+            String request = keepAlive("/once/x", "p".repeat(1_000));
+            client.getOutputStream().write(Http.toBytes(request.substring(0, sentBytes)));
+            Http.sleep(200);
+
+            system.failConnections(new IllegalStateException("injected"));
+
+            String text = readAll(client);
+            assertThat(text).startsWith("HTTP/1.1 500");
+            assertThat(text).contains("1099");
+        }
+    }
+
     /** Guards against a stop that takes a connection with a part of a request for an idle one. */
     @ParameterizedTest
     @ValueSource(ints = {20, 300})
@@ -198,4 +262,12 @@
         }
         return bytes.toString(StandardCharsets.US_ASCII);
     }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
@@ -1,5 +1,6 @@
 package io.siskintrail.platform;
 
+import io.netty.channel.ChannelHandlerContext;
 import io.siskintrail.edge.EdgeService;
 import io.siskintrail.edge.EdgeSettings;
 import io.siskintrail.edge.TrafficProtocol;
@@ -7,6 +8,7 @@
 import io.siskintrail.testkit.FreePorts;
 import java.io.IOException;
 import java.io.InputStream;
+import java.lang.reflect.Field;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URI;
@@ -15,6 +17,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -146,6 +149,21 @@
         edge.stop();
     }
 
+    /** Lets the receiving side of each client connection of the edge fail with {@code cause}. */
+    void failConnections(Throwable cause) throws ReflectiveOperationException {
+        Object server = read(read(edge, "edge"), "server");
+        for (Object connection : List.copyOf((Collection<?>) read(server, "connections"))) {
+            ChannelHandlerContext ctx = (ChannelHandlerContext) read(connection, "ctx");
+            ctx.executor().execute(() -> ctx.pipeline().fireExceptionCaught(cause));
+        }
+    }
+
+    private static Object read(Object owner, String field) throws ReflectiveOperationException {
+        Field declared = owner.getClass().getDeclaredField(field);
+        declared.setAccessible(true);
+        return declared.get(owner);
+    }
+
     /** Starts a further edge, which the caller must close. */
     LoopbackEdge startEdge(String host) {
         return new LoopbackEdge(host, callPort, linkPort);
