--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -28,6 +29,7 @@
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.LogEvent;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -44,6 +46,9 @@
     /** Requests that may queue behind the current one before reading pauses. */
     private static final int MAX_PENDING = 4;
 
+    /** Longest time in which a request is received; that of a client that gives no deadline. */
+    private static final long MAX_RECEIVE_MILLIS = 60_000;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final ClientServer server;
@@ -57,6 +62,14 @@
     private boolean keepAlive = true;
     private boolean closing;
 
+    /** Whether a part of a request has come of which the rest is still to come. */
+    private boolean receiving;
+
+    private long receivingSinceMillis;
+
+    /** Whether nothing that still comes is read as a request. */
+    private boolean inputEnded;
+
     /** Whether the last bytes of a response are still to be written to the socket. */
     private boolean responsePending;
 
@@ -71,9 +84,10 @@
      * @param call the request; null if it is unreadable
      * @param keepAlive whether the connection may stay open behind its response
      * @param unreadableCause why it is unreadable; null if it is not
+     * @param hostFailed whether it is unreadable because this host failed
      */
     private record ReceivedRequest(
-            CallContext call, boolean keepAlive, Throwable unreadableCause) {}
+            CallContext call, boolean keepAlive, Throwable unreadableCause, boolean hostFailed) {}
 
     ClientConnection(ClientServer server) {
         this.server = server;
@@ -90,12 +104,20 @@
         context.fireChannelActive();
     }
 
+    /** Records that the first bytes of a request have come. */
+    void startReceiving() {
+        receiving = true;
+        receivingSinceMillis = EventLoop.nowMillis();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        if (closing) {
+        if (closing || inputEnded) {
             return;
         }
-        pending.add(receive(request));
+        ReceivedRequest received = receive(request);
+        receiving = false;
+        pending.add(received);
         if (pending.size() > MAX_PENDING) {
             ctx.channel().config().setAutoRead(false);
         }
@@ -106,7 +128,7 @@
         if (request.decoderResult().isFailure()) {
             Throwable cause = request.decoderResult().cause();
             boolean keepAlive = isBodyTooLong(cause) && HttpUtil.isKeepAlive(request);
-            return new ReceivedRequest(null, keepAlive, cause);
+            return new ReceivedRequest(null, keepAlive, cause, false);
         }
         CallContext call =
                 new CallContext(
@@ -115,7 +137,7 @@
                         request.headers(),
                         ByteBufUtil.getBytes(request.content()),
                         EventLoop.nowMillis());
-        return new ReceivedRequest(call, HttpUtil.isKeepAlive(request), null);
+        return new ReceivedRequest(call, HttpUtil.isKeepAlive(request), null, false);
     }
 
     @Override
@@ -154,18 +176,84 @@
                 idle.state() == IdleState.WRITER_IDLE && !idle.isFirst() && responsePending;
         if (stoppedReading || isIdle()) {
             ctx.close();
+        } else if (receiving && !isAnswering() && isTooSlow(idle)) {
+            refuseRest();
+            sendEmpty(HttpResponseStatus.REQUEST_TIMEOUT);
         }
     }
 
+    /** Returns whether a client sends nothing more of its request, or took too long to send it. */
+    private boolean isTooSlow(IdleStateEvent idle) {
+        return idle.state() == IdleState.READER_IDLE
+                || EventLoop.nowMillis() - receivingSinceMillis > MAX_RECEIVE_MILLIS;
+    }
+
+    /**
+     * Closes the connection if its socket failed or no request is inside. Otherwise the requests
+     * that were received are answered first, also after an error such as a lack of memory: one
+     * request that cannot be read is no reason to cut off others.
+     */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         closeCause = cause.toString();
-        ctx.close();
+        if (cause instanceof IOException || isIdle()) {
+            ctx.close();
+            return;
+        }
+        if (inputEnded) {
+            return;
+        }
+        LOG.log(System.Logger.Level.ERROR, "event=client.input.failed", cause);
+        boolean wasReceiving = receiving;
+        endInput();
+        if (wasReceiving) {
+            pending.add(
+                    new ReceivedRequest(null, false, cause, !(cause instanceof DecoderException)));
+            startNext();
+        }
+    }
+
+    /** Discards what still comes; a disconnect is noticed as before. */
+    private void endInput() {
+        receiving = false;
+        inputEnded = true;
+        ctx.pipeline().addFirst(new DiscardingReader());
+        ctx.channel().config().setAutoRead(true);
     }
 
-    /** Returns whether no request is being processed or queued, and all responses were sent. */
+    /** Ends the reception of a request that is answered before it is whole. */
+    private void refuseRest() {
+        endInput();
+        keepAlive = false;
+    }
+
+    /** Returns whether no request is inside, not even in part, and all responses were sent. */
     boolean isIdle() {
-        return current == null && !holding && !responsePending && pending.isEmpty();
+        return !receiving && !isAnswering();
+    }
+
+    /** Returns whether a request was received whole whose response is not yet sent. */
+    boolean isAnswering() {
+        return isRunning() || holding || responsePending || !pending.isEmpty();
+    }
+
+    /** Returns whether a request is processed whose response is not complete. */
+    boolean isRunning() {
+        return current != null;
+    }
+
+    /** Returns whether a response is complete but not yet written to the socket. */
+    boolean isResponsePending() {
+        return responsePending;
+    }
+
+    /** Returns whether no request is known behind the current one that will be answered. */
+    private boolean isLast() {
+        return pending.isEmpty() && (!receiving || server.isTerminating());
+    }
+
+    private boolean closesBehindLast() {
+        return (server.isStopping() || inputEnded) && isLast();
     }
 
     /** Closes the connection if it is idle; otherwise its last response will. */
@@ -175,10 +263,17 @@
         }
     }
 
-    /** Ends the current request because the process stops. */
+    /**
+     * Ends the current request because the process stops, or refuses the one that is being
+     * received.
+     */
     void terminate() {
         if (current != null) {
             current.terminate();
+        } else if (receiving && !isAnswering()) {
+            refuseRest();
+            ResultCode code = ResultCode.NOT_RUN_SHUTTING_DOWN;
+            sendFailure(new Failure(code, "the host ends"), server.retryAfterMillis(code));
         }
     }
 
@@ -252,7 +347,7 @@
         keepAlive = next.keepAlive();
         ctx.channel().config().setAutoRead(true);
         if (next.unreadableCause() != null) {
-            rejectUnreadable(next.unreadableCause());
+            rejectUnread(next);
             return;
         }
         CallContext call = next.call();
@@ -300,6 +395,16 @@
         sendFailure(new Failure(ResultCode.INTERNAL, cause.toString()), 0);
     }
 
+    private void rejectUnread(ReceivedRequest request) {
+        if (request.hostFailed()) {
+            Failure failure =
+                    new Failure(ResultCode.INTERNAL, request.unreadableCause().toString());
+            sendFailure(failure, 0);
+        } else {
+            rejectUnreadable(request.unreadableCause());
+        }
+    }
+
     private void rejectUnreadable(Throwable cause) {
         boolean tooLong = server.isFrameTooLong(cause);
         server.recordUnreadable(tooLong ? ResultCode.INPUT_TOO_LONG : ResultCode.BAD_HEADER, cause);
@@ -309,6 +414,10 @@
         } else if (tooLong) {
             status = HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
         }
+        sendEmpty(status);
+    }
+
+    private void sendEmpty(HttpResponseStatus status) {
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
         HttpUtil.setContentLength(response, 0);
         sendFinal(response);
@@ -327,19 +436,17 @@
     private void writeEnd(HttpObject lastPart) {
         current = null;
         responsePending = true;
-        server.addUnsentResponse();
         ctx.writeAndFlush(lastPart).addListener(write -> onResponseSent(write.isSuccess()));
     }
 
     private void onResponseSent(boolean success) {
         responsePending = false;
-        server.removeUnsentResponse();
         if (!success) {
             closing = true;
             ctx.close();
             return;
         }
-        if (closeAnnounced || server.isStopping() && pending.isEmpty()) {
+        if (closeAnnounced || closesBehindLast()) {
             closing = true;
             closeCause = "last response sent";
             ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
@@ -359,7 +466,7 @@
     }
 
     private void setConnectionHeader(HttpResponse response) {
-        if (!keepAlive || server.isStopping() && pending.isEmpty()) {
+        if (!keepAlive || closesBehindLast()) {
             closeAnnounced = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
