Apply changed limits to open connections

Cause: ClientServer read the limits once per connection, and they became constants of its decoder, aggregator and idle timer.

Change: each of the three handlers asks for the limits in force and replaces itself where nothing is lost: the decoder between two requests (bytes it holds go to its successor), the aggregator at a head, the idle timer when the configuration comes into force, a smaller one only without a request inside. The response encoder is a handler of its own now, since it may be in the middle of a response when the decoder changes.

Why it works: no limit is held beyond the request it was read for. A replaced decoder is one with no request begun, so its only state is unread bytes; after a malformed request it is never replaced.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -168,6 +168,13 @@
         return current == null && !holding && !responsePending && pending.isEmpty();
     }
 
+    /**
+     * Applies the idle limit of a changed configuration; other limits apply to the next request.
+     */
+    void applyLimits() {
+        ctx.pipeline().fireUserEventTriggered(IdleLimit.LimitsChanged.INSTANCE);
+    }
+
     /** Closes the connection if it is idle; otherwise its last response will. */
     void closeIfIdle() {
         if (isIdle()) {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -3,7 +3,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.siskintrail.internal.traffic.ClientLimits;
 import io.siskintrail.internal.traffic.RouteKind;
 import io.siskintrail.internal.traffic.RouteTable;
@@ -18,7 +18,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /**
@@ -233,19 +232,30 @@
                 .write();
     }
 
+    /** Applies the limits of a changed configuration to the connections that are open. */
+    void applyLimits() {
+        List.copyOf(connections).forEach(ClientConnection::applyLimits);
+    }
+
+    private ClientLimits limits() {
+        RouteTable current = table.get();
+        return current == null ? ClientLimits.DEFAULT : current.limits();
+    }
+
+    private long idleLimitMillis() {
+        return limits().idleTimeoutMillis() + IDLE_GRACE_MILLIS;
+    }
+
     private final class Initializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel channel) {
-            RouteTable current = table.get();
-            ClientLimits limits = current == null ? ClientLimits.DEFAULT : current.limits();
-            long idleMillis = limits.idleTimeoutMillis() + IDLE_GRACE_MILLIS;
-            ClientConnection connection = new ClientConnection(ClientServer.this);
+            ClientServer server = ClientServer.this;
+            ClientConnection connection = new ClientConnection(server);
             channel.pipeline()
-                    .addLast(
-                            new IdleStateHandler(
-                                    true, idleMillis, idleMillis, 0, TimeUnit.MILLISECONDS))
-                    .addLast(new StrictServerCodec(limits.maxHeaderBytes()))
-                    .addLast(new RequestAggregator(limits.maxBodyBytes(), connection))
+                    .addLast(new IdleLimit(server::idleLimitMillis, connection))
+                    .addLast(new HttpResponseEncoder())
+                    .addLast(new StrictRequestDecoder(server::limits))
+                    .addLast(new RequestAggregator(server::limits, connection))
                     .addLast(connection);
         }
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -168,6 +168,7 @@
                 firstConfigurationAtMillis = EventLoop.nowMillis();
             }
             table = new RouteTable(ok.value());
+            server.applyLimits();
             server.resumeHeld();
             LogEvent.info(LOG, "configuration.in-force")
                     .with("version", version)
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RequestAggregator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestAggregator.java
@@ -10,19 +10,42 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.siskintrail.internal.traffic.ClientLimits;
+import java.util.function.Supplier;
 
 /**
  * Collects requests whole. Writes nothing while another request of the connection is processed: a
  * request whose body is too large is passed on as unreadable, so that it is answered in its turn.
+ *
+ * <p>At the head of a request the aggregator replaces itself when the limit of bodies has changed,
+ * so that the newest one applies to each request.
  */
 final class RequestAggregator extends HttpObjectAggregator {
+    private final Supplier<ClientLimits> limits;
     private final ClientConnection connection;
 
-    RequestAggregator(int maxBodyBytes, ClientConnection connection) {
-        super(maxBodyBytes, true);
+    /**
+     * Creates an aggregator that limits bodies to {@link ClientLimits#maxBodyBytes()}.
+     *
+     * @param limits returns the limits in force
+     */
+    RequestAggregator(Supplier<ClientLimits> limits, ClientConnection connection) {
+        super(limits.get().maxBodyBytes(), true);
+        this.limits = limits;
         this.connection = connection;
     }
 
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        boolean changed = limits.get().maxBodyBytes() != maxContentLength();
+        if (changed && message instanceof HttpRequest) {
+            ctx.pipeline().replace(this, null, new RequestAggregator(limits, connection));
+            ctx.fireChannelRead(message);
+            return;
+        }
+        super.channelRead(ctx, message);
+    }
+
     @Override
     protected Object newContinueResponse(
             HttpMessage start, int maxContentLength, ChannelPipeline pipeline) {
