Keep reports of other writers apart from an endpoint's own

Callers were sent to replicas that had said they leave (DRAIN): after one heartbeat of another writer under a replica's id, which names a service of no configuration, the replica's own reports were acknowledged and dropped, draining and DELETE too.

Cause: the directory filed one record for each id and one owner for each address, and the later start won, whatever service it named. An edge kept the view under the old service for good.

Change: EndpointDirectory files records by id and service. A record ends one of another service with its id or address only if the configuration names both; edges know that, and decide again when the configuration changes. Registries keep both and pass both on; DELETE ends all records of its id. A report without a start from another address changes nothing.

Why it works: the unknown service is the one thing that tells such a report from a restart. Filed under it, the report has neither the key of the replica's record nor a say over its address, in whatever order the reports and the configuration come.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -169,6 +169,7 @@
             }
             table = new RouteTable(ok.value());
             server.applyLimits();
+            endpoints.applyServices(table.services());
             server.resumeHeld();
             LogEvent.info(LOG, "configuration.in-force")
                     .with("version", version)
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
@@ -55,6 +56,11 @@
         return mayBeUsable;
     }
 
+    /** Applies the services that the configuration in force names. */
+    void applyServices(Set<ServiceName> services) {
+        directory.setServices(services, EventLoop.nowMillis()).forEach(this::applyRecord);
+    }
+
     /** Returns the endpoints of a service, empty if none is known. */
     Collection<EndpointView> ofService(ServiceName service) {
         Map<EndpointId, EndpointView> views = viewsByService.get(service);
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Endpoints.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Endpoints.java
@@ -1,6 +1,7 @@
 package io.siskintrail.registry.internal;
 
 import io.siskintrail.internal.traffic.EndpointDirectory;
+import io.siskintrail.internal.traffic.EndpointKey;
 import io.siskintrail.internal.traffic.EndpointRecord;
 import io.siskintrail.internal.traffic.EndpointState;
 import io.siskintrail.lib.EndpointId;
@@ -30,7 +31,7 @@
     private final EndpointDirectory directory;
     private final RegistryPeers peers;
     private final EdgeFeed feed;
-    private final Map<EndpointId, EndpointRecord> renewed = new LinkedHashMap<>();
+    private final Map<EndpointKey, EndpointRecord> renewed = new LinkedHashMap<>();
 
     /**
      * Makes an empty directory.
@@ -48,7 +49,7 @@
     void reported(EndpointRecord report) {
         List<EndpointRecord> changed = directory.mergeReport(report, EventLoop.nowMillis());
         if (changed.isEmpty()) {
-            renewed.put(report.id(), report);
+            renewed.put(EndpointKey.of(report), report);
             return;
         }
         log("endpoint.reported", changed);
@@ -56,11 +57,15 @@
         feed.changed(changed);
     }
 
-    /** Takes the word of an endpoint that it leaves; unknown ones are left alone. */
+    /**
+     * Takes the word of an endpoint that it leaves, under whatever service it was filed; unknown
+     * ones are left alone.
+     */
     void left(EndpointId id) {
-        EndpointRecord known = directory.get(id);
-        if (known != null && known.state() != EndpointState.GONE) {
-            reported(known.with(EndpointState.GONE));
+        for (EndpointRecord known : directory.recordsOf(id)) {
+            if (known.state() != EndpointState.GONE) {
+                reported(known.with(EndpointState.GONE));
+            }
         }
     }
 
--- a/siskintrail/src/io/siskintrail/internal/traffic/RouteTable.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/RouteTable.java
@@ -80,6 +80,11 @@
         return routedServices;
     }
 
+    /** Returns the names of all services of the configuration. */
+    public Set<ServiceName> services() {
+        return servicesByName.keySet();
+    }
+
     /** Returns the service {@code name}, or null when the configuration does not contain it. */
     public ServiceSpec service(ServiceName name) {
         return servicesByName.get(name);
