Soak planned work in series beside clients that keep their connections

Change: a profile PLANNED_SERIES beside the existing faults, which are drawn as before. Signals, configurations and silences of endpoints overlap in a series; clients send straight to an edge and keep the connection, pipeline, send or read slowly; a request that was sent whole and cut is a violation.

Why it works: the check needs only what clients and endpoints see themselves.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakClient.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakClient.java
@@ -18,7 +18,7 @@
     private static final int READ_TIMEOUT_MILLIS = 9_000;
     private static final int DEADLINE_MILLIS = 5_000;
     private static final long MEAN_PAUSE_MILLIS = 15;
-    private static final List<Integer> NOT_RUN_STATUSES = List.of(408, 421, 429, 503);
+    static final List<Integer> NOT_RUN_STATUSES = List.of(408, 421, 429, 503);
     private static final Pattern LENGTH = Pattern.compile("(?i)content-length: *(\\d+)");
     private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: t(\\d+)\n\n");
 
@@ -75,8 +75,8 @@
     private void sendCall(FaultProxy edge, Socket socket, String id, String path, String key)
             throws IOException {
         InputStream in = send(socket, id, path, key, -1);
-        String head = readHead(in);
-        int status = parseStatus(head);
+        String head = SoakWire.readHead(in);
+        int status = SoakWire.parseStatus(head);
         Matcher length = LENGTH.matcher(head);
         if (!length.find()) {
             recorder.recordViolation("response to a call has no content length: " + head);
@@ -103,8 +103,8 @@
         int resumeAfter =
                 random.nextInt(3) == 0 ? 1 + random.nextInt(SoakEndpoint.EVENT_COUNT / 2) : 0;
         InputStream in = send(socket, id, "/gen/" + id, "key-1", resumeAfter);
-        String head = readHead(in);
-        int status = parseStatus(head);
+        String head = SoakWire.readHead(in);
+        int status = SoakWire.parseStatus(head);
         if (status != 200) {
             recordStatus(id, status);
             close(connections.remove(edge));
@@ -112,11 +112,11 @@
         }
         last = resumeAfter;
         StringBuilder text = new StringBuilder();
-        String chunk = readChunk(in);
+        String chunk = SoakWire.readChunk(in);
         while (chunk != null && !chunk.isEmpty()) {
             text.append(chunk);
             last = checkEvents(id, text, last);
-            chunk = readChunk(in);
+            chunk = SoakWire.readChunk(in);
         }
         if (chunk == null) {
             throw new IOException("stream ended early");
@@ -185,45 +185,11 @@
     }
 
     private void closeIfRequested(FaultProxy edge, String head) {
-        if (head.toLowerCase().contains("connection: close")) {
+        if (SoakWire.announcesClose(head)) {
             close(connections.remove(edge));
         }
     }
 
-    private static String readHead(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int octet = in.read();
-            if (octet < 0) {
-                throw new IOException("connection closed before the end of the response head");
-            }
-            head.append((char) octet);
-        }
-        return head.toString();
-    }
-
-    private static int parseStatus(String head) throws IOException {
-        if (!head.startsWith("HTTP/1.1 ")) {
-            throw new IOException("not an HTTP response: " + head);
-        }
-        return Integer.parseInt(head.substring(9, 12));
-    }
-
-    /** Returns the next chunk, empty for the last one, null if the stream ended early. */
-    private static String readChunk(InputStream in) throws IOException {
-        StringBuilder size = new StringBuilder();
-        while (size.indexOf("\r\n") < 0) {
-            int octet = in.read();
-            if (octet < 0) {
-                return null;
-            }
-            size.append((char) octet);
-        }
-        int byteCount = Integer.parseInt(size.substring(0, size.length() - 2), 16);
-        byte[] data = in.readNBytes(byteCount + 2);
-        return data.length < byteCount + 2 ? null : new String(data, 0, byteCount);
-    }
-
     private static void close(Socket socket) {
         try {
             if (socket != null) {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakEndpoint.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakEndpoint.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -14,6 +15,7 @@
     static final int EVENT_COUNT = 12;
 
     private static final long EVENT_INTERVAL_MILLIS = 25;
+    private static final long SILENCE_POLL_MILLIS = 10;
     private static final long SLOW_DELAY_MILLIS = 400;
 
     private final ScriptedEndpoint server;
@@ -27,6 +29,7 @@
     private final AtomicInteger requestCount = new AtomicInteger();
     private volatile boolean draining;
     private volatile Behavior behavior = Behavior.NORMAL;
+    private volatile long silentUntilNanos = System.nanoTime();
 
     /** How an endpoint handles requests. */
     enum Behavior {
@@ -62,6 +65,11 @@
         behavior = next;
     }
 
+    /** Sends and handles nothing for a time, and then goes on. */
+    void fallSilent(long millis) {
+        silentUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
     /** Returns how many requests have arrived. */
     int requestCount() {
         return requestCount.get();
@@ -97,6 +105,25 @@
 
     private boolean respond(ScriptedEndpoint.ReceivedRequest request, OutputStream out)
             throws IOException {
+        String requestId = request.header("X-Request-Id");
+        recorder.calls().recordArrival(requestId);
+        awaitEndOfSilence();
+        try {
+            return run(request, requestId, out);
+        } finally {
+            recorder.calls().recordWorkEnded(requestId);
+        }
+    }
+
+    private void awaitEndOfSilence() {
+        while (silentUntilNanos - System.nanoTime() > 0) {
+            Http.sleep(SILENCE_POLL_MILLIS);
+        }
+    }
+
+    private boolean run(
+            ScriptedEndpoint.ReceivedRequest request, String requestId, OutputStream out)
+            throws IOException {
         if (!checkHeaders(request)) {
             out.write(Http.toBytes("HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"));
             return true;
@@ -115,7 +142,6 @@
                             "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
             return true;
         }
-        String requestId = request.header("X-Request-Id");
         boolean atMostOnce = request.head().startsWith("POST /once/");
         if (atMostOnce) {
             recorder.recordRun(requestId);
@@ -140,7 +166,11 @@
         if (current == Behavior.DROPS_RESPONSES) {
             return false;
         }
-        out.write(ScriptedEndpoint.signedResponse(request, 200, "", "answer to " + requestId));
+        SoakCallPath path = SoakCallPath.parse(request.head());
+        Http.sleep(path.delayMillis());
+        awaitEndOfSilence();
+        String body = path.responseBody(requestId);
+        out.write(ScriptedEndpoint.signedResponse(request, 200, "", body));
         return true;
     }
 
@@ -154,6 +184,7 @@
             if (current == Behavior.DROPS_RESPONSES && i - firstEvent == EVENT_COUNT / 3) {
                 return false;
             }
+            awaitEndOfSilence();
             Http.writeEvent(out, i);
             Http.sleep(EVENT_INTERVAL_MILLIS);
         }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakProcess.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakProcess.java
@@ -78,6 +78,42 @@
         }
     }
 
+    /** Sends SIGTERM to the process without waiting. The process is then expected to end. */
+    synchronized void beginTermination() {
+        shouldRun = false;
+        process.destroy();
+    }
+
+    /**
+     * Sends a signal to the process if its termination was begun and it is still alive.
+     *
+     * @param name name of the signal without {@code SIG}
+     */
+    synchronized void signalDuringTermination(String name)
+            throws IOException, InterruptedException {
+        if (!shouldRun) {
+            signal(name);
+        }
+    }
+
+    /**
+     * Waits for the exit after {@link #beginTermination}; other threads may send signals meanwhile.
+     *
+     * @return whether the process exited within {@link #TERMINATION_TIMEOUT_SECONDS}
+     */
+    boolean awaitExit() throws InterruptedException {
+        Process exiting;
+        synchronized (this) {
+            exiting = process;
+        }
+        return exiting.waitFor(TERMINATION_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Returns whether the program has logged, since the last start, that it has started. */
+    synchronized boolean hasStarted() throws IOException {
+        return logSinceStart().contains("event=%s.started".formatted(program));
+    }
+
     /**
      * Ends the process by SIGKILL and waits for the exit. The process is then expected to be down.
      */
@@ -112,8 +148,7 @@
         if (!shouldRun || process.isAlive()) {
             return State.AS_EXPECTED;
         }
-        boolean programStarted = logSinceStart().contains("event=%s.started".formatted(program));
-        return !programStarted && process.exitValue() == HANGUP_EXIT_STATUS
+        return !hasStarted() && process.exitValue() == HANGUP_EXIT_STATUS
                 ? State.SIGHUP_BEFORE_HANDLER
                 : State.EXITED_UNEXPECTEDLY;
     }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRecorder.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRecorder.java
@@ -26,6 +26,12 @@
     private final Map<String, AtomicInteger> counts = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<String> violations = new ConcurrentLinkedQueue<>();
     private final AtomicLong highestAcknowledged = new AtomicLong();
+    private final SoakCalls calls = new SoakCalls();
+
+    /** Returns the requests of the clients that keep their connections. */
+    SoakCalls calls() {
+        return calls;
+    }
 
     /** Records that a client is about to send a request that may run at most once. */
     void recordSent(String requestId) {
@@ -106,6 +112,7 @@
                 recordViolation("request %s was reported as not run, but ran".formatted(id));
             }
         }
+        calls.findLost().forEach(this::recordViolation);
         return List.copyOf(violations);
     }
 
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRun.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRun.java
@@ -36,6 +36,7 @@
     private static final long WAIT_TIMEOUT_SECONDS = 90;
 
     private final long seed;
+    private final Profile profile;
     private final SplittableRandom random;
     private final SoakRecorder recorder = new SoakRecorder();
     private final List<String> injectedFaults = new ArrayList<>();
@@ -44,8 +45,17 @@
     private SoakSystem system;
     private SoakRegistryClient operatorClient;
 
-    SoakRun(long seed) {
+    /** Which faults a run injects. */
+    enum Profile {
+        /** Faults of all kinds, one after another. */
+        SINGLE_FAULTS,
+        /** Planned work in series that overlap, with clients that keep their connections. */
+        PLANNED_SERIES
+    }
+
+    SoakRun(long seed, Profile profile) {
         this.seed = seed;
+        this.profile = profile;
         this.random = new SplittableRandom(seed);
     }
 
@@ -58,8 +68,8 @@
      * Runs the faults that the seed selects.
      *
      * @param folder receives settings, logs and data
-     * @param faultCount number of faults that are injected one after another; proxy faults that
-     *     overlap a process fault are not counted
+     * @param faultCount number of faults or series that are injected one after another; proxy
+     *     faults that overlap a process fault are not counted
      * @return the violated guarantees, empty if all held
      */
     List<String> run(Path folder, int faultCount) throws Exception {
@@ -87,12 +97,14 @@
                 threads.add(start(client));
             }
             await("the first response", () -> recorder.count("status 200") > 0);
+            List<SoakKeptClient> keptClients = startKeptClients(threads);
             for (int i = 0; i < faultCount; i++) {
                 Http.sleep(random.nextInt(MAX_DELAY_BETWEEN_FAULTS_MILLIS));
-                injectFault(random.nextInt(12));
+                injectNext();
             }
             checkRecovery();
             clients.forEach(SoakClient::stop);
+            keptClients.forEach(SoakKeptClient::stop);
             stopped = true;
             for (Thread thread : threads) {
                 thread.join();
@@ -101,9 +113,35 @@
         return recorder.violations();
     }
 
+    /** Starts a client of each habit at each edge if the profile has them. */
+    private List<SoakKeptClient> startKeptClients(List<Thread> threads) {
+        List<SoakKeptClient> keptClients = new ArrayList<>();
+        if (profile == Profile.PLANNED_SERIES) {
+            for (SoakKeptClient.Habit habit : SoakKeptClient.Habit.values()) {
+                for (int i = 0; i < system.edges().size(); i++) {
+                    keptClients.add(
+                            new SoakKeptClient(
+                                    habit, i, system.frontAddress(i), recorder, random.nextLong()));
+                }
+            }
+        }
+        keptClients.forEach(client -> threads.add(start(client)));
+        return keptClients;
+    }
+
+    private void injectNext() throws Exception {
+        if (profile == Profile.PLANNED_SERIES) {
+            SoakSeries series = new SoakSeries(system, operatorClient, recorder, random);
+            injectedFaults.add("[" + series.run() + "]");
+        } else {
+            injectFault(random.nextInt(12));
+        }
+    }
+
     /** Returns the seed, the injected faults in order and the counters. */
     String summary() {
-        return "seed=%d faults=%s counted=%s".formatted(seed, injectedFaults, recorder);
+        return "seed=%d faults=%s counted=%s cut=%s"
+                .formatted(seed, injectedFaults, recorder, recorder.calls().countCut());
     }
 
     /**
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakSystem.java
@@ -16,6 +16,10 @@
 final class SoakSystem implements AutoCloseable {
     private static final int REGISTRIES = 3;
     private static final int EDGES = 2;
+
+    /** Time that an edge has from SIGTERM to its exit. */
+    static final int GRACE_SECONDS = 3;
+
     private static final int CALL_PORT = 18_748;
     private static final int FRONT_PORT = 18_740;
     private static final int READINESS_PORT = 18_749;
@@ -90,6 +94,11 @@
         return frontProxies;
     }
 
+    /** Returns the address at which an edge itself accepts clients. */
+    InetSocketAddress frontAddress(int edgeIndex) {
+        return new InetSocketAddress(edgeIp(edgeIndex), FRONT_PORT);
+    }
+
     List<SoakEndpoint> endpoints() {
         return endpoints;
     }
@@ -192,7 +201,7 @@
                 """
                 {"host":"edge-%d","domain":"%s","ip":"%s","frontAddress":"%s:%d",
                  "readinessAddress":"%s:%d","linkPort":%d,"metricsPort":%d,"seeds":[%s],
-                 "graceSeconds":3,"outOfRotationSeconds":1,"retryRatio":0.8,"retryReserve":50,
+                 "graceSeconds":%d,"outOfRotationSeconds":1,"retryRatio":0.8,"retryReserve":50,
                  "retryWindowSeconds":10}
                 """
                         .formatted(
@@ -205,7 +214,8 @@
                                 READINESS_PORT,
                                 LINK_PORT,
                                 METRICS_PORT,
-                                formatSeeds());
+                                formatSeeds(),
+                                GRACE_SECONDS);
         return writeSettings("edge-" + i, settings);
     }
 
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakTest.java
@@ -15,6 +15,7 @@
  */
 class SoakTest {
     private static final int FAULT_COUNT = 8;
+    private static final int SERIES_COUNT = 2;
 
     @TempDir Path folder;
 
@@ -27,15 +28,31 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 12, 18, 25})
     void guaranteesHold(long seed) throws Exception {
-        SoakRun run = new SoakRun(seed);
+        SoakRun run = new SoakRun(seed, SoakRun.Profile.SINGLE_FAULTS);
 
         List<String> violations = run.run(folder, FAULT_COUNT);
 
         assertWithMessage(run.summary()).that(violations).isEmpty();
     }
 
-    /** Runs the seeds {@code args[0]} to {@code args[1]} with logs in folder {@code args[2]}. */
+    /** Requests on kept connections are answered or refused around planned work. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void requestIsNotLostAroundPlannedWork(long seed) throws Exception {
+        SoakRun run = new SoakRun(seed, SoakRun.Profile.PLANNED_SERIES);
+
+        List<String> violations = run.run(folder, SERIES_COUNT);
+
+        assertWithMessage(run.summary()).that(violations).isEmpty();
+    }
+
+    /**
+     * Runs the seeds {@code args[0]} to {@code args[1]} with logs in folder {@code args[2]} and the
+     * profile {@code args[3]}.
+     */
     public static void main(String[] args) throws Exception {
+        SoakRun.Profile profile = SoakRun.Profile.valueOf(args[3]);
+        int count = profile == SoakRun.Profile.PLANNED_SERIES ? 2 * SERIES_COUNT : 2 * FAULT_COUNT;
         int passed = 0;
         int failed = 0;
         long lastSeed = Long.parseLong(args[1]);
@@ -46,8 +63,8 @@
                 System.exit(2);
             }
             Files.createDirectories(folder);
-            SoakRun run = new SoakRun(seed);
-            List<String> violations = run.run(folder, 2 * FAULT_COUNT);
+            SoakRun run = new SoakRun(seed, profile);
+            List<String> violations = run.run(folder, count);
             System.out.printf("%s broken=%s%n", run.summary(), violations);
             passed += violations.isEmpty() ? 1 : 0;
             failed += violations.isEmpty() ? 0 : 1;
