Queue all requests that were read together before the first is answered

What callers saw: a client that sends several requests at once to an edge that stops got the refusal of the first one with Connection: close, and neither an answer nor a refusal for those behind it.

Cause: each request was started when it was decoded. One that is refused at once was then answered before those behind it in the same read were in the queue, so it counted as the last one and announced the close.

Change: requests are started when the read is complete.

The new test got one response of two before the change (2 of 3 parts: 404, then the end), and both with it.

Why it works: the rule that the last response announces the close looks at the queue, and the queue now holds what the read held.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -99,7 +99,13 @@
         if (pending.size() > MAX_PENDING) {
             ctx.channel().config().setAutoRead(false);
         }
+    }
+
+    /** Starts the next request when all that were read together are queued. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
         startNext();
+        context.fireChannelReadComplete();
     }
 
     private static ReceivedRequest receive(FullHttpRequest request) {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeConnectionTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeConnectionTest.java
@@ -135,6 +135,40 @@
         }
     }
 
+    /** Guards against requests that are read together with a refused one and are dropped. */
+    @Test
+    void requestsReadTogetherWithARefusedOneAreAnsweredWhenTheEdgeStops() throws Exception {
+        try (ScriptedEndpoint app =
+                        new ScriptedEndpoint(
+                                (number, request, out) -> {
+                                    requestReceived.countDown();
+                                    await(responseReleased);
+                                    out.write(
+                                            ScriptedEndpoint.signedResponse(
+                                                    request, 200, "", "fine"));
+                                    return true;
+                                });
+                Socket holding = connectWhenReady(app)) {
+            holding.getOutputStream().write(Http.toBytes(keepAlive("/once/x", "r1")));
+            await(requestReceived);
+            var stopping = CompletableFuture.runAsync(system::stopEdge);
+            while (system.readinessStatus() == 200) {
+                Http.sleep(10);
+            }
+
+            String batch = keepAlive("/none/x", "r2") + keepAlive("/none/x", "r3");
+            String text;
+            try (Socket client = system.connectWithSmallWindow()) {
+                client.getOutputStream().write(Http.toBytes(batch));
+                text = readAll(client);
+            }
+            responseReleased.countDown();
+            stopping.get();
+
+            assertThat(text.split("HTTP/1.1 ", -1)).hasLength(3);
+        }
+    }
+
     /** Guards against a client that reads slowly but steadily and is cut off as idle. */
     @Test
     void answerThatIsReadForLongerThanTheIdleLimitIsWhole() throws Exception {
