Answer a request with which the edge fails before its configuration

What callers saw: a request before the first configuration was cut without an answer when reading its headers threw; one that was held stayed without an answer when its turn threw an Error, until the client gave up.

Cause: tryHold ran outside the try of a request, and the try caught exceptions only, no errors (a stack overflow, a lack of memory).

Change: both are inside, and errors end a request like exceptions: 500, 1099.

Evidence: EdgeFailureTest.requestBeforeTheFirstConfigurationDuringWhichTheEdgeFailsIsAnswered, four cases.

Why it works: there is one way from a received request to its processing, and all of it is guarded.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -351,9 +351,17 @@
             return;
         }
         CallContext call = next.call();
-        holding = server.tryHold(call, () -> resume(call));
-        if (!holding) {
-            process(call);
+        begin(call);
+    }
+
+    private void begin(CallContext call) {
+        try {
+            holding = server.tryHold(call, () -> resume(call));
+            if (!holding) {
+                filterAndStart(call);
+            }
+        } catch (RuntimeException | Error e) {
+            fail(call, e);
         }
     }
 
@@ -367,7 +375,7 @@
     private void process(CallContext call) {
         try {
             filterAndStart(call);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             fail(call, e);
         }
     }
@@ -383,7 +391,7 @@
     }
 
     /** Answers a request during which this edge failed. */
-    private void fail(CallContext call, RuntimeException cause) {
+    private void fail(CallContext call, Throwable cause) {
         if (current != null) {
             current.fail(cause);
             return;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -92,7 +92,7 @@
     }
 
     /** Ends the request because this host failed while processing it. */
-    final void fail(RuntimeException cause) {
+    final void fail(Throwable cause) {
         if (ended) {
             return;
         }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeFailureTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeFailureTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiPredicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -72,6 +73,39 @@
         }
     }
 
+    /**
+     * Guards against an exception, or an error, before the first configuration without an answer.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, false", "0, true", "1, false", "1, true"})
+    void requestBeforeTheFirstConfigurationDuringWhichTheEdgeFailsIsAnswered(
+            int goodReads, boolean error) throws Exception {
+        AtomicInteger reads = new AtomicInteger();
+        BiPredicate<String, Object[]> condition =
+                (called, arguments) -> {
+                    boolean fails =
+                            called.equals("readMetadata")
+                                    && ((HttpHeaders) arguments[0]).contains("x-fail")
+                                    && reads.getAndIncrement() >= goodReads;
+                    if (fails && error) {
+                        throw new StackOverflowError("injected");
+                    }
+                    return fails;
+                };
+        try (LoopbackSystem system = new LoopbackSystem(folder, failing(condition))) {
+            String call = Http.request("POST", "/none/x", "key-1", "p");
+            var failed = sendAsync(system, call.replace("\r\n\r\n", "\r\nx-fail: 1\r\n\r\n"));
+            Http.sleep(100);
+            var behind = sendAsync(system, call);
+            Http.sleep(100);
+            system.configure(CONFIGURATION);
+
+            assertThat(failed.get()).startsWith("HTTP/1.1 500");
+            assertThat(failed.get()).contains("1099");
+            assertThat(behind.get()).startsWith("HTTP/1.1 404");
+        }
+    }
+
     /** Guards against a queued request that takes the next one out of the queue when it fails. */
     @Test
     void requestQueuedBehindOneThatFailsIsServed() throws Exception {
