Answer a request at once when the edge fails between its attempts

What callers saw: a request waited until its deadline and got a late status, or none, when the edge failed while it began a further attempt.

Cause: the exception came out of a callback of the endpoint's connection whose attempt had already ended, or out of a timer, and was only logged. A silence check that threw also ended the checks of all streams; one request whose time in the queue was over, or which was moved or refused, and threw, left out those behind it.

Change: steps of a request that run by themselves (the end of an attempt, deadline, search, backoff, silence check, end of the queue time, loss of an engine, refusal, a client that reads again) run guarded: a failure ends this request with 1099, also if its outcome was recorded and its answer not begun. A failure while it releases what it holds is logged and doesn't keep its answer back. onHead and onBody stay as they were: a failure there fails the attempt alone, and another one may succeed; so does a hedge that cannot be sent.

Evidence: EdgeFailureTest.requestIsAnsweredAtOnceWhenAFurtherAttemptFailsInTheEdge: endpoints close without an answer and the second attempt cannot be written. The other guarded steps have no test of their own.

Why it works: the request owns its steps, so whoever calls one, the failure ends at the request.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/AdmissionQueues.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/AdmissionQueues.java
@@ -112,7 +112,7 @@
      * requests at the same time and their load reports arrive slightly later.
      */
     private void placeFirst(WaitingRoom<Exchange> queue) {
-        queue.removeTooLate(EventLoop.nowMillis()).forEach(Exchange::handleTimeout);
+        queue.removeTooLate(EventLoop.nowMillis()).forEach(Exchange::endQueued);
         Exchange first = queue.peekFirst();
         if (first != null) {
             first.tryPlaceQueued();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -157,7 +157,8 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (current != null && isWritable()) {
-            current.handleClientWritable();
+            Exchange writable = current;
+            writable.guard(writable::handleClientWritable);
         }
     }
 
@@ -242,6 +243,11 @@
         return current != null;
     }
 
+    /** Returns whether the response to the request of {@code exchange} is not complete. */
+    boolean awaits(Exchange exchange) {
+        return current == exchange;
+    }
+
     /** Returns whether a response is complete but not yet written to the socket. */
     boolean isResponsePending() {
         return responsePending;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -306,7 +306,8 @@
 
     /** Ends the requests with a signature that begins to be refused and are not yet answered. */
     private void endUnansweredRequests(CrashSignature signature) {
-        List.copyOf(exchanges).forEach(exchange -> exchange.endIfRefused(signature));
+        List.copyOf(exchanges)
+                .forEach(exchange -> exchange.guard(() -> exchange.endIfRefused(signature)));
     }
 
     /** Builds the endpoint request for {@code call}, with headers for {@code parameters}. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -59,7 +59,7 @@
     /** Starts the deadline timer and the first placement. */
     final void start() {
         long remainingMillis = call.remainingMillis(EventLoop.nowMillis());
-        deadlineTimer = edge.loop().after(remainingMillis, this::handleTimeout);
+        deadlineTimer = after(remainingMillis, this::handleTimeout);
         edge.retryBudget(service).recordRequest(EventLoop.nowMillis());
         placeOrQueue();
     }
@@ -93,20 +93,54 @@
 
     /** Ends the request because this host failed while processing it. */
     final void fail(Throwable cause) {
-        if (ended) {
+        if (ended && !client.awaits(this)) {
             return;
         }
         LOG.log(
                 System.Logger.Level.ERROR,
                 "event=request.failed request=" + call.requestId(),
                 cause);
-        if (!hasResponseStarted()) {
-            reject(ResultCode.INTERNAL, cause.toString(), 0);
-            return;
+        releaseAfterFailure();
+        boolean hasStarted = hasResponseStarted();
+        if (!ended) {
+            String outcome = hasStarted ? "broken-off" : "refused";
+            end(outcome, ResultCode.INTERNAL.number(), cause.toString());
         }
-        releaseResources();
-        end("broken-off", ResultCode.INTERNAL.number(), cause.toString());
-        client.abort();
+        if (hasStarted) {
+            client.abort();
+        } else {
+            client.sendFailure(new Failure(ResultCode.INTERNAL, cause.toString()), 0);
+        }
+    }
+
+    private void releaseAfterFailure() {
+        try {
+            releaseResources();
+        } catch (RuntimeException | Error e) {
+            LOG.log(
+                    System.Logger.Level.ERROR,
+                    "event=request.release.failed request=" + call.requestId(),
+                    e);
+        }
+    }
+
+    /** Runs a step of the processing; ends the request if this host fails in it. */
+    final void guard(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            fail(e);
+        }
+    }
+
+    /** Schedules a step of the processing after {@code millis}. */
+    protected final Future<?> after(long millis, Runnable step) {
+        return edge.loop().after(millis, () -> guard(step));
+    }
+
+    /** Responds because the queue time of the request has passed. */
+    final void endQueued() {
+        guard(this::handleTimeout);
     }
 
     /**
@@ -114,18 +148,17 @@
      * if this host stops before it could be answered.
      */
     final void tryPlaceQueued() {
-        try {
-            if (edge.stopPlan()
-                    .accepts(EventLoop.nowMillis(), call.route(), call.deadlineAtMillis())) {
-                tryPlace();
-            } else {
-                reject(
-                        ResultCode.NOT_RUN_SHUTTING_DOWN,
-                        "its turn comes too late",
-                        edge.drainingRetryMillis());
-            }
-        } catch (RuntimeException e) {
-            fail(e);
+        guard(this::placeOrRejectQueued);
+    }
+
+    private void placeOrRejectQueued() {
+        if (edge.stopPlan().accepts(EventLoop.nowMillis(), call.route(), call.deadlineAtMillis())) {
+            tryPlace();
+        } else {
+            reject(
+                    ResultCode.NOT_RUN_SHUTTING_DOWN,
+                    "its turn comes too late",
+                    edge.drainingRetryMillis());
         }
     }
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -185,8 +185,11 @@
 
     @Override
     public void onConnectFailure(String cause) {
-        releaseLoad();
-        exchange.handleConnectFailure(this, cause);
+        exchange.guard(
+                () -> {
+                    releaseLoad();
+                    exchange.handleConnectFailure(this, cause);
+                });
     }
 
     @Override
@@ -225,6 +228,10 @@
 
     @Override
     public void onComplete() {
+        exchange.guard(this::handleEnd);
+    }
+
+    private void handleEnd() {
         complete = true;
         evidence.markAnswered();
         releaseLoad();
@@ -237,8 +244,11 @@
 
     @Override
     public void onFailure(String cause) {
-        releaseLoad();
-        exchange.handleFailure(this, cause);
+        exchange.guard(
+                () -> {
+                    releaseLoad();
+                    exchange.handleFailure(this, cause);
+                });
     }
 
     private void bufferErrorBody(byte[] bytes) {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -492,7 +492,7 @@
         if (!attempts.mayResume()) {
             fail("route does not allow resuming");
         } else if (attempts.backoffMillis() > 0) {
-            edge.loop().after(attempts.backoffMillis(), this::sendNextAttempt);
+            after(attempts.backoffMillis(), this::sendNextAttempt);
         } else {
             sendNextAttempt();
         }
@@ -547,7 +547,7 @@
         if (!searchScheduled) {
             searchScheduled = true;
             failedEngines.clear();
-            edge.loop().after(SEARCH_DELAY_MILLIS, this::sendNextAttempt);
+            after(SEARCH_DELAY_MILLIS, this::sendNextAttempt);
         }
     }
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamMonitor.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamMonitor.java
@@ -39,7 +39,7 @@
 
     /** Calls {@code action} for each open stream; it may end streams. */
     void forEach(Consumer<StreamExchange> action) {
-        List.copyOf(open).forEach(action);
+        List.copyOf(open).forEach(stream -> stream.guard(() -> action.accept(stream)));
     }
 
     /**
@@ -64,8 +64,17 @@
         long nowMillis = EventLoop.nowMillis();
         long nextCheckMillis = NEVER;
         for (StreamExchange stream : List.copyOf(open)) {
-            nextCheckMillis = Math.min(nextCheckMillis, stream.checkSilence(nowMillis));
+            nextCheckMillis = Math.min(nextCheckMillis, check(stream, nowMillis));
         }
         scheduleCheck(nextCheckMillis);
     }
+
+    private static long check(StreamExchange stream, long nowMillis) {
+        try {
+            return stream.checkSilence(nowMillis);
+        } catch (RuntimeException | Error e) {
+            stream.fail(e);
+            return NEVER;
+        }
+    }
 }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -335,8 +335,11 @@
 
         @Override
         public void onConnectFailure(String cause) {
-            finishAttempt();
-            UnaryExchange.this.handleConnectFailure(this, cause);
+            guard(
+                    () -> {
+                        finishAttempt();
+                        UnaryExchange.this.handleConnectFailure(this, cause);
+                    });
         }
 
         @Override
@@ -367,6 +370,10 @@
 
         @Override
         public void onComplete() {
+            guard(this::handleEnd);
+        }
+
+        private void handleEnd() {
             finishAttempt();
             handleResponse(
                     this,
@@ -376,6 +383,10 @@
 
         @Override
         public void onFailure(String cause) {
+            guard(() -> handleBreak(cause));
+        }
+
+        private void handleBreak(String cause) {
             finishAttempt();
             edge.crashes().recordFailure(evidence);
             outcomeUnknown = true;
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeFailureTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeFailureTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.siskintrail.edge.TrafficProtocol;
+import io.siskintrail.net.EventLoop;
 import java.io.IOException;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
@@ -38,6 +39,9 @@
     /** Slots of an endpoint that {@link LoopbackSystem} registers. */
     private static final int SLOTS = 4;
 
+    /** Far less than the deadline of a request. */
+    private static final long MAX_ANSWER_MILLIS = 5_000;
+
     @TempDir Path folder;
 
     /** Guards against an exception of the edge that ends a connection without an answer. */
@@ -106,6 +110,48 @@
         }
     }
 
+    /** Guards against a request that waits for its deadline once the edge has failed. */
+    @ParameterizedTest
+    @CsvSource({"/once/x, 2", "/gen/x, 2", "/gen/x, 3"})
+    void requestIsAnsweredAtOnceWhenAFurtherAttemptFailsInTheEdge(String path, int failingAttempt)
+            throws Exception {
+        AtomicInteger attempts = new AtomicInteger();
+        BiPredicate<String, Object[]> condition =
+                (called, arguments) ->
+                        called.equals("writeForwardedHeaders")
+                                && attempts.incrementAndGet() == failingAttempt;
+        ScriptedEndpoint.Script closing = (number, request, out) -> false;
+        try (LoopbackSystem system = new LoopbackSystem(folder, failing(condition));
+                ScriptedEndpoint app1 = new ScriptedEndpoint(closing);
+                ScriptedEndpoint app2 = new ScriptedEndpoint(closing);
+                ScriptedEndpoint engine1 = new ScriptedEndpoint(closing);
+                ScriptedEndpoint engine2 = new ScriptedEndpoint(closing)) {
+            system.configure(
+                    CONFIGURATION
+                            .replace("\"timeoutMs\":2000", "\"timeoutMs\":20000")
+                            .replace("\"unsafe\"", "\"safe\"")
+                            .replace("\"maxAttempts\":1", "\"maxAttempts\":3"));
+            system.register("app1", "app", app1.address(), "a");
+            system.register("app2", "app", app2.address(), "a");
+            system.register("e1", "llm", engine1.address(), "a");
+            system.register("e2", "llm", engine2.address(), "a");
+            while (system.readinessStatus() != 200) {
+                Http.sleep(10);
+            }
+            Http.sleep(300);
+            long startedAtMillis = EventLoop.nowMillis();
+
+            String response =
+                    system.sendRaw(
+                            Http.request("POST", path, "key-1", "p")
+                                    .replace("Deadline-Ms: 2000", "Deadline-Ms: 20000"));
+
+            assertThat(EventLoop.nowMillis() - startedAtMillis).isLessThan(MAX_ANSWER_MILLIS);
+            assertThat(response).startsWith("HTTP/1.1 500");
+            assertThat(response).contains("1099");
+        }
+    }
+
     /** Guards against a queued request that takes the next one out of the queue when it fails. */
     @Test
     void requestQueuedBehindOneThatFailsIsServed() throws Exception {
