Stop connections behind one at which the stop fails

What callers saw: a request at its endpoint at the end of the grace was cut without an answer when ending another connection failed.

Cause: the loops over the connections, at the stop and at the end, and over the held requests ended with the first exception.

Change: each connection and each held request is handled for itself; a failure is logged.

The loops of the stop and of the held requests have the same guard and no test of their own.

Why it works: what fails at one connection says nothing of the others.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
@@ -92,7 +93,7 @@
     public void stop() {
         stopping = true;
         heldRequests.resumeAll();
-        List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
+        forEachConnection(ClientConnection::closeIfIdle);
     }
 
     /**
@@ -103,7 +104,18 @@
         terminating = true;
         server.close();
         context.stopPlan().markTerminating();
-        List.copyOf(connections).forEach(ClientConnection::terminate);
+        forEachConnection(ClientConnection::terminate);
+    }
+
+    /** Calls {@code action} for each connection, also for those behind one at which it fails. */
+    private void forEachConnection(Consumer<ClientConnection> action) {
+        for (ClientConnection connection : List.copyOf(connections)) {
+            try {
+                action.accept(connection);
+            } catch (RuntimeException | Error e) {
+                LOG.log(System.Logger.Level.ERROR, "event=client.stop.failed", e);
+            }
+        }
     }
 
     /** Returns whether each response closes its connection. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/HeldRequests.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/HeldRequests.java
@@ -9,6 +9,8 @@
  * Requests that arrived before the first configuration and wait for it. Confined to the event loop.
  */
 final class HeldRequests {
+    private static final System.Logger LOG = System.getLogger(HeldRequests.class.getName());
+
     private final EventLoop loop;
     private final Set<Runnable> held = new LinkedHashSet<>();
 
@@ -27,9 +29,18 @@
         loop.after(millis, () -> resume(resume));
     }
 
-    /** Resumes all requests in the order of their arrival. */
+    /**
+     * Resumes all requests in the order of their arrival, also those behind one at which that
+     * fails.
+     */
     void resumeAll() {
-        List.copyOf(held).forEach(this::resume);
+        for (Runnable request : List.copyOf(held)) {
+            try {
+                resume(request);
+            } catch (RuntimeException | Error e) {
+                LOG.log(System.Logger.Level.ERROR, "event=held.resume.failed", e);
+            }
+        }
     }
 
     private void resume(Runnable request) {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeRequestInsideTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeRequestInsideTest.java
@@ -163,6 +163,29 @@
         }
     }
 
+    /** Guards against a connection that fails at the end and leaves those behind it unanswered. */
+    @Test
+    void requestBehindAConnectionThatFailsAtTheEndOfTheGraceIsAnswered() throws Exception {
+        ScriptedEndpoint.Script silent =
+                (number, request, out) -> {
+                    requestReceived.countDown();
+                    await(responseReleased);
+                    return false;
+                };
+        try (ScriptedEndpoint app = new ScriptedEndpoint(silent);
+                Socket client = connectWhenReady(app)) {
+            client.getOutputStream().write(Http.toBytes(keepAlive("/once/x", "p")));
+            await(requestReceived);
+            system.addBrokenConnection();
+
+            system.stopEdge();
+
+            String text = readAll(client);
+            assertThat(text).startsWith("HTTP/1.1 502");
+            assertThat(text).contains("5010");
+        }
+    }
+
     /** Guards against a slow but steady upload that is cut off as idle. */
     @Test
     void requestThatIsSentForLongerThanTheIdleLimitIsAnswered() throws Exception {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
@@ -8,7 +8,9 @@
 import io.siskintrail.testkit.FreePorts;
 import java.io.IOException;
 import java.io.InputStream;
+import java.lang.reflect.Constructor;
 import java.lang.reflect.Field;
+import java.lang.reflect.Method;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URI;
@@ -158,6 +160,31 @@
         }
     }
 
+    /**
+     * Puts a connection with a part of a request, which fails at each write, before the others, of
+     * which there must be one.
+     */
+    @SuppressWarnings("unchecked")
+    void addBrokenConnection() throws Exception {
+        Object server = read(read(edge, "edge"), "server");
+        Collection<Object> connections = (Collection<Object>) read(server, "connections");
+        Object first = List.copyOf(connections).get(0);
+        Constructor<?> constructor = first.getClass().getDeclaredConstructor(server.getClass());
+        constructor.setAccessible(true);
+        Object broken = constructor.newInstance(server);
+        Method startReceiving = broken.getClass().getDeclaredMethod("startReceiving");
+        startReceiving.setAccessible(true);
+        startReceiving.invoke(broken);
+        Runnable insertion =
+                () -> {
+                    List<Object> others = List.copyOf(connections);
+                    connections.clear();
+                    connections.add(broken);
+                    connections.addAll(others);
+                };
+        ((ChannelHandlerContext) read(first, "ctx")).executor().submit(insertion).sync();
+    }
+
     private static Object read(Object owner, String field) throws ReflectiveOperationException {
         Field declared = owner.getClass().getDeclaredField(field);
         declared.setAccessible(true);
