Replace an answer that cannot be encoded by a status

What callers saw: a request whose answer the edge could not encode was cut without an answer, although nothing of it was written.

Cause: a write that failed closed the connection, whatever its cause.

Change: a complete response that failed for another reason than its socket (an I/O error) is replaced once by 500, 1099, which closes the connection. A chunked one, and a second failure, close as before. The fault is logged as client.response.failed.

Evidence: EdgeRequestInsideTest.requestWhoseAnswerCannotBeWrittenIsAnswered lets the next write to the connection fail: on it failed (closed without a status), now it passes.

Why it works: a whole response is encoded before any of it is written, so that the status stands where it would have.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -76,6 +76,9 @@
     /** Whether a response told the client that the connection closes behind it. */
     private boolean closeAnnounced;
 
+    /** Whether a response that could not be sent was replaced by another one. */
+    private boolean replaced;
+
     private String closeCause = "client";
 
     /**
@@ -450,14 +453,13 @@
     private void writeEnd(HttpObject lastPart) {
         current = null;
         responsePending = true;
-        ctx.writeAndFlush(lastPart).addListener(write -> onResponseSent(write.isSuccess()));
+        ctx.writeAndFlush(lastPart).addListener(write -> onResponseSent(lastPart, write.cause()));
     }
 
-    private void onResponseSent(boolean success) {
+    private void onResponseSent(HttpObject lastPart, Throwable failure) {
         responsePending = false;
-        if (!success) {
-            closing = true;
-            ctx.close();
+        if (failure != null) {
+            handleUnsent(lastPart instanceof FullHttpResponse, failure);
             return;
         }
         if (closeAnnounced || closesBehindLast()) {
@@ -469,6 +471,23 @@
         startNext();
     }
 
+    /**
+     * Replaces a response that could not be encoded, once. A connection whose socket failed, or of
+     * whose response a part may have been written, is closed.
+     */
+    private void handleUnsent(boolean whole, Throwable failure) {
+        closeCause = failure.toString();
+        if (!whole || replaced || failure instanceof IOException) {
+            closing = true;
+            ctx.close();
+            return;
+        }
+        replaced = true;
+        keepAlive = false;
+        LOG.log(System.Logger.Level.ERROR, "event=client.response.failed", failure);
+        sendFailure(new Failure(ResultCode.INTERNAL, failure.toString()), 0);
+    }
+
     /** Logs that the connection was closed before its requests had a complete response. */
     private void logClosedWithRequests(String cause) {
         LogEvent.info(LOG, "client.closed")
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeRequestInsideTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeRequestInsideTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.netty.handler.codec.EncoderException;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -186,6 +187,29 @@
         }
     }
 
+    /** Guards against an answer that cannot be written and is replaced by nothing. */
+    @Test
+    void requestWhoseAnswerCannotBeWrittenIsAnswered() throws Exception {
+        ScriptedEndpoint.Script held =
+                (number, request, out) -> {
+                    requestReceived.countDown();
+                    await(responseReleased);
+                    out.write(ScriptedEndpoint.signedResponse(request, 200, "", "fine"));
+                    return true;
+                };
+        try (ScriptedEndpoint app = new ScriptedEndpoint(held);
+                Socket client = connectWhenReady(app)) {
+            client.getOutputStream().write(Http.toBytes(keepAlive("/once/x", "p")));
+            await(requestReceived);
+            system.failNextWrites(new EncoderException("injected"));
+            responseReleased.countDown();
+
+            String text = readAll(client);
+            assertThat(text).startsWith("HTTP/1.1 500");
+            assertThat(text).contains("1099");
+        }
+    }
+
     /** Guards against a slow but steady upload that is cut off as idle. */
     @Test
     void requestThatIsSentForLongerThanTheIdleLimitIsAnswered() throws Exception {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
@@ -1,6 +1,10 @@
 package io.siskintrail.platform;
 
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.util.ReferenceCountUtil;
 import io.siskintrail.edge.EdgeService;
 import io.siskintrail.edge.EdgeSettings;
 import io.siskintrail.edge.TrafficProtocol;
@@ -22,6 +26,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** Runs one registry and one edge on loopback, and makes operator, endpoint and client calls. */
 final class LoopbackSystem implements AutoCloseable {
@@ -152,11 +157,32 @@
     }
 
     /** Lets the receiving side of each client connection of the edge fail with {@code cause}. */
-    void failConnections(Throwable cause) throws ReflectiveOperationException {
+    void failConnections(Throwable cause) throws Exception {
+        forEachConnection(ctx -> ctx.pipeline().fireExceptionCaught(cause));
+    }
+
+    /** Lets the next write to each client connection of the edge fail with {@code cause}. */
+    void failNextWrites(Throwable cause) throws Exception {
+        forEachConnection(ctx -> ctx.pipeline().addBefore(ctx.name(), null, failing(cause)));
+    }
+
+    private static ChannelHandler failing(Throwable cause) {
+        return new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(
+                    ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                ReferenceCountUtil.release(message);
+                context.pipeline().remove(this);
+                promise.setFailure(cause);
+            }
+        };
+    }
+
+    private void forEachConnection(Consumer<ChannelHandlerContext> action) throws Exception {
         Object server = read(read(edge, "edge"), "server");
         for (Object connection : List.copyOf((Collection<?>) read(server, "connections"))) {
             ChannelHandlerContext ctx = (ChannelHandlerContext) read(connection, "ctx");
-            ctx.executor().execute(() -> ctx.pipeline().fireExceptionCaught(cause));
+            ctx.executor().submit(() -> action.accept(ctx)).sync();
         }
     }
 
