Let a client receive its last answer before its connection closes

What callers saw: the tail of an answer was missing, behind a reset, when the client sent anything more on a connection that the edge closed behind the answer.

Cause: a close while there are unread bytes, or before further ones come, makes the kernel reset the connection and drop what it has not yet delivered.

Change: behind a last answer the edge ends its output only, discards what still comes, and closes when the client has closed, or after 1 s. Such a connection counts as unfinished, so that a stopping edge waits for it, 1 s at most. Connections that are closed because they were idle, failed or are broken off close at once as before.

Why it works: the output's end comes behind the last byte, and a socket that is read on has no cause to reset.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -3,9 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -35,6 +35,7 @@
 import java.util.Deque;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Connection of a client. Requests on it are answered in order. The connection is read while a
@@ -49,6 +50,9 @@
     /** Longest time in which a request is received; that of a client that gives no deadline. */
     private static final long MAX_RECEIVE_MILLIS = 60_000;
 
+    /** Longest time for which a client may take its last answer before the close. */
+    private static final long LINGER_MILLIS = 1_000;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final ClientServer server;
@@ -178,7 +182,7 @@
         // The first event of a silence comes also where bytes are leaving.
         boolean stoppedReading =
                 idle.state() == IdleState.WRITER_IDLE && !idle.isFirst() && responsePending;
-        if (stoppedReading || isIdle()) {
+        if (stoppedReading || isFinished()) {
             ctx.close();
         } else if (receiving && !isAnswering() && isTooSlow(idle)) {
             refuseRest();
@@ -267,11 +271,16 @@
 
     /** Closes the connection if it is idle; otherwise its last response will. */
     void closeIfIdle() {
-        if (isIdle()) {
+        if (isFinished()) {
             ctx.close();
         }
     }
 
+    /** Returns whether nothing is inside and no answer before the close is being received. */
+    boolean isFinished() {
+        return isIdle() && !closing;
+    }
+
     /**
      * Ends the current request because the process stops, or refuses the one that is being
      * received.
@@ -465,7 +474,7 @@
         if (closeAnnounced || closesBehindLast()) {
             closing = true;
             closeCause = "last response sent";
-            ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            linger();
             return;
         }
         startNext();
@@ -488,6 +497,18 @@
         sendFailure(new Failure(ResultCode.INTERNAL, failure.toString()), 0);
     }
 
+    /**
+     * Ends the output and reads on for a while, until the client closes: a close while there are
+     * unread bytes would destroy what the client has not yet received.
+     */
+    private void linger() {
+        if (!inputEnded) {
+            endInput();
+        }
+        ((DuplexChannel) ctx.channel()).shutdownOutput();
+        ctx.executor().schedule(() -> ctx.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Logs that the connection was closed before its requests had a complete response. */
     private void logClosedWithRequests(String cause) {
         LogEvent.info(LOG, "client.closed")
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -128,9 +128,12 @@
         return terminating;
     }
 
-    /** Returns the number of connections that have a request inside, be it only in part. */
+    /**
+     * Returns the number of connections that have a request inside, be it only in part, or its
+     * answer to receive.
+     */
     int unfinishedConnections() {
-        return count(connection -> !connection.isIdle());
+        return count(connection -> !connection.isFinished());
     }
 
     /** Returns the number of requests that are processed and whose response is not complete. */
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeRequestInsideTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeRequestInsideTest.java
@@ -41,6 +41,9 @@
     /** More than the idle limit and what an edge adds to it. */
     private static final long LONGER_THAN_IDLE_MILLIS = 4_000;
 
+    /** More than a client's small window, and less than the socket of an edge buffers. */
+    private static final int BUFFERED_BODY_BYTES = 64 << 10;
+
     private final CountDownLatch requestReceived = new CountDownLatch(1);
     private final CountDownLatch responseReleased = new CountDownLatch(1);
     private LoopbackSystem system;
@@ -210,6 +213,34 @@
         }
     }
 
+    /** Guards against an answer that is destroyed by bytes that come after the close. */
+    @Test
+    void answerIsWholeWhenItsClientSendsOn() throws Exception {
+        String body = "x".repeat(BUFFERED_BODY_BYTES);
+        ScriptedEndpoint.Script large =
+                (number, request, out) -> {
+                    out.write(ScriptedEndpoint.signedResponse(request, 200, "", body));
+                    return true;
+                };
+        try (ScriptedEndpoint app = new ScriptedEndpoint(large);
+                Socket ready = connectWhenReady(app);
+                Socket client = system.connectWithSmallWindow()) {
+            client.getOutputStream()
+                    .write(
+                            Http.toBytes(
+                                    keepAlive("/once/x", "p")
+                                            .replace("r1\r\n", "r1\r\nConnection: close\r\n")));
+            client.getInputStream().readNBytes(12);
+            Http.sleep(200);
+            trySend(client, "more");
+            Http.sleep(200);
+
+            String text = readAll(client);
+            assertThat(text.length()).isAtLeast(BUFFERED_BODY_BYTES);
+            assertThat(text).endsWith("x");
+        }
+    }
+
     /** Guards against a slow but steady upload that is cut off as idle. */
     @Test
     void requestThatIsSentForLongerThanTheIdleLimitIsAnswered() throws Exception {
