--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -3,9 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -35,6 +35,7 @@
 import java.util.Deque;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Connection of a client. Requests on it are answered in order. The connection is read while a
@@ -49,6 +50,9 @@
     /** Longest time in which a request is received; that of a client that gives no deadline. */
     private static final long MAX_RECEIVE_MILLIS = 60_000;
 
+    /** Longest time for which a client may take its last answer before the close. */
+    private static final long LINGER_MILLIS = 1_000;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final ClientServer server;
@@ -76,6 +80,9 @@
     /** Whether a response told the client that the connection closes behind it. */
     private boolean closeAnnounced;
 
+    /** Whether a response that could not be sent was replaced by another one. */
+    private boolean replaced;
+
     private String closeCause = "client";
 
     /**
@@ -163,7 +170,8 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (current != null && isWritable()) {
-            current.handleClientWritable();
+            Exchange writable = current;
+            writable.guard(writable::handleClientWritable);
         }
     }
 
@@ -180,7 +188,7 @@
         // The first event of a silence comes also where bytes are leaving.
         boolean stoppedReading =
                 idle.state() == IdleState.WRITER_IDLE && !idle.isFirst() && responsePending;
-        if (stoppedReading || isIdle()) {
+        if (stoppedReading || isFinished()) {
             ctx.close();
         } else if (receiving && !isAnswering() && isTooSlow(idle)) {
             refuseRest();
@@ -248,6 +256,11 @@
         return current != null;
     }
 
+    /** Returns whether the response to the request of {@code exchange} is not complete. */
+    boolean awaits(Exchange exchange) {
+        return current == exchange;
+    }
+
     /** Returns whether a response is complete but not yet written to the socket. */
     boolean isResponsePending() {
         return responsePending;
@@ -271,11 +284,16 @@
 
     /** Closes the connection if it is idle; otherwise its last response will. */
     void closeIfIdle() {
-        if (isIdle()) {
+        if (isFinished()) {
             ctx.close();
         }
     }
 
+    /** Returns whether nothing is inside and no answer before the close is being received. */
+    boolean isFinished() {
+        return isIdle() && !closing;
+    }
+
     /**
      * Ends the current request because the process stops, or refuses the one that is being
      * received.
@@ -364,9 +382,17 @@
             return;
         }
         CallContext call = next.call();
-        holding = server.tryHold(call, () -> resume(call));
-        if (!holding) {
-            process(call);
+        begin(call);
+    }
+
+    private void begin(CallContext call) {
+        try {
+            holding = server.tryHold(call, () -> resume(call));
+            if (!holding) {
+                filterAndStart(call);
+            }
+        } catch (RuntimeException | Error e) {
+            fail(call, e);
         }
     }
 
@@ -380,7 +406,7 @@
     private void process(CallContext call) {
         try {
             filterAndStart(call);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             fail(call, e);
         }
     }
@@ -396,7 +422,7 @@
     }
 
     /** Answers a request during which this edge failed. */
-    private void fail(CallContext call, RuntimeException cause) {
+    private void fail(CallContext call, Throwable cause) {
         if (current != null) {
             current.fail(cause);
             return;
@@ -449,25 +475,53 @@
     private void writeEnd(HttpObject lastPart) {
         current = null;
         responsePending = true;
-        ctx.writeAndFlush(lastPart).addListener(write -> onResponseSent(write.isSuccess()));
+        ctx.writeAndFlush(lastPart).addListener(write -> onResponseSent(lastPart, write.cause()));
     }
 
-    private void onResponseSent(boolean success) {
+    private void onResponseSent(HttpObject lastPart, Throwable failure) {
         responsePending = false;
-        if (!success) {
-            closing = true;
-            ctx.close();
+        if (failure != null) {
+            handleUnsent(lastPart instanceof FullHttpResponse, failure);
             return;
         }
         if (closeAnnounced || closesBehindLast()) {
             closing = true;
             closeCause = "last response sent";
-            ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            linger();
             return;
         }
         startNext();
     }
 
+    /**
+     * Replaces a response that could not be encoded, once. A connection whose socket failed, or of
+     * whose response a part may have been written, is closed.
+     */
+    private void handleUnsent(boolean whole, Throwable failure) {
+        closeCause = failure.toString();
+        if (!whole || replaced || failure instanceof IOException) {
+            closing = true;
+            ctx.close();
+            return;
+        }
+        replaced = true;
+        keepAlive = false;
+        LOG.log(System.Logger.Level.ERROR, "event=client.response.failed", failure);
+        sendFailure(new Failure(ResultCode.INTERNAL, failure.toString()), 0);
+    }
+
+    /**
+     * Ends the output and reads on for a while, until the client closes: a close while there are
+     * unread bytes would destroy what the client has not yet received.
+     */
+    private void linger() {
+        if (!inputEnded) {
+            endInput();
+        }
+        ((DuplexChannel) ctx.channel()).shutdownOutput();
+        ctx.executor().schedule(() -> ctx.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Logs that the connection was closed before its requests had a complete response. */
     private void logClosedWithRequests(String cause) {
         LogEvent.info(LOG, "client.closed")
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -18,6 +18,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
@@ -91,7 +93,7 @@
     public void stop() {
         stopping = true;
         heldRequests.resumeAll();
-        List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
+        forEachConnection(ClientConnection::closeIfIdle);
     }
 
     /**
@@ -102,7 +104,18 @@
         terminating = true;
         server.close();
         context.stopPlan().markTerminating();
-        List.copyOf(connections).forEach(ClientConnection::terminate);
+        forEachConnection(ClientConnection::terminate);
+    }
+
+    /** Calls {@code action} for each connection, also for those behind one at which it fails. */
+    private void forEachConnection(Consumer<ClientConnection> action) {
+        for (ClientConnection connection : List.copyOf(connections)) {
+            try {
+                action.accept(connection);
+            } catch (RuntimeException | Error e) {
+                LOG.log(System.Logger.Level.ERROR, "event=client.update.failed", e);
+            }
+        }
     }
 
     /** Returns whether each response closes its connection. */
@@ -115,9 +128,12 @@
         return terminating;
     }
 
-    /** Returns the number of connections that have a request inside, be it only in part. */
+    /**
+     * Returns the number of connections that have a request inside, be it only in part, or its
+     * answer to receive.
+     */
     int unfinishedConnections() {
-        return count(connection -> !connection.isIdle());
+        return count(connection -> !connection.isFinished());
     }
 
     /** Returns the number of requests that are processed and whose response is not complete. */
@@ -239,7 +255,7 @@
 
     /** Applies the limits of a changed configuration to the connections that are open. */
     void applyLimits() {
-        List.copyOf(connections).forEach(ClientConnection::applyLimits);
+        forEachConnection(ClientConnection::applyLimits);
     }
 
     private ClientLimits limits() {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeFailureTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeFailureTest.java
@@ -4,12 +4,14 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.siskintrail.edge.TrafficProtocol;
+import io.siskintrail.net.EventLoop;
 import java.io.IOException;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiPredicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -37,6 +39,9 @@
     /** Slots of an endpoint that {@link LoopbackSystem} registers. */
     private static final int SLOTS = 4;
 
+    /** Far less than the deadline of a request. */
+    private static final long MAX_ANSWER_MILLIS = 5_000;
+
     @TempDir Path folder;
 
     /** Guards against an exception of the edge that ends a connection without an answer. */
@@ -72,6 +77,81 @@
         }
     }
 
+    /**
+     * Guards against an exception, or an error, before the first configuration without an answer.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, false", "0, true", "1, false", "1, true"})
+    void requestBeforeTheFirstConfigurationDuringWhichTheEdgeFailsIsAnswered(
+            int goodReads, boolean error) throws Exception {
+        AtomicInteger reads = new AtomicInteger();
+        BiPredicate<String, Object[]> condition =
+                (called, arguments) -> {
+                    boolean fails =
+                            called.equals("readMetadata")
+                                    && ((HttpHeaders) arguments[0]).contains("x-fail")
+                                    && reads.getAndIncrement() >= goodReads;
+                    if (fails && error) {
+                        throw new StackOverflowError("injected");
+                    }
+                    return fails;
+                };
+        try (LoopbackSystem system = new LoopbackSystem(folder, failing(condition))) {
+            String call = Http.request("POST", "/none/x", "key-1", "p");
+            var failed = sendAsync(system, call.replace("\r\n\r\n", "\r\nx-fail: 1\r\n\r\n"));
+            Http.sleep(100);
+            var behind = sendAsync(system, call);
+            Http.sleep(100);
+            system.configure(CONFIGURATION);
+
+            assertThat(failed.get()).startsWith("HTTP/1.1 500");
+            assertThat(failed.get()).contains("1099");
+            assertThat(behind.get()).startsWith("HTTP/1.1 404");
+        }
+    }
+
+    /** Guards against a request that waits for its deadline once the edge has failed. */
+    @ParameterizedTest
+    @CsvSource({"/once/x, 2", "/gen/x, 2", "/gen/x, 3"})
+    void requestIsAnsweredAtOnceWhenAFurtherAttemptFailsInTheEdge(String path, int failingAttempt)
+            throws Exception {
+        AtomicInteger attempts = new AtomicInteger();
+        BiPredicate<String, Object[]> condition =
+                (called, arguments) ->
+                        called.equals("writeForwardedHeaders")
+                                && attempts.incrementAndGet() == failingAttempt;
+        ScriptedEndpoint.Script closing = (number, request, out) -> false;
+        try (LoopbackSystem system = new LoopbackSystem(folder, failing(condition));
+                ScriptedEndpoint app1 = new ScriptedEndpoint(closing);
+                ScriptedEndpoint app2 = new ScriptedEndpoint(closing);
+                ScriptedEndpoint engine1 = new ScriptedEndpoint(closing);
+                ScriptedEndpoint engine2 = new ScriptedEndpoint(closing)) {
+            system.configure(
+                    CONFIGURATION
+                            .replace("\"timeoutMs\":2000", "\"timeoutMs\":20000")
+                            .replace("\"unsafe\"", "\"safe\"")
+                            .replace("\"maxAttempts\":1", "\"maxAttempts\":3"));
+            system.register("app1", "app", app1.address(), "a");
+            system.register("app2", "app", app2.address(), "a");
+            system.register("e1", "llm", engine1.address(), "a");
+            system.register("e2", "llm", engine2.address(), "a");
+            while (system.readinessStatus() != 200) {
+                Http.sleep(10);
+            }
+            Http.sleep(300);
+            long startedAtMillis = EventLoop.nowMillis();
+
+            String response =
+                    system.sendRaw(
+                            Http.request("POST", path, "key-1", "p")
+                                    .replace("Deadline-Ms: 2000", "Deadline-Ms: 20000"));
+
+            assertThat(EventLoop.nowMillis() - startedAtMillis).isLessThan(MAX_ANSWER_MILLIS);
+            assertThat(response).startsWith("HTTP/1.1 500");
+            assertThat(response).contains("1099");
+        }
+    }
+
     /** Guards against a queued request that takes the next one out of the queue when it fails. */
     @Test
     void requestQueuedBehindOneThatFailsIsServed() throws Exception {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
@@ -1,6 +1,10 @@
 package io.siskintrail.platform;
 
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.util.ReferenceCountUtil;
 import io.siskintrail.edge.EdgeService;
 import io.siskintrail.edge.EdgeSettings;
 import io.siskintrail.edge.TrafficProtocol;
@@ -8,7 +12,9 @@
 import io.siskintrail.testkit.FreePorts;
 import java.io.IOException;
 import java.io.InputStream;
+import java.lang.reflect.Constructor;
 import java.lang.reflect.Field;
+import java.lang.reflect.Method;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URI;
@@ -20,6 +26,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** Runs one registry and one edge on loopback, and makes operator, endpoint and client calls. */
 final class LoopbackSystem implements AutoCloseable {
@@ -150,14 +157,60 @@
     }
 
     /** Lets the receiving side of each client connection of the edge fail with {@code cause}. */
-    void failConnections(Throwable cause) throws ReflectiveOperationException {
+    void failConnections(Throwable cause) throws Exception {
+        forEachConnection(ctx -> ctx.pipeline().fireExceptionCaught(cause));
+    }
+
+    /** Lets the next write to each client connection of the edge fail with {@code cause}. */
+    void failNextWrites(Throwable cause) throws Exception {
+        forEachConnection(ctx -> ctx.pipeline().addBefore(ctx.name(), null, failing(cause)));
+    }
+
+    private static ChannelHandler failing(Throwable cause) {
+        return new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(
+                    ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                ReferenceCountUtil.release(message);
+                context.pipeline().remove(this);
+                promise.setFailure(cause);
+            }
+        };
+    }
+
+    private void forEachConnection(Consumer<ChannelHandlerContext> action) throws Exception {
         Object server = read(read(edge, "edge"), "server");
         for (Object connection : List.copyOf((Collection<?>) read(server, "connections"))) {
             ChannelHandlerContext ctx = (ChannelHandlerContext) read(connection, "ctx");
-            ctx.executor().execute(() -> ctx.pipeline().fireExceptionCaught(cause));
+            ctx.executor().submit(() -> action.accept(ctx)).sync();
         }
     }
 
+    /**
+     * Puts a connection with a part of a request, which fails at each write, before the others, of
+     * which there must be one.
+     */
+    @SuppressWarnings("unchecked")
+    void addBrokenConnection() throws Exception {
+        Object server = read(read(edge, "edge"), "server");
+        Collection<Object> connections = (Collection<Object>) read(server, "connections");
+        Object first = List.copyOf(connections).get(0);
+        Constructor<?> constructor = first.getClass().getDeclaredConstructor(server.getClass());
+        constructor.setAccessible(true);
+        Object broken = constructor.newInstance(server);
+        Method startReceiving = broken.getClass().getDeclaredMethod("startReceiving");
+        startReceiving.setAccessible(true);
+        startReceiving.invoke(broken);
+        Runnable insertion =
+                () -> {
+                    List<Object> others = List.copyOf(connections);
+                    connections.clear();
+                    connections.add(broken);
+                    connections.addAll(others);
+                };
+        ((ChannelHandlerContext) read(first, "ctx")).executor().submit(insertion).sync();
+    }
+
     private static Object read(Object owner, String field) throws ReflectiveOperationException {
         Field declared = owner.getClass().getDeclaredField(field);
         declared.setAccessible(true);
