Wait for repeatable calls when a router stops

What callers saw: a repeatable call that was at its endpoint when its router was asked to stop lost its connection without an answer, if it took longer than the second for which the router waits for the balancer.

Cause: the stop drained generations and orders, which know of their callers, then ended the HTTP server; nothing knew of repeatable calls, nor of answers that are handed to a connection and not sent.

Calls that are left then are named in the log as router.calls.unanswered and are still cut off.

Answers that a caller reads slowly have no test.

Why it works: the server counts calls by their connections until the answer is written, whoever makes it, so that no kind of call is missed.

--- a/siskintrail.router/src/io/siskintrail/router/RouterService.java
+++ b/siskintrail.router/src/io/siskintrail/router/RouterService.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micronaut.context.ApplicationContext;
+import io.micronaut.runtime.graceful.GracefulShutdownCapable;
 import io.micronaut.runtime.server.EmbeddedServer;
 import io.siskintrail.internal.control.Configuration;
 import io.siskintrail.internal.control.FollowerSettings;
@@ -42,6 +43,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /** A router in this process: the HTTP server and everything behind it. */
 public final class RouterService implements Service {
@@ -50,6 +56,9 @@
     private static final long DRAIN_MILLIS = 30_000;
     private static final long BALANCER_MILLIS = 1_000;
 
+    /** Longest wait of a stop for calls; all attempts of a repeatable call fit in. */
+    private static final long CALLS_MILLIS = 20_000;
+
     private final RouterSettings settings;
     private final EndpointDirectory directory = new EndpointDirectory();
     private final ControlLoop loop = new ControlLoop("router-control");
@@ -271,6 +280,7 @@
         readiness.stop();
         awaitBalancer();
         generations.drain(DRAIN_MILLIS);
+        awaitCalls();
         orders.stop();
         closeAll();
         LogEvent.info(LOG, "router.stopped").with("host", settings.host()).write();
@@ -300,6 +310,21 @@
         }
     }
 
+    /** Stops to listen and waits until all calls are answered, for a bounded time. */
+    private void awaitCalls() {
+        CompletionStage<?> answered =
+                server instanceof GracefulShutdownCapable s
+                        ? s.shutdownGracefully()
+                        : CompletableFuture.completedStage(null);
+        try {
+            answered.toCompletableFuture().get(CALLS_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (TimeoutException | ExecutionException e) {
+            LogEvent.warning(LOG, "router.calls.unanswered").with("cause", e).write();
+        }
+    }
+
     /** Stops at once, as the death of the process would: open orders stay as they are. */
     public void abort() {
         orders.abort();
