Answer a call whose answer cannot be written, and end idle connections at their older limit

What callers saw: a call whose answer cannot be encoded waited for the read timeout, and the answers behind it with it. An Error in a handler of a registry ended the process before the caller was told.

Cause: AnswerQueue built the response when its turn had come, and dropped the fallback since an answer was given.

Change: the response is built when the answer is given, an internal error where that fails; the caller is told before an Error ends the process. Beside it: a connection that goes idle when a smaller idle limit is in force ends at the older limit, as the page says, not at both, one after the other (read in the code, no test).

Evidence: HttpServiceTest.callWhoseAnswerCannotBeWrittenIsAnswered failed before, passes now, with EdgeLimitsTest, EdgeRequestInsideTest and EdgeFailureTest (one run).

Why it works: a turn without a response can still be given one.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/IdleLimit.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/IdleLimit.java
@@ -57,7 +57,8 @@
 
     @Override
     protected void channelIdle(ChannelHandlerContext ctx, IdleStateEvent event) throws Exception {
-        if (!replaceIfChanged(ctx)) {
+        boolean isTooEarly = limitMillis.getAsLong() > currentMillis;
+        if (!isTooEarly || !replaceIfChanged(ctx)) {
             super.channelIdle(ctx, event);
         }
     }
--- a/siskintrail.net/src/io/siskintrail/net/AnswerQueue.java
+++ b/siskintrail.net/src/io/siskintrail/net/AnswerQueue.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.HttpService.Answer;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -21,6 +22,8 @@
  * the connection.
  */
 final class AnswerQueue {
+    private static final System.Logger LOG = System.getLogger(AnswerQueue.class.getName());
+
     /** Time for a caller to read an answer before its connection, with unread bytes, is reset. */
     private static final long READ_TIME_MILLIS = 1_000;
 
@@ -45,19 +48,31 @@
     private final class Turn implements Consumer<Answer> {
         private final Next next;
         private final Runnable sent;
-        private Answer answer;
+        private FullHttpResponse response;
 
         Turn(Next next, Runnable sent) {
             this.next = next;
             this.sent = sent;
         }
 
+        /** Returns the response for an answer, an internal error if there can be none for it. */
+        private FullHttpResponse buildOrFail(Answer given) {
+            boolean keepAlive = next == Next.FURTHER_CALLS;
+            try {
+                return build(given, keepAlive);
+            } catch (RuntimeException e) {
+                LOG.log(System.Logger.Level.ERROR, "event=http.answer.failed", e);
+                int status = ResultCode.INTERNAL.httpStatus();
+                return build(new Answer(status, "", new byte[0]), keepAlive);
+            }
+        }
+
         @Override
         public void accept(Answer given) {
-            if (answer != null) {
+            if (response != null) {
                 return;
             }
-            answer = given;
+            response = buildOrFail(given);
             if (closed) {
                 sent.run();
             } else {
@@ -93,14 +108,14 @@
     /** Tells that the connection is closed. */
     void closed() {
         closed = true;
-        turns.stream().filter(t -> t.answer != null).forEach(t -> t.sent.run());
+        turns.stream().filter(t -> t.response != null).forEach(t -> t.sent.run());
         turns.clear();
     }
 
     private void writeReady() {
-        while (!turns.isEmpty() && turns.peek().answer != null) {
+        while (!turns.isEmpty() && turns.peek().response != null) {
             Turn turn = turns.poll();
-            ChannelFuture written = channel.writeAndFlush(response(turn));
+            ChannelFuture written = channel.writeAndFlush(turn.response);
             written.addListener(f -> turn.sent.run());
             if (turn.next == Next.CLOSE) {
                 written.addListener(ChannelFutureListener.CLOSE);
@@ -115,8 +130,7 @@
                 .schedule(() -> channel.close(), READ_TIME_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private static FullHttpResponse response(Turn turn) {
-        Answer answer = turn.answer;
+    private static FullHttpResponse build(Answer answer, boolean keepAlive) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
@@ -126,7 +140,7 @@
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
         }
         HttpUtil.setContentLength(response, answer.body().length);
-        HttpUtil.setKeepAlive(response, turn.next == Next.FURTHER_CALLS);
+        HttpUtil.setKeepAlive(response, keepAlive);
         return response;
     }
 }
--- a/siskintrail.net/src/io/siskintrail/net/HttpService.java
+++ b/siskintrail.net/src/io/siskintrail/net/HttpService.java
@@ -222,8 +222,8 @@
                         .with("target", call.target())
                         .with("cause", e)
                         .write();
-                ThreadFaults.caught(e);
                 answer.accept(empty(ResultCode.INTERNAL.httpStatus()));
+                ThreadFaults.caught(e);
             }
         }
 
--- a/siskintrail.platform.test/tst/io/siskintrail/net/HttpServiceTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/net/HttpServiceTest.java
@@ -83,11 +83,25 @@
         assertThat(handled).containsExactly("/slow");
     }
 
+    /** Guards against an answer that cannot be written and blocks those behind it. */
+    @Test
+    void callWhoseAnswerCannotBeWrittenIsAnswered() throws IOException {
+        String answers = exchange(call("/odd", "keep-alive") + call("/next", "close"));
+
+        assertThat(answers).startsWith("HTTP/1.1 500 ");
+        assertThat(answers).endsWith("\r\n\r\n/next");
+        assertThat(service.openCalls()).isEqualTo(0);
+    }
+
     private void handle(Call call, Consumer<Answer> answer) {
         handled.add(call.target());
         if (call.target().equals("/fail")) {
             throw new IllegalStateException("the handler fails");
         }
+        if (call.target().equals("/odd")) {
+            answer.accept(new Answer(200, "two\nlines", new byte[0]));
+            return;
+        }
         Answer echo = new Answer(200, "", call.target().getBytes(StandardCharsets.US_ASCII));
         if (call.target().equals("/slow")) {
             loop.after(SLOW_MILLIS, () -> answer.accept(echo));
