Wait for calls of operators when a control replica stops

Cause: the stop began with the end of the HTTP server, which does not know of the calls that wait for the log.

Calls that are left are named as control.calls.unanswered.

Evidence: editThatWaitsForAQuorumIsAnsweredWhenTheReplicaStops failed before ("header parser received no bytes") and passes now (outcome=Pending before replica.stopped), one run each; ControlServiceDiskTest passes.

Why it works: each call has a deadline of its own below the bound, so its own answer, which says what is known of the outcome, leaves before the server ends.

--- a/siskintrail.control/src/io/siskintrail/control/ControlService.java
+++ b/siskintrail.control/src/io/siskintrail/control/ControlService.java
@@ -1,6 +1,7 @@
 package io.siskintrail.control;
 
 import io.micronaut.context.ApplicationContext;
+import io.micronaut.runtime.graceful.GracefulShutdownCapable;
 import io.micronaut.runtime.server.EmbeddedServer;
 import io.siskintrail.control.internal.configuration.ConfigurationService;
 import io.siskintrail.control.internal.configuration.ControlLog;
@@ -16,12 +17,20 @@
 import io.siskintrail.service.OperatorTokens;
 import io.siskintrail.service.Service;
 import io.siskintrail.wire.ThriftPeerTransport;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /** A control replica in this process. */
 public final class ControlService implements Service {
     private static final System.Logger LOG = System.getLogger(ControlService.class.getName());
     private static final int MAX_BODY_BYTES = 8 * RulesParser.MAX_CHARACTERS;
 
+    /** Longest wait of a stop for calls; the commit of an edit and its coming into force fit in. */
+    private static final long CALLS_MILLIS = 17_000;
+
     private final ControlSettings settings;
     private final ControlLoop loop = new ControlLoop("control");
     private ThriftPeerTransport transport;
@@ -76,6 +85,7 @@
 
     @Override
     public void stop() {
+        awaitCalls();
         server.stop();
         context.close();
         configuration.stop();
@@ -85,6 +95,21 @@
         LogEvent.info(LOG, "control.stopped").with("host", settings.host()).write();
     }
 
+    /** Stops to listen and waits until all calls are answered, for a bounded time. */
+    private void awaitCalls() {
+        CompletionStage<?> answered =
+                server instanceof GracefulShutdownCapable s
+                        ? s.shutdownGracefully()
+                        : CompletableFuture.completedStage(null);
+        try {
+            answered.toCompletableFuture().get(CALLS_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (TimeoutException | ExecutionException e) {
+            LogEvent.warning(LOG, "control.calls.unanswered").with("cause", e).write();
+        }
+    }
+
     /** Returns the id of this process. */
     public HostId hostId() {
         return settings.hostId();
