Say that an unconfirmed configuration may still be committed

What callers saw: a configuration that was not confirmed in time, or at the stop of a registry, was answered 503 (3021), which reads as not done; it may be in the log and be committed later.

Cause: reads and writes shared one answer for "not confirmed".

Change: a write is answered 504 with 3015, which says that the edit is not confirmed and that sending it again tells the outcome; reads keep 3021.

Evidence: largeCallThatOutlastsTheStopIsAnswered now asks for 504 instead of any 50x: it failed before ("but was HTTP/1.1 503") and passes now, one run each; RegistryCallsTest, RegistryDiscoveryTest, LargeConfigurationTest pass.

Why it works: the answer is chosen where it is known whether a write or a read ended; both are 5xx, so callers turn to another host as before.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryStopTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryStopTest.java
@@ -52,7 +52,10 @@
         }
     }
 
-    /** Guards against a call whose own time outlasts the stop and that is cut off at its end. */
+    /**
+     * Guards against a call that outlasts the stop and is cut off at its end, or told that it is
+     * not run although it may still be committed.
+     */
     @Test
     void largeCallThatOutlastsTheStopIsAnswered() throws Exception {
         int callPort = FreePorts.next();
@@ -67,7 +70,7 @@
             registry.stop();
 
             byte[] answer = operator.getInputStream().readNBytes(12);
-            assertThat(new String(answer, StandardCharsets.US_ASCII)).startsWith("HTTP/1.1 50");
+            assertThat(new String(answer, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 504");
         }
     }
 
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/CallDesk.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/CallDesk.java
@@ -84,7 +84,7 @@
                 began + time,
                 done -> {
                     logPut(version, done ? "committed" : "unconfirmed", began);
-                    answer.accept(done ? empty(OK) : unconfirmed());
+                    answer.accept(done ? empty(OK) : failure(ResultCode.RULES_PENDING));
                 });
     }
 
@@ -98,7 +98,10 @@
                             .with("confirmed", done)
                             .write();
                     boolean known = done && held.version() > 0;
-                    answer.accept(known ? new Answer(OK, JSON, held.content()) : unconfirmed());
+                    answer.accept(
+                            known
+                                    ? new Answer(OK, JSON, held.content())
+                                    : failure(ResultCode.CONFIGURATION_UNCONFIRMED));
                 });
     }
 
@@ -121,8 +124,7 @@
                 .write();
     }
 
-    private static Answer unconfirmed() {
-        ResultCode code = ResultCode.CONFIGURATION_UNCONFIRMED;
+    private static Answer failure(ResultCode code) {
         return failure(code.httpStatus(), code.meaning());
     }
 
