Keep connections whose request is on its way when an edge stops

What callers saw: around a SIGTERM of an edge some requests ended with neither an answer nor a refusal, though they were sent to an edge that still took requests. They were not passed on, so no rule names them, but each costs a client one of its retries.

Cause: at the request to stop the edge closes each connection without an open request. A connection that was just accepted, and one of which a part of a request was read, count as idle there.

Change: such a connection stays open. Its request is answered or refused as any other that comes while the edge drains, and the response announces the close. Used connections that are idle are closed at once as before.

Evidence: EdgeStopTest.requestOnItsWayWhenTheEdgeStopsIsAnswered (no part and half of the request had come) failed in 2 of 2 cases on (no response); with the change EdgeStopTest passes 16 of 16, EdgeConnectionTest 7 of 7, EdgeClientsTest 7 of 7.

Why it works: the edge listens until it ends, so a request that arrives on such a connection finds a process that answers. What is left are requests that cross the close of a used, idle connection: HTTP/1.1 has no signal to avoid that.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -54,6 +54,9 @@
     /** Whether the current request waits for the first configuration. */
     private boolean holding;
 
+    /** Whether the connection is new, or the client has sent a part of its next request. */
+    private boolean requestExpected = true;
+
     private boolean keepAlive = true;
     private boolean closing;
 
@@ -92,6 +95,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        requestExpected = false;
         if (closing) {
             return;
         }
@@ -168,9 +172,17 @@
         return current == null && !holding && !responsePending && pending.isEmpty();
     }
 
-    /** Closes the connection if it is idle; otherwise its last response will. */
+    /** Records that the head of a request was read. */
+    void expectRequest() {
+        requestExpected = true;
+    }
+
+    /**
+     * Closes the connection if it is idle and no request is expected; otherwise its last response
+     * will.
+     */
     void closeIfIdle() {
-        if (isIdle()) {
+        if (isIdle() && !requestExpected) {
             ctx.close();
         }
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -87,7 +87,7 @@
         server.awaitListening();
     }
 
-    /** Stops keep-alive: idle connections close now, others after their response. */
+    /** Stops keep-alive: idle connections close now, others and new ones after a response. */
     @Override
     public void stop() {
         stopping = true;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RequestAggregator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestAggregator.java
@@ -1,9 +1,11 @@
 package io.siskintrail.edge.internal;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
@@ -23,6 +25,13 @@
         this.connection = connection;
     }
 
+    @Override
+    protected FullHttpMessage beginAggregation(HttpMessage start, ByteBuf content)
+            throws Exception {
+        connection.expectRequest();
+        return super.beginAggregation(start, content);
+    }
+
     @Override
     protected Object newContinueResponse(
             HttpMessage start, int maxContentLength, ChannelPipeline pipeline) {
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeStopTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeStopTest.java
@@ -192,6 +192,44 @@
         }
     }
 
+    /** Guards against an edge that closes connections whose first request is on its way. */
+    @ParameterizedTest(name = "{0} of {1} parts of the request have come")
+    @CsvSource({"0, 2", "1, 2"})
+    void requestOnItsWayWhenTheEdgeStopsIsAnswered(int partsBefore, int parts) throws Exception {
+        LoopbackSystem slowStopSystem = new LoopbackSystem(folder.resolve("on-its-way"), 120, 60);
+        Thread stopper = new Thread(slowStopSystem::stopEdge, "stopper");
+        String request = Http.request("POST", "/once/x", "key-1", "x".repeat(200));
+        int sentBefore = request.length() * partsBefore / parts;
+        try (ScriptedEndpoint app =
+                new ScriptedEndpoint(
+                        (number, received, out) -> {
+                            out.write(ScriptedEndpoint.signedResponse(received, 200, "", "fine"));
+                            return true;
+                        })) {
+            slowStopSystem.configure(CONFIGURATION);
+            slowStopSystem.register("app", "app", app.address(), "a");
+            slowStopSystem.awaitReady("llm");
+            try (Socket client = slowStopSystem.connect()) {
+                client.getOutputStream().write(Http.toBytes(request.substring(0, sentBefore)));
+                slowStopSystem.sendRaw(Http.request("POST", "/once/x", "key-1", ""));
+
+                stopper.start();
+                while (slowStopSystem.readinessStatus() == 200) {
+                    Http.sleep(10);
+                }
+                client.getOutputStream().write(Http.toBytes(request.substring(sentBefore)));
+                byte[] response = client.getInputStream().readAllBytes();
+
+                assertThat(new String(response, StandardCharsets.US_ASCII))
+                        .startsWith("HTTP/1.1 200");
+            }
+        } finally {
+            stopper.interrupt();
+            stopper.join();
+            slowStopSystem.closeRegistry();
+        }
+    }
+
     /** Guards against an edge that exits while a client still reads its last answer. */
     @Test
     void answerThatAClientReadsSlowlyIsWholeWhenTheEdgeStops() throws Exception {
