--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -63,6 +63,9 @@
     /** Whether the current request waits for the first configuration. */
     private boolean holding;
 
+    /** Whether the client has sent a part of a request. */
+    private boolean used;
+
     private boolean keepAlive = true;
     private boolean closing;
 
@@ -113,6 +116,10 @@
 
     /** Records that the first bytes of a request have come. */
     void startReceiving() {
+        if (closing || inputEnded) {
+            return;
+        }
+        used = true;
         receiving = true;
         receivingSinceMillis = EventLoop.nowMillis();
     }
@@ -282,9 +289,12 @@
         ctx.pipeline().fireUserEventTriggered(IdleLimit.LimitsChanged.INSTANCE);
     }
 
-    /** Closes the connection if it is idle; otherwise its last response will. */
+    /**
+     * Closes the connection if it was used and is idle; otherwise its last response will. The first
+     * request of a connection that was just opened is on its way.
+     */
     void closeIfIdle() {
-        if (isFinished()) {
+        if (used && isFinished()) {
             ctx.close();
         }
     }
