Refuse what came behind a response that announced the close

What callers saw: a stream's head announces the close of its connection while the edge stops; a request that crossed it was read and dropped seconds later, when the stream ended, with neither an answer nor a refusal.

Cause: the announcement was made when nothing was known behind the stream, and nobody looked again at its end.

Change: what has come whole until then is refused as not run (8001), in its turn, before the close.

Evidence: EdgeStopTest.requestBehindAStreamThatAnnouncedTheCloseIsRefused failed without the change (the connection ended behind the stream), passes with it; EdgeStopTest, EdgeRequestInsideTest and EdgeConnectionTest pass (one run).

Why it works: the refusal is true, since such a request is never placed, and it comes behind the answer that it waited for. A client that stops reading at an announced close loses nothing by it.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -494,6 +494,10 @@
             handleUnsent(lastPart instanceof FullHttpResponse, failure);
             return;
         }
+        if (closeAnnounced && server.isStopping() && !pending.isEmpty()) {
+            refuseBehindLast(pending.poll());
+            return;
+        }
         if (closeAnnounced || closesBehindLast()) {
             closing = true;
             closeCause = "last response sent";
@@ -520,6 +524,16 @@
         sendFailure(new Failure(ResultCode.INTERNAL, failure.toString()), 0);
     }
 
+    /** Refuses a request that came after the response before it had announced the close. */
+    private void refuseBehindLast(ReceivedRequest request) {
+        ResultCode code = ResultCode.NOT_RUN_SHUTTING_DOWN;
+        Failure failure = new Failure(code, "behind the last response of its connection");
+        if (request.call() != null) {
+            server.recordRejection(request.call(), failure);
+        }
+        sendFailure(failure, server.retryAfterMillis(code));
+    }
+
     /**
      * Ends the output and reads on for a while, until the client closes: a close while there are
      * unread bytes would destroy what the client has not yet received.
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -238,7 +238,8 @@
         context.remove(exchange);
     }
 
-    private void recordRejection(CallContext call, Failure failure) {
+    /** Counts and logs a request that is turned away before it is placed. */
+    void recordRejection(CallContext call, Failure failure) {
         context.stats()
                 .increment(
                         "siskintrail_edge_refused_total",
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeStopTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeStopTest.java
@@ -230,6 +230,51 @@
         }
     }
 
+    /** Guards against a request that is dropped since the stream before it announced the close. */
+    @Test
+    void requestBehindAStreamThatAnnouncedTheCloseIsRefused() throws Exception {
+        LoopbackSystem slowStopSystem = new LoopbackSystem(folder.resolve("announced"), 120, 60);
+        Thread stopper = new Thread(slowStopSystem::stopEdge, "stopper");
+        try (ScriptedEndpoint engine =
+                new ScriptedEndpoint(
+                        (number, request, out) -> {
+                            Http.writeStreamHead(request, out);
+                            Http.writeEvent(out, 1);
+                            await(responseReleased);
+                            Http.writeLastChunk(out);
+                            return true;
+                        })) {
+            slowStopSystem.configure(CONFIGURATION);
+            slowStopSystem.register("e1", "llm", engine.address(), "a");
+            slowStopSystem.awaitReady("app");
+            String request =
+                    Http.request("POST", "/gen/x", "key-1", "p")
+                            .replace("Connection: close\r\n", "")
+                            .replace("Deadline-Ms: 2000", "Deadline-Ms: 60000");
+            try (Socket client = slowStopSystem.connect()) {
+                stopper.start();
+                while (slowStopSystem.readinessStatus() == 200) {
+                    Http.sleep(10);
+                }
+                client.getOutputStream().write(Http.toBytes(request));
+                byte[] head = client.getInputStream().readNBytes(12);
+                client.getOutputStream().write(Http.toBytes(request.replace(": r1", ": r2")));
+                Http.sleep(200);
+                responseReleased.countDown();
+                byte[] rest = client.getInputStream().readAllBytes();
+
+                String text = new String(rest, StandardCharsets.US_ASCII);
+                assertThat(new String(head, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 200");
+                assertThat(text).containsMatch("(?s)\r\n0\r\n\r\nHTTP/1.1 503 .*8001");
+                assertThat(engine.requests()).hasSize(1);
+            }
+        } finally {
+            stopper.interrupt();
+            stopper.join();
+            slowStopSystem.closeRegistry();
+        }
+    }
+
     /** Guards against an edge that exits while a client still reads its last answer. */
     @Test
     void answerThatAClientReadsSlowlyIsWholeWhenTheEdgeStops() throws Exception {
