Draw more late and large answers in the soak of planned work

What callers saw: nothing; the soak's series rarely had a request at an endpoint in the last moments of an edge, and its large responses (512 KiB at most) fit into the buffers of the sockets.

Change: half of the calls are answered up to 250 ms late, clients that lost a connection return after 10 ms, responses to slow readers have up to 5 MiB.

Why it works: it makes the moments of a stop fuller; the check is unchanged.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakKeptClient.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakKeptClient.java
@@ -20,7 +20,7 @@
     private static final int DEADLINE_MILLIS = 5_000;
     private static final int READ_TIMEOUT_MILLIS = 9_000;
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
-    private static final int RECONNECT_PAUSE_MILLIS = 40;
+    private static final int RECONNECT_PAUSE_MILLIS = 10;
     private static final int MAX_PAUSE_MILLIS = 40;
     private static final int MAX_BODY_PAUSE_MILLIS = 250;
     private static final int BODY_PARTS = 4;
@@ -29,9 +29,11 @@
     /** Longest delay of a response; shorter than the grace of an edge and the routes' timeouts. */
     private static final int MAX_DELAY_MILLIS = 2_400;
 
-    private static final int LARGE_RESPONSE_BYTES = 256 << 10;
+    private static final int MAX_SHORT_DELAY_MILLIS = 250;
+
+    private static final int MAX_RESPONSE_BYTES = 5 << 20;
     private static final int SMALL_RECEIVE_BUFFER_BYTES = 4 << 10;
-    private static final int SLOW_READ_BYTES = 16 << 10;
+    private static final int SLOW_READ_BYTES = 256 << 10;
     private static final int SLOW_READ_PAUSE_MILLIS = 20;
     private static final String BODY = "body";
     private static final Pattern LENGTH = Pattern.compile("(?i)content-length: *(\\d+)");
@@ -148,10 +150,18 @@
     private Pending drawRequest() {
         String id = "%s-%d".formatted(name, ++requestCount);
         int kind = random.nextInt(10);
-        int bytes = habit == Habit.READS_SLOWLY ? random.nextInt(2 * LARGE_RESPONSE_BYTES) : 0;
-        long delayMillis = random.nextInt(6) == 0 ? random.nextInt(MAX_DELAY_MILLIS) : 0;
+        int bytes = habit == Habit.READS_SLOWLY ? random.nextInt(MAX_RESPONSE_BYTES) : 0;
         String route = kind < 4 ? "/once/" : kind < 8 ? "/safe/" : "/gen/";
-        return new Pending(id, route, new SoakCallPath(delayMillis, bytes));
+        return new Pending(id, route, new SoakCallPath(drawDelayMillis(), bytes));
+    }
+
+    /** Returns no delay, a short one, or one that may last to the end of an edge's grace. */
+    private long drawDelayMillis() {
+        return switch (random.nextInt(6)) {
+            case 0 -> random.nextInt(MAX_DELAY_MILLIS);
+            case 1, 2, 3 -> random.nextInt(MAX_SHORT_DELAY_MILLIS);
+            default -> 0;
+        };
     }
 
     private static String formatHead(Pending request) {
