Wait for the last answers of an edge that ends, and finish a stop that fails

Cause: the stop slept 100 ms after its last step and did not look whether its answers had left.

Change: it looks, for 100 ms more at most, which with the looks themselves stays within the 400 ms kept for the end. Beside it: a stop that throws no longer keeps the process from writing its log and from being told that it has stopped.

No test of their own.

Why it works: the connections know what has not left.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -135,6 +135,11 @@
         return count(connection -> !connection.isFinished());
     }
 
+    /** Returns whether no connection has a request inside or an answer to receive. */
+    boolean isFinished() {
+        return unfinishedConnections() == 0;
+    }
+
     /** Returns the number of requests that are processed and whose response is not complete. */
     int openRequests() {
         return count(ClientConnection::isRunning);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** Edge service: creates its components, connects them, and starts and stops them. */
@@ -42,6 +43,9 @@
     /** Time for sending the end of aborted streams to their clients, engines and other edges. */
     private static final long SHUTDOWN_FLUSH_MILLIS = 100;
 
+    /** Longest further time for answers to leave; ends with the grace period. */
+    private static final long SHUTDOWN_ANSWERS_MILLIS = 100;
+
     /** Time before the end of the grace period at which running requests are aborted. */
     private static final long SHUTDOWN_RESERVE_MILLIS = 400;
 
@@ -157,6 +161,10 @@
         }
         loop.execute(this::terminate);
         sleep(SHUTDOWN_FLUSH_MILLIS);
+        long answersSentMillis = EventLoop.nowMillis() + SHUTDOWN_ANSWERS_MILLIS;
+        while (EventLoop.nowMillis() < answersSentMillis && !checkOnLoop(server::isFinished)) {
+            sleep(SHUTDOWN_POLL_MILLIS);
+        }
         LogEvent.info(LOG, "edge.stopped").with("host", settings.host()).write();
     }
 
@@ -282,8 +290,7 @@
 
     /** Terminates the client server if shutdown may complete; returns whether it did. */
     private boolean terminateIfDrained() {
-        CompletableFuture<Boolean> terminated = new CompletableFuture<>();
-        loop.execute(
+        return checkOnLoop(
                 () -> {
                     int unfinished = server.unfinishedConnections();
                     boolean mayTerminate =
@@ -291,10 +298,16 @@
                     if (mayTerminate) {
                         terminate();
                     }
-                    terminated.complete(mayTerminate);
+                    return mayTerminate;
                 });
+    }
+
+    /** Returns what a check on the event loop says; false if that takes long. */
+    private boolean checkOnLoop(BooleanSupplier check) {
+        CompletableFuture<Boolean> result = new CompletableFuture<>();
+        loop.execute(() -> result.complete(check.getAsBoolean()));
         try {
-            return terminated.get(SHUTDOWN_POLL_MILLIS, TimeUnit.MILLISECONDS);
+            return result.get(SHUTDOWN_POLL_MILLIS, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
             return false;
         } catch (InterruptedException e) {
--- a/siskintrail.service/src/io/siskintrail/service/ShutdownSignal.java
+++ b/siskintrail.service/src/io/siskintrail/service/ShutdownSignal.java
@@ -50,9 +50,10 @@
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } finally {
+            LogSetup.end();
+            stopped.countDown();
         }
-        LogSetup.end();
-        stopped.countDown();
     }
 
     private void await() {
