--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -211,8 +211,8 @@
 
     /**
      * Closes the connection if its socket failed or no request is inside. Otherwise the requests
-     * that were received are answered first, also after an error such as a lack of memory: one
-     * request that cannot be read is no reason to cut off others.
+     * that were received are answered first, also after an error: one request that cannot be read
+     * is no reason to cut off others.
      */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
