--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -47,7 +47,7 @@
     /** Requests that may queue behind the current one before reading pauses. */
     private static final int MAX_PENDING = 4;
 
-    /** Longest time in which a request is received; that of a client that gives no deadline. */
+    /** Longest time in which a request is received; as long as the default deadline of a call. */
     private static final long MAX_RECEIVE_MILLIS = 60_000;
 
     /** Longest time for which a client may take its last answer before the close. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -43,7 +43,7 @@
     /** Time for sending the end of aborted streams to their clients, engines and other edges. */
     private static final long SHUTDOWN_FLUSH_MILLIS = 100;
 
-    /** Longest further time for answers to leave; ends with the grace period. */
+    /** Longest further wait for answers that have not left; ends before the grace period does. */
     private static final long SHUTDOWN_ANSWERS_MILLIS = 100;
 
     /** Time before the end of the grace period at which running requests are aborted. */
