--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Attempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Attempt.java
@@ -83,6 +83,11 @@
         return listener == null;
     }
 
+    /** Returns the connection that the request was written to, for the log; {@code -} if none. */
+    String describeConnection() {
+        return connection == null ? "-" : connection.describe();
+    }
+
     AttemptListener listener() {
         return listener;
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -17,6 +17,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.siskintrail.net.EventLoop;
+import io.siskintrail.service.LogEvent;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -26,6 +29,7 @@
  * response was complete and belonged to the request, and no bytes followed it.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
+    private static final System.Logger LOG = System.getLogger(EndpointConnection.class.getName());
     private static final String KEEP_ALIVE = "Keep-Alive";
     private static final String TIMEOUT_PREFIX = "timeout=";
     private static final long MILLIS_PER_SECOND = 1_000;
@@ -58,6 +62,8 @@
     private int interimResponses;
     private boolean headReceived;
     private int headBytes;
+    private int sentRequests;
+    private String lastRequestId;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceMillis;
 
@@ -70,6 +76,8 @@
     void send(Attempt next) {
         attempt = next;
         recordCarried(next);
+        sentRequests++;
+        lastRequestId = next.requestId();
         responseComplete = false;
         interimResponses = 0;
         headReceived = false;
@@ -125,6 +133,16 @@
         return address;
     }
 
+    /**
+     * Returns the local port of the connection, by which the endpoint knows it, and the number of
+     * the last request on it, for the log.
+     */
+    String describe() {
+        SocketAddress local = ctx.channel().localAddress();
+        int port = local instanceof InetSocketAddress socket ? socket.getPort() : 0;
+        return "%d/%d".formatted(port, sentRequests);
+    }
+
     /**
      * Returns whether the connection can carry another request, that is, is open and has been idle
      * for less than both {@code maxIdleMillis} and the keep-alive timeout of the endpoint.
@@ -176,6 +194,7 @@
 
     private void handleMessage(HttpObject message) {
         if (attempt == null) {
+            logUnexpected(message);
             ctx.close();
             return;
         }
@@ -192,6 +211,19 @@
         }
     }
 
+    /** Logs a response that no request on this connection waits for. */
+    private void logUnexpected(HttpObject message) {
+        if (message instanceof HttpResponse response) {
+            LogEvent.warning(LOG, "endpoint.answered-again")
+                    .with("request", lastRequestId)
+                    .with("address", address)
+                    .with("connection", describe())
+                    .with("status", response.status().code())
+                    .with("detail", pool.describeResponse(response))
+                    .write();
+        }
+    }
+
     private void handleHead(HttpResponse response) {
         interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (interim) {
@@ -201,7 +233,8 @@
         headReceived = true;
         if (!pool.isAnswerTo(response, attempt, reused)) {
             failAttempt(
-                    "response carries the ID of another request, or none on a reused connection");
+                    "response carries the ID of another request, or none on a reused connection: "
+                            + pool.describeResponse(response));
             ctx.close();
             return;
         }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponse;
+import io.siskintrail.edge.EndpointResponse;
 import io.siskintrail.edge.TrafficProtocol;
 import io.siskintrail.internal.traffic.EndpointAddress;
 import io.siskintrail.net.EventLoop;
@@ -166,6 +167,12 @@
         return responseId.equals(attempt.requestId());
     }
 
+    /** Returns status and request ID of a response, for the log. */
+    String describeResponse(HttpResponse response) {
+        EndpointResponse endpointResponse = protocol.readResponse(response);
+        return "status=%d id=%s".formatted(endpointResponse.status(), endpointResponse.requestId());
+    }
+
     void addIdle(EndpointConnection connection) {
         Deque<EndpointConnection> connections =
                 idleByAddress.computeIfAbsent(connection.address(), a -> new ArrayDeque<>());
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -137,6 +137,11 @@
         return complete && endpointResponse.notRun();
     }
 
+    /** Returns the connection to the engine, for the log. */
+    String describeConnection() {
+        return attempt.describeConnection();
+    }
+
     boolean hasEvents() {
         return silence.hasEvents();
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -264,9 +264,12 @@
             end(
                     "answered",
                     0,
-                    "attempts=%d last=%d %s"
+                    "attempts=%d last=%d connection=%s %s"
                             .formatted(
-                                    attempts.sent(), journal.lastId(), response.describeTimes()));
+                                    attempts.sent(),
+                                    journal.lastId(),
+                                    source.describeConnection(),
+                                    response.describeTimes()));
             response.end();
             return;
         }
@@ -483,7 +486,8 @@
         if (lostAtMillis == 0) {
             lostAtMillis = EventLoop.nowMillis();
         }
-        logAttempt("stream.lost", source.engine(), cause);
+        String connection = " connection=" + source.describeConnection();
+        logAttempt("stream.lost", source.engine(), cause + connection);
         attempts.recordLost(source.isWritten(), source.mayHaveExecuted(), source.hasEvents());
         if (source.mayHaveExecuted()) {
             copies.recordCopyOf(source);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -56,8 +56,9 @@
     private boolean outcomeUnknown;
     private BufferedResponse lastErrorResponse;
 
-    /** Response that was received completely. */
-    private record BufferedResponse(int status, HttpHeaders headers, byte[] body) {}
+    /** Response that was received completely by the attempt {@code source}. */
+    private record BufferedResponse(
+            int status, HttpHeaders headers, byte[] body, UnaryAttempt source) {}
 
     UnaryExchange(
             EdgeContext edge, CallContext call, ClientConnection client, Consumer<Exchange> onEnd) {
@@ -94,7 +95,7 @@
     @Override
     protected void endRefused() {
         if (lastErrorResponse != null) {
-            deliver(lastErrorResponse, null);
+            deliver(lastErrorResponse);
         } else if (outcomeUnknown
                 || runningAttempts.stream().anyMatch(a -> a.attempt.isWritten())) {
             reject(ResultCode.CALL_OUTCOME_UNKNOWN, CRASHED_ENDPOINTS, 0);
@@ -162,10 +163,10 @@
 
     private void send(EndpointView endpoint) {
         triedEndpoints.add(endpoint.record().id());
-        logAttempt("attempt.sent", endpoint, "attempt=%d".formatted(sentAttempts + 1));
-        UnaryAttempt newAttempt = new UnaryAttempt(endpoint);
-        runningAttempts.add(newAttempt);
         sentAttempts++;
+        logAttempt("attempt.sent", endpoint, "attempt=%d".formatted(sentAttempts));
+        UnaryAttempt newAttempt = new UnaryAttempt(endpoint, sentAttempts);
+        runningAttempts.add(newAttempt);
         newAttempt.start();
         if (isIdempotent() && sentAttempts < call.route().maxAttempts() && hedgeTimer == null) {
             long delayMillis = (long) (HEDGE_DELAY_FRACTION * call.route().targetLatencyMillis());
@@ -206,9 +207,9 @@
         if (endpointResponse.notRun()) {
             recordFailure(endedAttempt, endpointResponse);
             edge.recordDiverted(endpointResponse);
-            logAttempt(
+            logEnd(
                     "attempt.not-run",
-                    endedAttempt.attempt.endpoint(),
+                    endedAttempt,
                     "status=%d".formatted(endpointResponse.status()));
             endUnlessRetrying(trySendAgain());
             return;
@@ -223,9 +224,9 @@
         if (endpointResponse.status() >= SERVER_ERROR) {
             lastErrorResponse = response;
             recordFailure(endedAttempt, endpointResponse);
-            logAttempt(
+            logEnd(
                     "attempt.failed",
-                    endedAttempt.attempt.endpoint(),
+                    endedAttempt,
                     "status=%d".formatted(endpointResponse.status()));
             endUnlessRetrying(isIdempotent() && trySendAgain());
             return;
@@ -235,7 +236,12 @@
                 .endpoint()
                 .health()
                 .recordSuccess(now, now - endedAttempt.startedAtMillis);
-        deliver(response, endedAttempt);
+        deliver(response);
+    }
+
+    /** Logs how an attempt ended, with the connection by which its endpoint knows it. */
+    private void logEnd(String event, UnaryAttempt ended, String detail) {
+        logAttempt(event, ended.attempt.endpoint(), detail + " " + ended.describe());
     }
 
     private static void recordFailure(UnaryAttempt endedAttempt, EndpointResponse response) {
@@ -246,7 +252,7 @@
 
     private void handleFailure(UnaryAttempt endedAttempt, String cause) {
         endedAttempt.attempt.endpoint().health().recordFailure(EventLoop.nowMillis());
-        logAttempt("attempt.broken", endedAttempt.attempt.endpoint(), cause);
+        logEnd("attempt.broken", endedAttempt, cause);
         endUnlessRetrying(isIdempotent() && trySendAgain());
     }
 
@@ -270,7 +276,7 @@
             return;
         }
         if (lastErrorResponse != null) {
-            deliver(lastErrorResponse, null);
+            deliver(lastErrorResponse);
         } else if (outcomeUnknown) {
             reject(ResultCode.CALL_OUTCOME_UNKNOWN, "attempts=%d".formatted(sentAttempts), 0);
         } else if (sentAttempts > 0) {
@@ -286,24 +292,24 @@
         }
     }
 
-    /**
-     * Ends the call with a response.
-     *
-     * @param source the attempt that received the response, or null if it was an earlier one
-     */
-    private void deliver(BufferedResponse response, UnaryAttempt source) {
+    private void deliver(BufferedResponse response) {
         releaseResources();
-        String endpoint = source == null ? "-" : source.attempt.endpoint().record().id().value();
+        UnaryAttempt source = response.source();
         end(
                 "answered",
                 0,
-                "status=%d attempts=%d endpoint=%s"
-                        .formatted(response.status(), sentAttempts, endpoint));
+                "status=%d attempts=%d endpoint=%s %s"
+                        .formatted(
+                                response.status(),
+                                sentAttempts,
+                                source.attempt.endpoint().record().id().value(),
+                                source.describe()));
         client.sendResponse(response.status(), response.headers(), response.body());
     }
 
     /** Transmission of the call to one endpoint; buffers the response. */
     private final class UnaryAttempt implements AttemptListener {
+        private final int number;
         private final Attempt attempt;
         private final RunningAttempt evidence;
         private final long startedAtMillis = EventLoop.nowMillis();
@@ -312,7 +318,8 @@
         private EndpointResponse endpointResponse;
         private HttpHeaders headers;
 
-        UnaryAttempt(EndpointView endpoint) {
+        UnaryAttempt(EndpointView endpoint, int number) {
+            this.number = number;
             // Event ID, copy target, copy source and weight version apply only to streams.
             EndpointRequest request = buildForwardedRequest(endpoint, -1, null, null, -1);
             attempt = new Attempt(endpoint, request, call.requestId(), this);
@@ -326,6 +333,11 @@
                     .send(attempt, isIdempotent() ? ConnectionUse.ANY : ConnectionUse.BRIEFLY_IDLE);
         }
 
+        /** Returns the number of the attempt and its connection, for the log. */
+        String describe() {
+            return "attempt=%d connection=%s".formatted(number, attempt.describeConnection());
+        }
+
         void stop() {
             if (runningAttempts.remove(this)) {
                 attempt.cancel();
@@ -377,7 +389,8 @@
             finishAttempt();
             handleResponse(
                     this,
-                    new BufferedResponse(endpointResponse.status(), headers, body.toByteArray()),
+                    new BufferedResponse(
+                            endpointResponse.status(), headers, body.toByteArray(), this),
                     endpointResponse);
         }
 
