Show that two heads are joined into one answer

What callers see: a 200 where the endpoint answered 500, and a signed 500, or a 503 for a call that ran, where it answered 200.

Cause, as the answers received show: an endpoint's second answer to a request is cut inside its head, before its ID; the decoder keeps the part, the connection is used again, and the head of the next answer completes it. The status is that of the first, ID and signature are of the second ("x-note: ahttp/1.1 500 x").

Change: a test only.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/Http.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/Http.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 
 /** Builds client requests and writes event streams of engines as raw HTTP/1.1. */
@@ -45,6 +46,13 @@
         out.flush();
     }
 
+    /** Returns the bytes of both. */
+    static byte[] concat(byte[] first, byte[] second) {
+        byte[] all = Arrays.copyOf(first, first.length + second.length);
+        System.arraycopy(second, 0, all, first.length, second.length);
+        return all;
+    }
+
     static byte[] toBytes(String text) {
         return text.getBytes(StandardCharsets.US_ASCII);
     }
