Read no body behind an answer to HEAD that follows an interim response

A caller that sends HEAD got bytes behind its answer, which it reads as the next one. Cause: the client codec matches methods and responses by a queue, from which an interim response (100, 103) takes the HEAD, so that the final answer was read with the body that its Content-Length announces. Change: the decoder asks for the method of the request that the connection carries, which is the only one.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -55,6 +55,7 @@
     private boolean reusable;
     private boolean responseComplete;
     private boolean requestSent;
+    private boolean headRequested;
     private boolean interim;
     private int interimResponses;
     private boolean headReceived;
@@ -83,6 +84,7 @@
         reusable = true;
         next.markWritten(this);
         EndpointRequest request = next.request();
+        headRequested = HttpMethod.HEAD.name().equals(request.method());
         FullHttpRequest message =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -174,6 +176,11 @@
         return new HeadLimit();
     }
 
+    /** Returns the decoder of the responses to the requests that are sent here. */
+    EndpointResponseDecoder newDecoder() {
+        return new EndpointResponseDecoder(() -> headRequested);
+    }
+
     private void handleMessage(HttpObject message) {
         if (attempt == null) {
             logUnexpected(message);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -8,8 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.siskintrail.edge.EndpointResponse;
 import io.siskintrail.edge.TrafficProtocol;
@@ -28,18 +27,6 @@
     /** Probe timeout, many round trips: a live host answers a SYN packet within it. */
     private static final int PROBE_TIMEOUT_MILLIS = 80;
 
-    private static final int MAX_LINE_BYTES = 16 << 10;
-    private static final int MAX_HEADER_BYTES = 64 << 10;
-    private static final int MAX_CHUNK_BYTES = 64 << 10;
-
-    private static final HttpDecoderConfig DECODER_CONFIG =
-            new HttpDecoderConfig()
-                    .setMaxInitialLineLength(MAX_LINE_BYTES)
-                    .setMaxHeaderSize(MAX_HEADER_BYTES)
-                    .setMaxChunkSize(MAX_CHUNK_BYTES)
-                    .setHeadersFactory(BoundedHeaders.FACTORY)
-                    .setTrailersFactory(BoundedHeaders.FACTORY);
-
     private static final int MIN_READ_BYTES = 64;
     private static final int INITIAL_READ_BYTES = 2 << 10;
 
@@ -194,9 +181,8 @@
                                     protected void initChannel(SocketChannel channel) {
                                         channel.pipeline()
                                                 .addLast(connection.headLimit())
-                                                .addLast(
-                                                        new HttpClientCodec(
-                                                                DECODER_CONFIG, false, false))
+                                                .addLast(new HttpRequestEncoder())
+                                                .addLast(connection.newDecoder())
                                                 .addLast(connection);
                                     }
                                 })
