Split the client connection of the edge by its jobs

Callers see nothing new. It is now the Netty handler that joins RequestReception, RequestSequence, ResponseWriter and ConnectionEnd; ReceivedRequest and ResponseMessages hold what they pass on.

--- /dev/null
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestSequence.java
@@ -0,0 +1,187 @@
+package io.siskintrail.edge.internal;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.siskintrail.lib.Failure;
+import io.siskintrail.lib.ResultCode;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Order of the requests of a client connection: each begins when the response to the one before it
+ * was sent. Confined to the event loop.
+ */
+final class RequestSequence {
+    private static final System.Logger LOG = System.getLogger(RequestSequence.class.getName());
+
+    private final ClientServer server;
+    private final ClientConnection connection;
+    private final RequestReception reception;
+    private final ResponseWriter writer;
+    private final BooleanSupplier open;
+    private Exchange current;
+
+    /** Whether the current request waits for the first configuration. */
+    private boolean holding;
+
+    /**
+     * Creates the sequence of a connection without requests.
+     *
+     * @param open returns whether the client is still connected
+     */
+    RequestSequence(
+            ClientServer server,
+            ClientConnection connection,
+            RequestReception reception,
+            ResponseWriter writer,
+            BooleanSupplier open) {
+        this.server = server;
+        this.connection = connection;
+        this.reception = reception;
+        this.writer = writer;
+        this.open = open;
+    }
+
+    /** Returns whether a request has begun whose response is not complete. */
+    boolean isBusy() {
+        return isRunning() || holding;
+    }
+
+    /** Returns whether a request is processed whose response is not complete. */
+    boolean isRunning() {
+        return current != null;
+    }
+
+    /** Returns whether the response to the request of {@code exchange} is not complete. */
+    boolean awaits(Exchange exchange) {
+        return current == exchange;
+    }
+
+    /** Returns the ID of the request that is processed, {@code -} if there is none. */
+    String currentId() {
+        return current == null ? "-" : current.requestId();
+    }
+
+    /** Starts the next request that waits, unless the one before it is still to be answered. */
+    void startNext() {
+        if (isBusy() || writer.isPending() || !reception.hasPending()) {
+            return;
+        }
+        ReceivedRequest next = reception.poll();
+        writer.setKeepAlive(next.keepAlive());
+        reception.resumeReading();
+        if (next.isUnreadable()) {
+            rejectUnread(next);
+        } else {
+            begin(next.call());
+        }
+    }
+
+    /** Records that the response to the current request is complete or broken off. */
+    void endCurrent() {
+        current = null;
+    }
+
+    /** Stops all work because the client closed its connection. */
+    void cancel() {
+        if (current != null) {
+            Exchange abandoned = current;
+            current = null;
+            abandoned.cancel();
+        }
+    }
+
+    /** Ends the current request because the process stops. */
+    void terminate() {
+        current.terminate();
+    }
+
+    /** Lets the current request send more. */
+    void handleWritable() {
+        if (current != null) {
+            Exchange writable = current;
+            writable.guard(writable::handleClientWritable);
+        }
+    }
+
+    /** Refuses a request that came after the response before it had announced the close. */
+    void refuseBehindLast(ReceivedRequest request) {
+        ResultCode code = ResultCode.NOT_RUN_SHUTTING_DOWN;
+        Failure failure = new Failure(code, "behind the last response of its connection");
+        if (request.call() != null) {
+            server.recordRejection(request.call(), failure);
+        }
+        writer.sendFailure(failure, server.retryAfterMillis(code));
+    }
+
+    private void begin(CallContext call) {
+        try {
+            holding = server.tryHold(call, () -> resume(call));
+            if (!holding) {
+                filterAndStart(call);
+            }
+        } catch (RuntimeException | Error e) {
+            fail(call, e);
+        }
+    }
+
+    private void resume(CallContext call) {
+        holding = false;
+        if (open.getAsBoolean()) {
+            process(call);
+        }
+    }
+
+    private void process(CallContext call) {
+        try {
+            filterAndStart(call);
+        } catch (RuntimeException | Error e) {
+            fail(call, e);
+        }
+    }
+
+    private void filterAndStart(CallContext call) {
+        Optional<Failure> rejection = server.filter(call);
+        if (rejection.isPresent()) {
+            writer.sendFailure(rejection.get(), server.retryAfterMillis(rejection.get().code()));
+            return;
+        }
+        current = server.createExchange(connection, call);
+        current.start();
+    }
+
+    /** Answers a request during which this edge failed. */
+    private void fail(CallContext call, Throwable cause) {
+        if (current != null) {
+            current.fail(cause);
+            return;
+        }
+        LOG.log(
+                System.Logger.Level.ERROR,
+                "event=request.failed request=" + call.requestId(),
+                cause);
+        writer.sendFailure(new Failure(ResultCode.INTERNAL, cause.toString()), 0);
+    }
+
+    private void rejectUnread(ReceivedRequest request) {
+        if (request.hostFailed()) {
+            Failure failure =
+                    new Failure(ResultCode.INTERNAL, request.unreadableCause().toString());
+            writer.sendFailure(failure, 0);
+        } else {
+            rejectUnreadable(request);
+        }
+    }
+
+    private void rejectUnreadable(ReceivedRequest request) {
+        Throwable cause = request.unreadableCause();
+        boolean tooLong = server.isFrameTooLong(cause);
+        server.recordUnreadable(tooLong ? ResultCode.INPUT_TOO_LONG : ResultCode.BAD_HEADER, cause);
+        HttpResponseStatus status = HttpResponseStatus.BAD_REQUEST;
+        if (request.isBodyTooLong()) {
+            status = HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
+        } else if (tooLong) {
+            status = HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
+        writer.sendEmpty(status);
+    }
+}
