Test that an answer to HEAD is followed by the next answer

Shows a fault: on a kept connection, a refusal of HEAD by the edge, and a stream's answer to HEAD, have a body behind the head, which the client takes for the start of its next answer.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeConnectionTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeConnectionTest.java
@@ -201,6 +201,37 @@
         }
     }
 
+    /** Guards against a body behind the answer to HEAD, where the client awaits the next answer. */
+    @ParameterizedTest
+    @CsvSource({"none, HTTP/1.1 404", "once, HTTP/1.1 200", "gen, HTTP/1.1 200"})
+    void answerToHeadIsFollowedByTheNextAnswer(String route, String status) throws Exception {
+        ScriptedEndpoint.Script script =
+                (number, request, out) -> {
+                    boolean isHead = request.head().startsWith("HEAD ");
+                    if (isHead && route.equals("gen")) {
+                        Http.writeStreamHead(request, out);
+                    } else {
+                        String body = isHead ? "" : "fine";
+                        out.write(ScriptedEndpoint.signedResponse(request, 200, "", body));
+                    }
+                    return true;
+                };
+        try (ScriptedEndpoint app = new ScriptedEndpoint(script);
+                Socket client = connectWhenReady(app)) {
+            String head = keepAlive("/" + route + "/x", "r1").replace("POST ", "HEAD ");
+            String last =
+                    keepAlive("/once/x", "r2").replace("r2\r\n", "r2\r\nConnection: close\r\n");
+            client.getOutputStream().write(Http.toBytes(head + last));
+
+            String text = readAll(client);
+
+            assertThat(text).startsWith(status);
+            String behindHead = text.substring(text.indexOf("\r\n\r\n") + "\r\n\r\n".length());
+            assertThat(behindHead).startsWith("HTTP/1.1 200");
+            assertThat(behindHead).endsWith("fine");
+        }
+    }
+
     private void awaitEndpoint(ScriptedEndpoint app) throws Exception {
         system.register("app", "app", app.address(), "a");
         while (system.readinessStatus() != 200) {
