Send no body behind the head of an answer to HEAD

A client that sent HEAD on a kept connection, and was refused by the edge or asked for a stream, got a body behind the head and took it for the start of its next answer.

Cause: an encoder of responses alone doesn't know the method of the request. Change: ClientResponseEncoder asks the connection whether the request that is answered is HEAD, and then leaves out what comes behind the head. The writer forgets it once the response is sent, so that a refusal of a request that was received only in part has its body.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -166,6 +166,11 @@
         return sequence.awaits(exchange);
     }
 
+    /** Returns whether the request that is answered is HEAD, so that no body may follow. */
+    boolean answersHead() {
+        return writer.answersHead();
+    }
+
     /** Returns whether a response is complete but not yet written to the socket. */
     boolean isResponsePending() {
         return writer.isPending();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.siskintrail.internal.traffic.ClientLimits;
 import io.siskintrail.internal.traffic.RouteKind;
 import io.siskintrail.internal.traffic.RouteTable;
@@ -279,7 +278,7 @@
             ClientConnection connection = new ClientConnection(server);
             channel.pipeline()
                     .addLast(new IdleLimit(server::idleLimitMillis, connection))
-                    .addLast(new HttpResponseEncoder())
+                    .addLast(new ClientResponseEncoder(connection::answersHead))
                     .addLast(new StrictRequestDecoder(server::limits, connection::startReceiving))
                     .addLast(new RequestAggregator(server::limits, connection))
                     .addLast(connection);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ReceivedRequest.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ReceivedRequest.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.siskintrail.net.EventLoop;
@@ -44,6 +45,11 @@
         return unreadableCause != null;
     }
 
+    /** Returns whether the request is HEAD; false if it is unreadable. */
+    boolean isHead() {
+        return call != null && call.method().equals(HttpMethod.HEAD.name());
+    }
+
     /** Returns whether the body exceeds the limit, behind which the next request can be read. */
     boolean isBodyTooLong() {
         return isBodyTooLong(unreadableCause);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RequestSequence.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestSequence.java
@@ -68,6 +68,7 @@
         }
         ReceivedRequest next = reception.poll();
         writer.setKeepAlive(next.keepAlive());
+        writer.setAnswersHead(next.isHead());
         reception.resumeReading();
         if (next.isUnreadable()) {
             rejectUnread(next);
@@ -110,6 +111,7 @@
         if (request.call() != null) {
             server.recordRejection(request.call(), failure);
         }
+        writer.setAnswersHead(request.isHead());
         writer.sendFailure(failure, server.retryAfterMillis(code));
     }
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ResponseWriter.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ResponseWriter.java
@@ -29,6 +29,9 @@
     private final Runnable onSent;
     private boolean keepAlive = true;
 
+    /** Whether the request that is answered is HEAD. */
+    private boolean answersHead;
+
     /** Whether the last bytes of a response are still to be written to the socket. */
     private boolean pending;
 
@@ -62,6 +65,16 @@
         keepAlive = newKeepAlive;
     }
 
+    /** Sets whether the next response, to its end, answers HEAD. */
+    void setAnswersHead(boolean newAnswersHead) {
+        answersHead = newAnswersHead;
+    }
+
+    /** Returns whether the request that is answered is HEAD, so that no body may follow. */
+    boolean answersHead() {
+        return answersHead;
+    }
+
     /** Returns whether a response is complete but not yet written to the socket. */
     boolean isPending() {
         return pending;
@@ -132,6 +145,7 @@
     private void handleWritten(boolean whole, Throwable failure) {
         pending = false;
         if (failure == null) {
+            answersHead = false;
             onSent.run();
         } else {
             handleUnsent(whole, failure);
