--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientResponseEncoder.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientResponseEncoder.java
@@ -4,7 +4,9 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.util.function.BooleanSupplier;
 
-/** Encodes responses; leaves out the body of an answer to HEAD, behind which the next one begins. */
+/**
+ * Encodes responses; leaves out the body of an answer to HEAD, behind which the next one begins.
+ */
 final class ClientResponseEncoder extends HttpResponseEncoder {
     private final BooleanSupplier answersHead;
 
