Bind what an exchange sends to the response of its own request

No caller is known to have seen this: no way to it was shown. An exchange wrote to the connection of its client, which didn't check that the exchange was still the current one.

Change: an exchange gets a ClientResponse, which knows its request and is over with its last part, an abort or the client's close. What comes later is dropped and logged as event=client.response.late with the request and the part. A failure behind the end of a response fails only its own request; it reached whichever exchange had become the current one.

Why it works: only ClientResponse leads an exchange to the writer, a connection has one that is open, and it ends before its last part is written, which is what may let the next request begin.

Evidence: ClientResponseTest sends each of 6 late parts behind each of 4 endings: nothing reaches the wire, the next response stays open, one error is logged. It and EdgeConnection, EdgeRequestInside, EdgeFailure, EdgeClients and SecondAnswer pass: 84 tests.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientConnection.java
@@ -4,8 +4,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
@@ -32,8 +30,7 @@
     ClientConnection(ClientServer server) {
         this.server = server;
         this.sequence =
-                new RequestSequence(
-                        server, this, reception, writer, () -> ctx.channel().isActive());
+                new RequestSequence(server, reception, writer, end, () -> ctx.channel().isActive());
     }
 
     private Channel channel() {
@@ -91,7 +88,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (isWritable()) {
+        if (writer.isWritable()) {
             sequence.handleWritable();
         }
     }
@@ -161,11 +158,6 @@
         return sequence.isRunning();
     }
 
-    /** Returns whether the response to the request of {@code exchange} is not complete. */
-    boolean awaits(Exchange exchange) {
-        return sequence.awaits(exchange);
-    }
-
     /** Returns whether the request that is answered is HEAD, so that no body may follow. */
     boolean answersHead() {
         return writer.answersHead();
@@ -221,55 +213,6 @@
         }
     }
 
-    /** Returns whether the client takes what is sent, up to some kilobytes. */
-    boolean isWritable() {
-        return writer.isWritable();
-    }
-
-    /** Sends a complete response from an endpoint. */
-    void sendResponse(int status, HttpHeaders headers, byte[] body) {
-        sendWhole(ResponseMessages.whole(status, headers, body));
-    }
-
-    /**
-     * Sends an error response of this system.
-     *
-     * @param retryAfterMillis the Retry-After delay in milliseconds; 0 to omit the header
-     */
-    void sendFailure(Failure failure, long retryAfterMillis) {
-        sendWhole(ResponseMessages.failure(failure, retryAfterMillis));
-    }
-
-    private void sendWhole(FullHttpResponse response) {
-        sequence.endCurrent();
-        writer.writeWhole(response);
-    }
-
-    /** Starts a chunked response. */
-    void startChunked(int status, HttpHeaders headers) {
-        writer.writeHead(ResponseMessages.chunkedHead(status, headers));
-    }
-
-    /** Sends the next body chunk. */
-    void sendChunk(byte[] bytes) {
-        writer.writeChunk(bytes);
-    }
-
-    /** Ends a chunked response. */
-    void endChunked() {
-        sequence.endCurrent();
-        writer.writeEnd();
-    }
-
-    /**
-     * Closes the connection in the middle of a response, so that the client can tell that it is
-     * incomplete.
-     */
-    void abort() {
-        sequence.endCurrent();
-        end.abort();
-    }
-
     /** Goes on to the next request, unless the response that was sent is the last. */
     private void handleSent() {
         boolean announced = writer.isCloseAnnounced();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -213,12 +213,12 @@
         };
     }
 
-    /** Creates the exchange of a request that passed the filters. */
-    Exchange createExchange(ClientConnection connection, CallContext call) {
+    /** Creates the exchange of a request that passed the filters, which sends {@code response}. */
+    Exchange createExchange(ClientResponse response, CallContext call) {
         Exchange exchange =
                 call.route().kind() == RouteKind.STREAM
-                        ? new StreamExchange(context, call, connection, this::removeExchange)
-                        : new UnaryExchange(context, call, connection, this::removeExchange);
+                        ? new StreamExchange(context, call, response, this::removeExchange)
+                        : new UnaryExchange(context, call, response, this::removeExchange);
         bufferedBodyBytes += call.body().length;
         context.add(exchange);
         return exchange;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -32,8 +32,8 @@
     /** The request and what the filters learned about it. */
     protected final CallContext call;
 
-    /** The client connection that receives the response. */
-    protected final ClientConnection client;
+    /** The response to the request. */
+    protected final ClientResponse client;
 
     /** The service that the request goes to, one of those of its route. */
     protected final ServiceName service;
@@ -47,8 +47,7 @@
      * Creates the exchange of a request that passed the filters. {@code onEnd} is called once, at
      * its end.
      */
-    Exchange(
-            EdgeContext edge, CallContext call, ClientConnection client, Consumer<Exchange> onEnd) {
+    Exchange(EdgeContext edge, CallContext call, ClientResponse client, Consumer<Exchange> onEnd) {
         this.edge = edge;
         this.call = call;
         this.client = client;
@@ -66,6 +65,7 @@
 
     /** Stops all work because the client closed its connection. */
     final void cancel() {
+        client.abandon();
         if (ended) {
             return;
         }
@@ -93,7 +93,7 @@
 
     /** Ends the request because this host failed while processing it. */
     final void fail(Throwable cause) {
-        if (ended && !client.awaits(this)) {
+        if (ended && !client.isOpen()) {
             return;
         }
         LOG.log(
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RequestSequence.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestSequence.java
@@ -14,9 +14,9 @@
     private static final System.Logger LOG = System.getLogger(RequestSequence.class.getName());
 
     private final ClientServer server;
-    private final ClientConnection connection;
     private final RequestReception reception;
     private final ResponseWriter writer;
+    private final ConnectionEnd end;
     private final BooleanSupplier open;
     private Exchange current;
 
@@ -30,14 +30,14 @@
      */
     RequestSequence(
             ClientServer server,
-            ClientConnection connection,
             RequestReception reception,
             ResponseWriter writer,
+            ConnectionEnd end,
             BooleanSupplier open) {
         this.server = server;
-        this.connection = connection;
         this.reception = reception;
         this.writer = writer;
+        this.end = end;
         this.open = open;
     }
 
@@ -51,11 +51,6 @@
         return current != null;
     }
 
-    /** Returns whether the response to the request of {@code exchange} is not complete. */
-    boolean awaits(Exchange exchange) {
-        return current == exchange;
-    }
-
     /** Returns the ID of the request that is processed, {@code -} if there is none. */
     String currentId() {
         return current == null ? "-" : current.requestId();
@@ -77,11 +72,6 @@
         }
     }
 
-    /** Records that the response to the current request is complete or broken off. */
-    void endCurrent() {
-        current = null;
-    }
-
     /** Stops all work because the client closed its connection. */
     void cancel() {
         if (current != null) {
@@ -116,44 +106,50 @@
     }
 
     private void begin(CallContext call) {
+        ClientResponse response = new ClientResponse(call, writer, end, this::endCurrent);
         try {
-            holding = server.tryHold(call, () -> resume(call));
-            if (!holding) {
-                filterAndStart(call);
-            }
+            holding = server.tryHold(call, () -> resume(call, response));
         } catch (RuntimeException | Error e) {
-            fail(call, e);
+            fail(call, response, e);
+            return;
         }
+        if (!holding) {
+            process(call, response);
+        }
+    }
+
+    private void endCurrent() {
+        current = null;
     }
 
-    private void resume(CallContext call) {
+    private void resume(CallContext call, ClientResponse response) {
         holding = false;
         if (open.getAsBoolean()) {
-            process(call);
+            process(call, response);
         }
     }
 
-    private void process(CallContext call) {
+    private void process(CallContext call, ClientResponse response) {
         try {
-            filterAndStart(call);
+            filterAndStart(call, response);
         } catch (RuntimeException | Error e) {
-            fail(call, e);
+            fail(call, response, e);
         }
     }
 
-    private void filterAndStart(CallContext call) {
+    private void filterAndStart(CallContext call, ClientResponse response) {
         Optional<Failure> rejection = server.filter(call);
         if (rejection.isPresent()) {
-            writer.sendFailure(rejection.get(), server.retryAfterMillis(rejection.get().code()));
+            response.sendFailure(rejection.get(), server.retryAfterMillis(rejection.get().code()));
             return;
         }
-        current = server.createExchange(connection, call);
+        current = server.createExchange(response, call);
         current.start();
     }
 
-    /** Answers a request during which this edge failed. */
-    private void fail(CallContext call, Throwable cause) {
-        if (current != null) {
+    /** Answers a request during which this edge failed, unless it was answered before. */
+    private void fail(CallContext call, ClientResponse response, Throwable cause) {
+        if (current != null && response.isOpen()) {
             current.fail(cause);
             return;
         }
@@ -161,7 +157,9 @@
                 System.Logger.Level.ERROR,
                 "event=request.failed request=" + call.requestId(),
                 cause);
-        writer.sendFailure(new Failure(ResultCode.INTERNAL, cause.toString()), 0);
+        if (response.isOpen()) {
+            response.sendFailure(new Failure(ResultCode.INTERNAL, cause.toString()), 0);
+        }
     }
 
     private void rejectUnread(ReceivedRequest request) {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -69,7 +69,7 @@
     private long lostAtMillis;
 
     StreamExchange(
-            EdgeContext edge, CallContext call, ClientConnection client, Consumer<Exchange> onEnd) {
+            EdgeContext edge, CallContext call, ClientResponse client, Consumer<Exchange> onEnd) {
         super(edge, call, client, onEnd);
         ServiceSpec spec = call.table().service(service);
         engine = spec == null ? null : spec.engine();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamResponse.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamResponse.java
@@ -13,7 +13,7 @@
 final class StreamResponse {
     private final EdgeContext edge;
     private final CallContext call;
-    private final ClientConnection client;
+    private final ClientResponse client;
     private final ByteArrayOutputStream unsentEvents = new ByteArrayOutputStream();
     private boolean started;
     private long weightVersion = -1;
@@ -22,7 +22,7 @@
     private long longestGapMillis;
 
     /** Creates a response of which nothing was sent. */
-    StreamResponse(EdgeContext edge, CallContext call, ClientConnection client) {
+    StreamResponse(EdgeContext edge, CallContext call, ClientResponse client) {
         this.edge = edge;
         this.call = call;
         this.client = client;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -60,7 +60,7 @@
     private record BufferedResponse(int status, HttpHeaders headers, byte[] body) {}
 
     UnaryExchange(
-            EdgeContext edge, CallContext call, ClientConnection client, Consumer<Exchange> onEnd) {
+            EdgeContext edge, CallContext call, ClientResponse client, Consumer<Exchange> onEnd) {
         super(edge, call, client, onEnd);
     }
 
