--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -61,7 +61,7 @@
             int status, HttpHeaders headers, byte[] body, UnaryAttempt source) {}
 
     UnaryExchange(
-            EdgeContext edge, CallContext call, ClientConnection client, Consumer<Exchange> onEnd) {
+            EdgeContext edge, CallContext call, ClientResponse client, Consumer<Exchange> onEnd) {
         super(edge, call, client, onEnd);
     }
 
