Give each attempt at an engine a connection of its own

A late second answer of an engine to one attempt was taken for the answer to the next attempt on the connection: a caller got tokens of another generation, and an attempt that the engine had refused counted as answered.

Cause: the client kept connections in Micronaut's pool, which is on by default, and nothing in an answer that the router reads tells which attempt it answers. Netty keeps the beginning of a head that comes behind an answer, or on the idle connection, and joins the next answer to it, so that a 503 comes with the status 200 of the late one.

No answer to an earlier request can come on a connection that carries one.

--- a/siskintrail.router/src/io/siskintrail/router/internal/endpoint/EngineClient.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/endpoint/EngineClient.java
@@ -17,7 +17,11 @@
 import java.util.List;
 import reactor.core.publisher.Flux;
 
-/** Streams the output of engines over HTTP. Safe for use by several threads. */
+/**
+ * Streams the output of engines over HTTP. An answer names no attempt, so each attempt has a
+ * connection of its own, on which no answer to an earlier one can come. Safe for use by several
+ * threads.
+ */
 public final class EngineClient implements AutoCloseable {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration READ_TIMEOUT = Duration.ofHours(1);
@@ -33,6 +37,7 @@
         DefaultHttpClientConfiguration config = new DefaultHttpClientConfiguration();
         config.setConnectTimeout(CONNECT_TIMEOUT);
         config.setReadTimeout(READ_TIMEOUT);
+        config.getConnectionPoolConfiguration().setEnabled(false);
         client = SseClient.create(null, config);
     }
 
