Give each question for a status a connection of its own

A late second answer of an endpoint was taken for its status at a later question: an endpoint that had answered 503 counted as confirmed, one with a newer incarnation as the older one.

Cause: as for attempts at engines, the pool of the client was on, and a status names no question.

Change: the pool is off for this client.

--- a/siskintrail.router/src/io/siskintrail/router/internal/membership/EndpointStatusClient.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/membership/EndpointStatusClient.java
@@ -10,7 +10,10 @@
 import java.util.function.Consumer;
 import reactor.core.publisher.Mono;
 
-/** Asks endpoints for their status at {@code /endpoint/status}. */
+/**
+ * Asks endpoints for their status at {@code /endpoint/status}. A status names no question, so each
+ * question has a connection of its own, on which no answer to an earlier one can come.
+ */
 final class EndpointStatusClient implements AutoCloseable {
     private static final Duration TIMEOUT = Duration.ofMillis(500);
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -29,6 +32,7 @@
         DefaultHttpClientConfiguration config = new DefaultHttpClientConfiguration();
         config.setConnectTimeout(TIMEOUT);
         config.setReadTimeout(TIMEOUT);
+        config.getConnectionPoolConfiguration().setEnabled(false);
         client = HttpClient.create(null, config);
     }
 
