Pass on the answers of plain services that are not a success

An answer of a service with status 500 or 503 and a text body was taken for a broken call: an order ended as unknown (5001) although the endpoint had answered, and a call that may be repeated was tried elsewhere.

Cause: the client decodes the body of an error status as the JSON error of its own framework unless told otherwise, and fails when it is not one, whatever exceptionOnErrorStatus says.

Change: the body of an error status is read as bytes, like that of a success.

Evidence (ServiceSecondAnswerTest, loopback, text bodies): of 108 combinations 90 ended as Broken before, those in which an answer had 500 or 503; now all pass. Only this test was run on other statuses than 200.

--- a/siskintrail.router/src/io/siskintrail/router/internal/order/ServiceClient.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/order/ServiceClient.java
@@ -1,5 +1,6 @@
 package io.siskintrail.router.internal.order;
 
+import io.micronaut.core.type.Argument;
 import io.micronaut.http.HttpMethod;
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
@@ -22,6 +23,7 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final int MAX_ANSWER_BYTES = 32 << 20;
     private static final byte[] NONE = {};
+    private static final Argument<byte[]> BYTES = Argument.of(byte[].class);
 
     private final HttpClient client;
 
@@ -44,7 +46,7 @@
     /** Sends {@code call} to {@code address}; the stage never fails. */
     CompletionStage<CallResult> send(String address, ServiceCall call) {
         try {
-            return Mono.from(client.exchange(request(address, call), byte[].class))
+            return Mono.from(client.exchange(request(address, call), BYTES, BYTES))
                     .map(ServiceClient::answered)
                     .onErrorResume(e -> Mono.just(failed(e)))
                     .defaultIfEmpty(new CallResult.Broken("the endpoint sent no answer"))
