Soak edges with endpoints that answer twice

No endpoint of the soak answered twice, signed a failure or was sent an ID again, so the soak could not show it.

Change: a third profile, SECOND_ANSWERS. Its endpoints fail part of the requests and answer part of them twice: at once, up to 3 s late or where the next answer is due; cut inside the head, in parts, with no ID or two, behind an interim response, or with the first answer lost. Clients repeat, pipeline, send slowly and leave early at both edges, which are stopped, paused, killed and configured meanwhile; endpoints come back under a new id. Each answer names its run, and a client that gets other than the first answer of a run of its request has found a violation. SoakSeries draws the unplanned events behind its others, so that series of PLANNED_SERIES stay as they were for a seed. Clients moved from SoakRun to SoakClients. An endpoint does not count requests for an incarnation of its own that has ended; without restarts there is none.

SoakTest#secondAnswerReachesNoClient is expected to fail on this edge.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakClient.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakClient.java
@@ -14,7 +14,7 @@
  * Sends requests over persistent connections and checks each response. Used by one thread, except
  * for {@link #stop}.
  */
-final class SoakClient implements Runnable {
+final class SoakClient implements SoakClients.Client {
     private static final int READ_TIMEOUT_MILLIS = 9_000;
     private static final int DEADLINE_MILLIS = 5_000;
     private static final long MEAN_PAUSE_MILLIS = 15;
@@ -46,7 +46,8 @@
         connections.values().forEach(SoakClient::close);
     }
 
-    void stop() {
+    @Override
+    public void stop() {
         stopped = true;
     }
 
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakEndpoint.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakEndpoint.java
@@ -5,6 +5,9 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -23,10 +26,11 @@
     private final SoakRecorder recorder;
     private final String service;
     private final String name;
+    private final Optional<SoakTwiceEndpoint> secondAnswers;
     private final AtomicLong sequence = new AtomicLong();
-    private final long bornMillis = System.currentTimeMillis();
-    private final String id;
+    private final Set<String> endedIds = ConcurrentHashMap.newKeySet();
     private final AtomicInteger requestCount = new AtomicInteger();
+    private volatile Incarnation incarnation;
     private volatile boolean draining;
     private volatile Behavior behavior = Behavior.NORMAL;
     private volatile long silentUntilNanos = System.nanoTime();
@@ -46,12 +50,27 @@
         PUSHES_BACK
     }
 
-    SoakEndpoint(String name, String service, InetAddress ip, SoakRecorder recorder)
+    /** One start of the endpoint. */
+    private record Incarnation(String id, long bornMillis) {
+        static Incarnation begin(String name) {
+            long nowMillis = System.currentTimeMillis();
+            return new Incarnation(name + "-" + nowMillis, nowMillis);
+        }
+    }
+
+    /** Starts an endpoint whose answers, if given, come from {@code secondAnswers}. */
+    SoakEndpoint(
+            String name,
+            String service,
+            InetAddress ip,
+            SoakRecorder recorder,
+            Optional<SoakTwiceEndpoint> secondAnswers)
             throws IOException {
         this.name = name;
         this.service = service;
         this.recorder = recorder;
-        this.id = name + "-" + bornMillis;
+        this.secondAnswers = secondAnswers;
+        this.incarnation = Incarnation.begin(name);
         server = new ScriptedEndpoint((number, request, out) -> respond(request, out));
         String[] parts = server.address().split(":");
         proxy = new FaultProxy(ip, new InetSocketAddress(parts[0], Integer.parseInt(parts[1])));
@@ -70,7 +89,7 @@
         silentUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
-    /** Returns how many requests have arrived. */
+    /** Returns how many requests have arrived, without those to an incarnation that has ended. */
     int requestCount() {
         return requestCount.get();
     }
@@ -80,8 +99,21 @@
         draining = true;
     }
 
+    /**
+     * Resets all connections, takes none for a time, and then goes on at the same address under a
+     * new id.
+     */
+    void restart(int downMillis) {
+        proxy.setFault(FaultProxy.Fault.RESET);
+        endedIds.add(incarnation.id());
+        incarnation = Incarnation.begin(name);
+        Http.sleep(downMillis);
+        proxy.setFault(FaultProxy.Fault.NONE);
+    }
+
     /** Reports to a registry; returns whether the registry acknowledged the report. */
     boolean sendReport(SoakRegistryClient registryClient) {
+        Incarnation current = incarnation;
         String body =
                 """
                 {"service":"%s","address":"%s","zone":"%s","version":"v1","slots":64,"state":"%s",
@@ -93,14 +125,15 @@
                                 name.substring(name.length() - 1),
                                 draining ? "draining" : "ready",
                                 sequence.incrementAndGet(),
-                                bornMillis);
-        return registryClient.send("PUT", "/api/replicas/" + id, body).status() == 200;
+                                current.bornMillis());
+        return registryClient.send("PUT", "/api/replicas/" + current.id(), body).status() == 200;
     }
 
     @Override
     public void close() throws IOException {
         server.close();
         proxy.close();
+        secondAnswers.ifPresent(SoakTwiceEndpoint::close);
     }
 
     private boolean respond(ScriptedEndpoint.ReceivedRequest request, OutputStream out)
@@ -128,6 +161,9 @@
             out.write(Http.toBytes("HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"));
             return true;
         }
+        if (secondAnswers.isPresent()) {
+            return secondAnswers.get().answer(request, out);
+        }
         Behavior current = behavior;
         if (current == Behavior.PUSHES_BACK) {
             out.write(
@@ -203,7 +239,10 @@
         if (!"acme".equals(request.header("X-Tenant"))) {
             recorder.recordViolation("a request arrived without its client account");
         }
-        requestCount.incrementAndGet();
-        return id.equals(request.header("X-Expect-Replica"));
+        String expectedId = request.header("X-Expect-Replica");
+        if (expectedId == null || !endedIds.contains(expectedId)) {
+            requestCount.incrementAndGet();
+        }
+        return incarnation.id().equals(expectedId);
     }
 }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakKeptClient.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakKeptClient.java
@@ -16,7 +16,7 @@
  * each request that gets neither a response nor a refusal. Used by one thread, except for {@link
  * #stop}.
  */
-final class SoakKeptClient implements Runnable {
+final class SoakKeptClient implements SoakClients.Client {
     private static final int DEADLINE_MILLIS = 5_000;
     private static final int READ_TIMEOUT_MILLIS = 9_000;
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
@@ -88,7 +88,8 @@
         }
     }
 
-    void stop() {
+    @Override
+    public void stop() {
         stopped = true;
     }
 
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRecorder.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRecorder.java
@@ -27,12 +27,18 @@
     private final ConcurrentLinkedQueue<String> violations = new ConcurrentLinkedQueue<>();
     private final AtomicLong highestAcknowledged = new AtomicLong();
     private final SoakCalls calls = new SoakCalls();
+    private final SoakSecondAnswers secondAnswers = new SoakSecondAnswers(this);
 
     /** Returns the requests of the clients that keep their connections. */
     SoakCalls calls() {
         return calls;
     }
 
+    /** Returns the runs at the endpoints that answer twice. */
+    SoakSecondAnswers secondAnswers() {
+        return secondAnswers;
+    }
+
     /** Records that a client is about to send a request that may run at most once. */
     void recordSent(String requestId) {
         sentRequests.add(requestId);
@@ -113,6 +119,7 @@
             }
         }
         calls.findLost().forEach(this::recordViolation);
+        secondAnswers.findFaults().forEach(this::recordViolation);
         return List.copyOf(violations);
     }
 
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRun.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakRun.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -50,7 +51,9 @@
         /** Faults of all kinds, one after another. */
         SINGLE_FAULTS,
         /** Planned work in series that overlap, with clients that keep their connections. */
-        PLANNED_SERIES
+        PLANNED_SERIES,
+        /** Series with unplanned ends besides, and endpoints that answer twice. */
+        SECOND_ANSWERS
     }
 
     SoakRun(long seed, Profile profile) {
@@ -79,33 +82,36 @@
                         .formatted(
                                 10 + processId % VALUES_PER_SUBNET_BYTE,
                                 1 + seed % VALUES_PER_SUBNET_BYTE);
-        try (SoakSystem startedSystem = new SoakSystem(folder, subnet, recorder)) {
+        try (SoakSystem startedSystem =
+                new SoakSystem(folder, subnet, recorder, this::newSecondAnswers)) {
             system = startedSystem;
             operatorClient = new SoakRegistryClient(system.callProxies(), recorder, seed);
             await(
                     "acknowledgement of the first configuration",
                     operatorClient::putNextConfiguration);
             system.disableBootstrap();
-            List<SoakClient> clients = new ArrayList<>();
             List<Thread> threads = new ArrayList<>();
             threads.add(start(this::sendReports));
             threads.add(start(this::runOperator));
             threads.add(start(this::superviseAll));
-            for (int i = 0; i < CLIENT_COUNT; i++) {
-                SoakClient client = new SoakClient(i, system.frontProxies(), recorder, seed + i);
-                clients.add(client);
-                threads.add(start(client));
+            SoakClients clients = new SoakClients(system, recorder);
+            if (profile == Profile.SECOND_ANSWERS) {
+                clients.startTwice(random);
+            } else {
+                clients.startPlain(CLIENT_COUNT, seed);
             }
             await("the first response", () -> recorder.count("status 200") > 0);
-            List<SoakKeptClient> keptClients = startKeptClients(threads);
+            if (profile == Profile.PLANNED_SERIES) {
+                clients.startKept(random);
+            }
             for (int i = 0; i < faultCount; i++) {
                 Http.sleep(random.nextInt(MAX_DELAY_BETWEEN_FAULTS_MILLIS));
                 injectNext();
             }
             checkRecovery();
-            clients.forEach(SoakClient::stop);
-            keptClients.forEach(SoakKeptClient::stop);
+            clients.stop();
             stopped = true;
+            clients.awaitEnd();
             for (Thread thread : threads) {
                 thread.join();
             }
@@ -113,29 +119,20 @@
         return recorder.violations();
     }
 
-    /** Starts a client of each habit at each edge if the profile has them. */
-    private List<SoakKeptClient> startKeptClients(List<Thread> threads) {
-        List<SoakKeptClient> keptClients = new ArrayList<>();
-        if (profile == Profile.PLANNED_SERIES) {
-            for (SoakKeptClient.Habit habit : SoakKeptClient.Habit.values()) {
-                for (int i = 0; i < system.edges().size(); i++) {
-                    keptClients.add(
-                            new SoakKeptClient(
-                                    habit, i, system.frontAddress(i), recorder, random.nextLong()));
-                }
-            }
-        }
-        keptClients.forEach(client -> threads.add(start(client)));
-        return keptClients;
+    private Optional<SoakTwiceEndpoint> newSecondAnswers() {
+        return profile == Profile.SECOND_ANSWERS
+                ? Optional.of(new SoakTwiceEndpoint(recorder, random.nextLong()))
+                : Optional.empty();
     }
 
     private void injectNext() throws Exception {
-        if (profile == Profile.PLANNED_SERIES) {
-            SoakSeries series = new SoakSeries(system, operatorClient, recorder, random);
-            injectedFaults.add("[" + series.run() + "]");
-        } else {
+        if (profile == Profile.SINGLE_FAULTS) {
             injectFault(random.nextInt(12));
+            return;
         }
+        boolean unplanned = profile == Profile.SECOND_ANSWERS;
+        SoakSeries series = new SoakSeries(system, operatorClient, recorder, random, unplanned);
+        injectedFaults.add("[" + series.run() + "]");
     }
 
     /** Returns the seed, the injected faults in order and the counters. */
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakSeries.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakSeries.java
@@ -1,13 +1,17 @@
 package io.siskintrail.platform;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Series of planned work that overlap: SIGTERM and SIGHUP to edges, signals to an edge that stops,
- * new configurations, and endpoints that fall silent for a time and go on.
+ * new configurations, and endpoints that fall silent for a time and go on; unplanned ones besides,
+ * if asked for.
  */
 final class SoakSeries {
     private static final int MAX_FIRST_SIGNAL_MILLIS = 300;
@@ -20,6 +24,11 @@
     private static final int MAX_CONFIGURATIONS = 4;
     private static final int MAX_HANGUPS = 3;
     private static final int MAX_SILENCES = 2;
+    private static final int MAX_UNPLANNED_MILLIS = 4_000;
+    private static final int MAX_PAUSES = 3;
+    private static final int MAX_PAUSE_MILLIS = 1_500;
+    private static final int MAX_RESTARTS = 2;
+    private static final int MAX_DOWN_MILLIS = 800;
 
     /** Time that restarted edges serve before the next series. */
     private static final int SETTLE_MILLIS = 700;
@@ -31,6 +40,11 @@
     private final SoakRegistryClient operatorClient;
     private final SoakRecorder recorder;
     private final SplittableRandom random;
+    private final boolean unplanned;
+
+    /** Edges that this series ended or is about to end; one end in a series for each. */
+    private final Set<Integer> ended = ConcurrentHashMap.newKeySet();
+
     private final List<Event> events = new ArrayList<>();
     private final List<Thread> actions = new ArrayList<>();
 
@@ -42,20 +56,30 @@
     /** Something that happens at a time after the begin of the series. */
     private record Event(int atMillis, String description, Action action) {}
 
+    /**
+     * Creates a series.
+     *
+     * @param unplanned whether edges are paused and killed, and endpoints restarted, besides
+     */
     SoakSeries(
             SoakSystem system,
             SoakRegistryClient operatorClient,
             SoakRecorder recorder,
-            SplittableRandom random) {
+            SplittableRandom random,
+            boolean unplanned) {
         this.system = system;
         this.operatorClient = operatorClient;
         this.recorder = recorder;
         this.random = random;
+        this.unplanned = unplanned;
     }
 
     /** Runs one series and returns, when all edges serve again, what was done. */
     String run() throws Exception {
         drawEvents();
+        if (unplanned) {
+            drawUnplannedEvents();
+        }
         events.sort(Comparator.comparingInt(Event::atMillis));
         awaitEdges();
         long beginNanos = System.nanoTime();
@@ -105,6 +129,57 @@
         }
     }
 
+    private void drawUnplannedEvents() {
+        for (int i = 1 + random.nextInt(MAX_PAUSES); i > 0; i--) {
+            int edge = random.nextInt(system.edges().size());
+            int millis = random.nextInt(MAX_PAUSE_MILLIS);
+            add(drawMillis(), "pause edge " + edge, () -> begin(() -> pause(edge, millis)));
+        }
+        if (random.nextBoolean()) {
+            int edge = random.nextInt(system.edges().size());
+            int downMillis = random.nextInt(MAX_DOWN_MILLIS);
+            add(drawMillis(), "kill edge " + edge, () -> kill(edge, downMillis));
+        }
+        for (int i = random.nextInt(MAX_RESTARTS + 1); i > 0; i--) {
+            SoakEndpoint endpoint =
+                    system.endpoints().get(random.nextInt(system.endpoints().size()));
+            int downMillis = random.nextInt(MAX_DOWN_MILLIS);
+            add(drawMillis(), "restart endpoint", () -> begin(() -> endpoint.restart(downMillis)));
+        }
+    }
+
+    private int drawMillis() {
+        return random.nextInt(MAX_UNPLANNED_MILLIS);
+    }
+
+    private void pause(int edge, int millis) {
+        SoakProcess process = system.edges().get(edge);
+        try {
+            process.signal("STOP");
+            Http.sleep(millis);
+            process.signal("CONT");
+        } catch (IOException | InterruptedException e) {
+            recorder.recordViolation("an edge cannot be paused: " + e);
+        }
+    }
+
+    private void kill(int edge, int downMillis) throws Exception {
+        if (!ended.add(edge)) {
+            return;
+        }
+        SoakProcess process = system.edges().get(edge);
+        process.kill();
+        begin(
+                () -> {
+                    Http.sleep(downMillis);
+                    try {
+                        process.start();
+                    } catch (IOException e) {
+                        recorder.recordViolation("an edge cannot be restarted: " + e);
+                    }
+                });
+    }
+
     private void addTermination(int atMillis, int edge) {
         add(atMillis, "TERM edge " + edge, () -> terminate(edge));
     }
@@ -114,6 +189,9 @@
     }
 
     private void terminate(int edge) {
+        if (!ended.add(edge)) {
+            return;
+        }
         recorder.calls().recordSignal(edge, "TERM");
         system.edges().get(edge).beginTermination();
         begin(() -> restartAfterExit(edge));
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakSystem.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 /** Three registries, two edges and four endpoints on loopback addresses of one subnet. */
@@ -41,8 +43,14 @@
      * @param subnet first three bytes of the addresses, such as {@code 127.9.1}; no other system
      *     may use it at the same time
      * @param recorder records what the endpoints observe
+     * @param newAnswers returns the answers of each endpoint, empty if it answers once
      */
-    SoakSystem(Path folder, String subnet, SoakRecorder recorder) throws IOException {
+    SoakSystem(
+            Path folder,
+            String subnet,
+            SoakRecorder recorder,
+            Supplier<Optional<SoakTwiceEndpoint>> newAnswers)
+            throws IOException {
         this.folder = folder;
         this.subnet = subnet;
         for (int i = 0; i < REGISTRIES; i++) {
@@ -59,7 +67,8 @@
         }
         InetAddress endpointIp = InetAddress.getByName(subnet + ".100");
         for (String name : List.of("app-a", "app-b", "llm-a", "llm-b")) {
-            endpoints.add(new SoakEndpoint(name, name.substring(0, 3), endpointIp, recorder));
+            String service = name.substring(0, 3);
+            endpoints.add(new SoakEndpoint(name, service, endpointIp, recorder, newAnswers.get()));
         }
     }
 
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakTest.java
@@ -46,13 +46,24 @@
         assertWithMessage(run.summary()).that(violations).isEmpty();
     }
 
+    /** A client gets what the endpoint answered first, whatever an endpoint writes behind it. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void secondAnswerReachesNoClient(long seed) throws Exception {
+        SoakRun run = new SoakRun(seed, SoakRun.Profile.SECOND_ANSWERS);
+
+        List<String> violations = run.run(folder, SERIES_COUNT);
+
+        assertWithMessage(run.summary()).that(violations).isEmpty();
+    }
+
     /**
      * Runs the seeds {@code args[0]} to {@code args[1]} with logs in folder {@code args[2]} and the
      * profile {@code args[3]}.
      */
     public static void main(String[] args) throws Exception {
         SoakRun.Profile profile = SoakRun.Profile.valueOf(args[3]);
-        int count = profile == SoakRun.Profile.PLANNED_SERIES ? 2 * SERIES_COUNT : 2 * FAULT_COUNT;
+        int count = profile == SoakRun.Profile.SINGLE_FAULTS ? 2 * FAULT_COUNT : 2 * SERIES_COUNT;
         int passed = 0;
         int failed = 0;
         long lastSeed = Long.parseLong(args[1]);
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakWire.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakWire.java
@@ -42,6 +42,36 @@
         return data.length < byteCount + 2 ? null : new String(data, 0, byteCount);
     }
 
+    /** Returns the whole body of an answer: in chunks, with a length, or up to the end. */
+    static String readBody(InputStream in, String head) throws IOException {
+        if (header(head, "Transfer-Encoding") != null) {
+            StringBuilder body = new StringBuilder();
+            String chunk = readChunk(in);
+            while (chunk != null && !chunk.isEmpty()) {
+                body.append(chunk);
+                chunk = readChunk(in);
+            }
+            if (chunk == null) {
+                throw new IOException("body ended before its last chunk");
+            }
+            return body.toString();
+        }
+        String length = header(head, "Content-Length");
+        if (length == null) {
+            return new String(in.readAllBytes());
+        }
+        byte[] body = in.readNBytes(Integer.parseInt(length));
+        if (body.length < Integer.parseInt(length)) {
+            throw new IOException("body ended early");
+        }
+        return new String(body);
+    }
+
+    /** Returns the value of a header, null if it is missing. */
+    static String header(String head, String name) {
+        return new ScriptedEndpoint.ReceivedRequest(head, "").header(name);
+    }
+
     /** Returns whether the response announces the end of its connection. */
     static boolean announcesClose(String head) {
         return head.toLowerCase().contains("connection: close");
