--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SoakTwiceClient.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SoakTwiceClient.java
@@ -116,7 +116,9 @@
             while (!pending.isEmpty()) {
                 open &= readAnswer(socket.getInputStream(), pending.remove());
             }
-            Http.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+            if (repeated == null) {
+                Http.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+            }
         }
     }
 
