Wait for a written request before counting the requests of an endpoint

EdgeLoopbackTest.streamThatMayRunAtItsDeadlineIsNotReportedAsNotRun(300) failed once of two runs beside other work (load about 20 on 8 cores): "expected 1 request, was 0". The test now waits up to 10 s for the arrival before it counts; it still fails if the request was never written, or came twice, or the answer is another one.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
@@ -26,6 +26,9 @@
 
 /** Responses of an edge whose endpoints fail or whose clients misbehave. */
 class EdgeLoopbackTest {
+    /** Time in which an endpoint on a busy machine reads a request that was written. */
+    private static final long ARRIVAL_SECONDS = 10;
+
     private static final String CONFIGURATION =
             """
             {"version":%d,"routes":[
@@ -239,6 +242,14 @@
         }
     }
 
+    /** Waits until the endpoint has read a request, which an edge may have given up meanwhile. */
+    private static void awaitArrival(ScriptedEndpoint endpoint) {
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(ARRIVAL_SECONDS);
+        while (endpoint.requests().isEmpty() && System.nanoTime() < deadlineNanos) {
+            Http.sleep(10);
+        }
+    }
+
     private static void await(CountDownLatch latch) {
         try {
             assertThat(latch.await(60, TimeUnit.SECONDS)).isTrue();
@@ -408,8 +419,9 @@
                             request.replace("Deadline-Ms: 2000", "Deadline-Ms: " + deadlineMillis));
 
             responded.countDown();
-            assertThat(engine.requests()).hasSize(1);
             assertThat(response).startsWith("HTTP/1.1 504");
+            awaitArrival(engine);
+            assertThat(engine.requests()).hasSize(1);
         }
     }
 
