--- a/siskintrail.platform.test/tst/io/siskintrail/platform/GivenUpAnswerTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/GivenUpAnswerTest.java
@@ -128,6 +128,7 @@
             bench.system().register("app-2", "app", other.address(), "b");
             bench.system().callRegistry("GET", "/api/config", "");
             Http.sleep(500);
+            int hedged = 0;
             for (int i = 0; i < 8; i++) {
                 String first = bench.newId();
                 String next = bench.newId();
@@ -141,8 +142,10 @@
                             return true;
                         });
                 bench.send("/safe/" + first, first);
+                hedged += received[0] - 1;
                 bench.send("/safe/" + next, next);
             }
+            assertThat(hedged).isAtLeast(1);
         } finally {
             bench.system().callRegistry("DELETE", "/api/replicas/app-2", "");
         }
