--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -188,8 +188,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            failAttempt("response is not valid HTTP");
-            ctx.close();
+            fail("response is not valid HTTP");
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -214,6 +213,10 @@
     }
 
     private void handleHead(HttpResponse response) {
+        if (JoinedHeads.isJoined(response)) {
+            fail("response is joined from two: " + pool.describeResponse(response));
+            return;
+        }
         interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (interim) {
             countInterimResponse();
@@ -221,8 +224,7 @@
         }
         headReceived = true;
         if (!pool.isAnswerTo(response, attempt)) {
-            failAttempt("response is not the answer: " + pool.describeResponse(response));
-            ctx.close();
+            fail("response is not the answer: " + pool.describeResponse(response));
             return;
         }
         boolean selfDelimited =
@@ -236,8 +238,7 @@
     private void countInterimResponse() {
         interimResponses++;
         if (interimResponses > MAX_INTERIM_RESPONSES) {
-            failAttempt("too many interim responses");
-            ctx.close();
+            fail("too many interim responses");
         }
     }
 
@@ -287,6 +288,12 @@
         }
     }
 
+    /** Fails the attempt and closes the connection, whose further bytes mean nothing. */
+    private void fail(String cause) {
+        failAttempt(cause);
+        ctx.close();
+    }
+
     private void failAttempt(String cause) {
         if (attempt == null) {
             return;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -124,13 +124,10 @@
         return openedConnections;
     }
 
-    /**
-     * Returns whether a response may answer the request of {@code attempt}: it has its ID or none,
-     * and is not joined from the heads of two responses.
-     */
+    /** Returns whether a response may answer the request of {@code attempt}. */
     boolean isAnswerTo(HttpResponse response, Attempt attempt) {
         String id = protocol.readResponse(response).requestId();
-        return (id.isEmpty() || id.equals(attempt.requestId())) && !JoinedHeads.isJoined(response);
+        return id.isEmpty() || id.equals(attempt.requestId());
     }
 
     /** Returns status and request ID of a response, for the log. */
