State the delay after a quarantined request once

ClientServer and Exchange each had the constant, with half of its reason. Nothing changes for callers.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/ClientServer.java
@@ -46,12 +46,6 @@
     /** Retry-After while the body buffer is full; a few completed responses make room. */
     private static final long BUFFER_FULL_RETRY_MILLIS = 300;
 
-    /**
-     * Retry-After for quarantined content, which crashes endpoints: the longest delay that clients
-     * accept.
-     */
-    private static final long QUARANTINED_RETRY_MILLIS = 60_000;
-
     private final EdgeContext context;
     private final RequestFilters filters;
     private final Supplier<RouteTable> table;
@@ -208,7 +202,7 @@
             case NOT_RUN_RULES_STALE -> NO_CONFIGURATION_RETRY_MILLIS;
             case NOT_RUN_NO_ROOM -> BUFFER_FULL_RETRY_MILLIS;
             case NOT_RUN_SHUTTING_DOWN -> context.drainingRetryMillis();
-            case NOT_RUN_QUARANTINED -> QUARANTINED_RETRY_MILLIS;
+            case NOT_RUN_QUARANTINED -> Exchange.QUARANTINED_RETRY_MILLIS;
             default -> 0;
         };
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -23,7 +23,10 @@
     /** Detail of a request that is refused because others like it crashed endpoints. */
     static final String CRASHED_ENDPOINTS = "requests like this crashed endpoints";
 
-    /** Retry-After of a request that is refused because others like it crashed endpoints. */
+    /**
+     * Retry-After of a request that is refused because others like it crashed endpoints: the
+     * longest delay that clients accept.
+     */
     static final long QUARANTINED_RETRY_MILLIS = 60_000;
 
     /** Shared components of the edge that received the request. */
