Say in one place which answers are an endpoint's failure

UnaryExchange and StreamExchange each compared the status with 500; EndpointResponse.isServerError does now. Nothing changes for callers. Evidence: 207 tests of EdgeLoopback, EdgeStop, EdgeLimits, EdgeFailure, EdgeConnection, StaleRefusal, SharedPartCrash, BrokenAnswer and ClientResponse pass.

--- a/siskintrail.edge/src/io/siskintrail/edge/EndpointResponse.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/EndpointResponse.java
@@ -20,6 +20,7 @@
         long weightVersion,
         boolean leaving,
         long retryAfterMillis) {
+    private static final int SERVER_ERROR = 500;
     private static final int SERVICE_UNAVAILABLE = 503;
 
     /** Returns whether the status is 2xx. */
@@ -27,6 +28,11 @@
         return status >= 200 && status < 300;
     }
 
+    /** Returns whether the status is 500 or above: the endpoint failed, not the request. */
+    public boolean isServerError() {
+        return status >= SERVER_ERROR;
+    }
+
     /** Returns whether the endpoint is overloaded and asks for a pause, which is no ill health. */
     public boolean pushesBack() {
         return status == SERVICE_UNAVAILABLE && retryAfterMillis >= 0;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -23,8 +23,6 @@
  * another one after the last event that the client received, from a KV cache copy if there is one.
  */
 final class StreamExchange extends Exchange {
-    private static final int SERVER_ERROR = 500;
-
     /** Maximum fraction of the target latency that a request waits for an engine to appear. */
     private static final double NO_ENGINE_FRACTION = 0.12;
 
@@ -422,7 +420,7 @@
         boolean isFinalError =
                 endpointResponse.signed()
                         && !endpointResponse.notRun()
-                        && endpointResponse.status() < SERVER_ERROR;
+                        && !endpointResponse.isServerError();
         if (isFinalError && !response.isStarted()) {
             end("answered", 0, cause);
             client.sendResponse(endpointResponse.status(), source.headers(), source.errorBody());
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -22,8 +22,6 @@
  * call.
  */
 final class UnaryExchange extends Exchange {
-    private static final int SERVER_ERROR = 500;
-
     /** Number of failed connection attempts after which a call is not tried elsewhere. */
     private static final int MAX_FAILED_CONNECTS = 3;
 
@@ -220,7 +218,7 @@
                     "unsigned response, status=%d".formatted(endpointResponse.status()));
             return;
         }
-        if (endpointResponse.status() >= SERVER_ERROR) {
+        if (endpointResponse.isServerError()) {
             lastErrorResponse = response;
             recordFailure(endedAttempt, endpointResponse);
             logAttempt(
