Close a connection behind the answer to its request

A reader of the fix showed that watching two answered connections of each endpoint for 3 s takes their places from requests: at an endpoint with two places and one edge, requests one after the other got 200 200 502 502 502 502 (calls that may run at most once; a written request was reset). A late second answer is thus no longer seen; one that comes in the same read, and bytes on a connection that waits for the next order, are logged as endpoint.answered-again.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -24,11 +24,9 @@
 /**
  * Connection to an endpoint. Carries one request of a client, so that a late second answer to it
  * cannot meet another request: their IDs do not always tell answers apart, since an answer that is
- * cut inside its head takes over what follows it. Behind its response the connection is only
- * watched for a while, to log a second answer.
+ * cut inside its head takes over what follows it. The connection is closed behind the answer.
  *
- * <p>Orders, whose responses reach no client, may follow each other on a connection if they concern
- * the same request.
+ * <p>An order, whose response reaches no client, may follow the same order on a connection.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private static final System.Logger LOG = System.getLogger(EndpointConnection.class.getName());
@@ -61,8 +59,7 @@
     private boolean headReceived;
     private int headBytes;
     private int sentRequests;
-    private String lastRequestId;
-    private boolean carriesOrders;
+    private Attempt lastAttempt;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceMillis;
 
@@ -75,8 +72,7 @@
     void send(Attempt next) {
         attempt = next;
         sentRequests++;
-        lastRequestId = next.requestId();
-        carriesOrders = next.isOrder();
+        lastAttempt = next;
         responseComplete = false;
         interimResponses = 0;
         headReceived = false;
@@ -97,9 +93,9 @@
         ctx.writeAndFlush(message).addListener(write -> requestSent = write.isSuccess());
     }
 
-    /** Returns whether {@code next} is an order that concerns the same request as the last one. */
+    /** Returns whether {@code next} is the order that the connection carried last, given again. */
     boolean canCarry(Attempt next) {
-        return carriesOrders && next.isOrder() && next.requestId().equals(lastRequestId);
+        return next.isOrder() && next.requestId().equals(lastAttempt.requestId());
     }
 
     /** Closes the connection without notifying the listener of its attempt, if any. */
@@ -183,7 +179,9 @@
 
     private void handleMessage(HttpObject message) {
         if (attempt == null) {
-            logUnexpected(message);
+            if (message instanceof HttpResponse response) {
+                logUnexpected(pool.describeResponse(response));
+            }
             ctx.close();
             return;
         }
@@ -199,17 +197,14 @@
         }
     }
 
-    /** Logs a response that no request on this connection waits for. */
-    private void logUnexpected(HttpObject message) {
-        if (message instanceof HttpResponse response) {
-            LogEvent.warning(LOG, "endpoint.answered-again")
-                    .with("request", lastRequestId)
-                    .with("address", address)
-                    .with("connection", describe())
-                    .with("status", response.status().code())
-                    .with("detail", pool.describeResponse(response))
-                    .write();
-        }
+    /** Logs what came although no request on this connection waits for a response. */
+    private void logUnexpected(String detail) {
+        LogEvent.warning(LOG, "endpoint.answered-again")
+                .with("request", lastAttempt.requestId())
+                .with("address", address)
+                .with("connection", describe())
+                .with("detail", detail)
+                .write();
     }
 
     private void handleHead(HttpResponse response) {
@@ -230,7 +225,7 @@
         boolean selfDelimited =
                 HttpUtil.isContentLengthSet(response)
                         || HttpUtil.isTransferEncodingChunked(response);
-        reusable = selfDelimited && HttpUtil.isKeepAlive(response);
+        reusable = attempt.isOrder() && selfDelimited && HttpUtil.isKeepAlive(response);
         parseKeepAlive(response.headers().get(KEEP_ALIVE));
         attempt.listener().onHead(response);
     }
@@ -264,19 +259,25 @@
         }
         setReading(true);
         idleSinceMillis = EventLoop.nowMillis();
-        if (carriesOrders) {
-            pool.addIdle(this);
-        } else {
-            pool.watch(this);
-        }
+        pool.addIdle(this);
     }
 
-    /** Fails the attempt if its response has no head within the limit. */
+    /**
+     * Closes the connection if bytes come that no request waits for, and fails the attempt if its
+     * response has no head within the limit.
+     */
     private final class HeadLimit extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
+            int count = ((ByteBuf) message).readableBytes();
+            if (attempt == null) {
+                ReferenceCountUtil.release(message);
+                logUnexpected("bytes=%d".formatted(count));
+                context.close();
+                return;
+            }
             if (!headReceived) {
-                headBytes += ((ByteBuf) message).readableBytes();
+                headBytes += count;
             }
             if (headBytes <= MAX_HEAD_BYTES) {
                 context.fireChannelRead(message);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -42,19 +42,11 @@
     /** Maximum idle time of a connection for orders, longer than the pause between two of them. */
     private static final long MAX_IDLE_MILLIS = 1_500;
 
-    /** Maximum number of answered connections watched per endpoint; a sample is enough. */
-    private static final int MAX_WATCHED_PER_ENDPOINT = 2;
-
-    /** How long an answered connection is watched for a second answer. */
-    private static final long WATCH_MILLIS = 3_000;
-
     private final EventLoop loop;
     private final TrafficProtocol protocol;
     private final Bootstrap bootstrap;
     private final KeptConnections idle =
             new KeptConnections(MAX_IDLE_PER_ENDPOINT, MAX_IDLE_MILLIS);
-    private final KeptConnections watched =
-            new KeptConnections(MAX_WATCHED_PER_ENDPOINT, WATCH_MILLIS);
     private long openedConnections;
 
     EndpointPool(EventLoop loop, TrafficProtocol protocol) {
@@ -107,16 +99,14 @@
                 });
     }
 
-    /** Closes the idle and the watched connections to an endpoint that is gone. */
+    /** Closes the idle connections to an endpoint that is gone. */
     void closeIdle(String address) {
         idle.closeAll(address);
-        watched.closeAll(address);
     }
 
-    /** Closes connections that have been idle or watched for long enough. */
+    /** Closes connections that have exceeded the idle limit. */
     void closeExpired() {
         idle.closeExpired();
-        watched.closeExpired();
     }
 
     /** Returns the number of connections opened since the start. */
@@ -141,14 +131,8 @@
         idle.add(connection);
     }
 
-    /** Watches a connection whose request was answered for a second answer. */
-    void watch(EndpointConnection connection) {
-        watched.add(connection);
-    }
-
     void removeClosed(EndpointConnection connection) {
         idle.remove(connection);
-        watched.remove(connection);
     }
 
     /** Returns a literal IP address and port, empty if {@code address} is something else. */
