Let an order follow only the same order on a connection

When the engine that holds a stream's copy is lost, the stream orders a copy at another one. The order went over the same connection; a late second answer to the order before named the copy at the lost engine, and the stream was resumed from there: by the protocol the engine refuses that, and the prompt is read anew. Answers to orders carry no ID, so a connection now carries one order, which may be repeated; CopyOrdersTest still counts one connection.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Attempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Attempt.java
@@ -1,6 +1,7 @@
 package io.siskintrail.edge.internal;
 
 import io.siskintrail.internal.traffic.EndpointView;
+import java.util.Arrays;
 
 /** One transmission of a request to an endpoint. Confined to the event loop. */
 final class Attempt {
@@ -82,6 +83,15 @@
         return order;
     }
 
+    /** Returns whether this and {@code other} are orders to do the same. */
+    boolean isSameOrder(Attempt other) {
+        return order
+                && other.order
+                && request.method().equals(other.request.method())
+                && request.target().equals(other.request.target())
+                && Arrays.equals(request.body(), other.request.body());
+    }
+
     /** Returns whether any byte may have reached the endpoint. */
     boolean isWritten() {
         return written;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -95,7 +95,7 @@
 
     /** Returns whether {@code next} is the order that the connection carried last, given again. */
     boolean canCarry(Attempt next) {
-        return next.isOrder() && next.requestId().equals(lastAttempt.requestId());
+        return lastAttempt.isSameOrder(next);
     }
 
     /** Closes the connection without notifying the listener of its attempt, if any. */
