Let a status line that is quoted behind the request ID pass

Behind the ID a quote can't be a join: the second head would have brought an ID of its own. StaleRefusalTest now also writes the refusal directly behind the first answer, so that the property in its name is played.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -208,7 +208,7 @@
     }
 
     private void handleHead(HttpResponse response) {
-        if (JoinedHeads.isJoined(response)) {
+        if (JoinedHeads.isJoined(response, attempt.requestId())) {
             fail("response is joined from two: " + pool.describeResponse(response));
             return;
         }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/StaleRefusalTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/StaleRefusalTest.java
@@ -61,7 +61,8 @@
                         (number, request, out) ->
                                 isReused(out)
                                         ? writeRefusal(out, "")
-                                        : writeAnswer(request, out, service))) {
+                                        : writeAnswer(request, out, service)
+                                                && writeRefusal(out, ""))) {
             system.register("e1", service, faulty.address(), "a");
             system.awaitReady(service.equals("app") ? "llm" : "app");
             assertThat(send(path)).startsWith("HTTP/1.1 200");
