Sort the traffic decisions into packages

The package internal.traffic held 57 files side by side, twelve of them on crashes and ten on endpoints, so that new decisions had no place. Its files and their tests now stand in crash, endpoint, admission, placement, configuration and stream. Only packages and imports change, and the test class Records became public.

--- a/siskintrail.edge/src/io/siskintrail/edge/CallMetadata.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/CallMetadata.java
@@ -1,7 +1,7 @@
 package io.siskintrail.edge;
 
-import io.siskintrail.internal.traffic.PromptId;
-import io.siskintrail.internal.traffic.PromptPart;
+import io.siskintrail.internal.traffic.placement.PromptId;
+import io.siskintrail.internal.traffic.placement.PromptPart;
 import java.util.List;
 
 /**
--- a/siskintrail.edge/src/io/siskintrail/edge/TrafficProtocol.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/TrafficProtocol.java
@@ -2,7 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.siskintrail.internal.traffic.TrafficConfiguration;
+import io.siskintrail.internal.traffic.configuration.TrafficConfiguration;
 import io.siskintrail.lib.Result;
 import java.util.Optional;
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/AdmissionQueues.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/AdmissionQueues.java
@@ -1,7 +1,7 @@
 package io.siskintrail.edge.internal;
 
-import io.siskintrail.internal.traffic.ReleaseRate;
-import io.siskintrail.internal.traffic.WaitingRoom;
+import io.siskintrail.internal.traffic.admission.ReleaseRate;
+import io.siskintrail.internal.traffic.admission.WaitingRoom;
 import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
 import java.util.HashMap;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Attempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Attempt.java
@@ -1,6 +1,6 @@
 package io.siskintrail.edge.internal;
 
-import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import java.util.Arrays;
 
 /** One transmission of a request to an endpoint. Confined to the event loop. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/CrashCoordinator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/CrashCoordinator.java
@@ -1,11 +1,11 @@
 package io.siskintrail.edge.internal;
 
-import io.siskintrail.internal.traffic.CrashAnalysis;
-import io.siskintrail.internal.traffic.CrashEffect;
-import io.siskintrail.internal.traffic.CrashInput;
-import io.siskintrail.internal.traffic.CrashSignature;
-import io.siskintrail.internal.traffic.CrashSuspect;
-import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.crash.CrashAnalysis;
+import io.siskintrail.internal.traffic.crash.CrashEffect;
+import io.siskintrail.internal.traffic.crash.CrashInput;
+import io.siskintrail.internal.traffic.crash.CrashSignature;
+import io.siskintrail.internal.traffic.crash.CrashSuspect;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.net.EventLoop;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -2,10 +2,10 @@
 
 import io.siskintrail.edge.EdgeSettings;
 import io.siskintrail.edge.TrafficProtocol;
-import io.siskintrail.internal.traffic.EndpointRecord;
-import io.siskintrail.internal.traffic.EndpointView;
-import io.siskintrail.internal.traffic.RouteTable;
-import io.siskintrail.internal.traffic.TrafficConfiguration;
+import io.siskintrail.internal.traffic.configuration.RouteTable;
+import io.siskintrail.internal.traffic.configuration.TrafficConfiguration;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.Result;
 import io.siskintrail.net.EventLoop;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -12,7 +12,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.siskintrail.edge.EndpointResponse;
 import io.siskintrail.edge.TrafficProtocol;
-import io.siskintrail.internal.traffic.EndpointAddress;
+import io.siskintrail.internal.traffic.endpoint.EndpointAddress;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.Addresses;
 import java.net.InetSocketAddress;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
@@ -1,9 +1,9 @@
 package io.siskintrail.edge.internal;
 
-import io.siskintrail.internal.traffic.EndpointDirectory;
-import io.siskintrail.internal.traffic.EndpointRecord;
-import io.siskintrail.internal.traffic.EndpointState;
-import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.endpoint.EndpointDirectory;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
+import io.siskintrail.internal.traffic.endpoint.EndpointState;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/KvCacheReplicator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/KvCacheReplicator.java
@@ -4,7 +4,7 @@
 import io.netty.util.concurrent.Future;
 import io.siskintrail.edge.CopySource;
 import io.siskintrail.edge.KvCacheRequest;
-import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.service.LogEvent;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
@@ -1,10 +1,10 @@
 package io.siskintrail.edge.internal;
 
-import io.siskintrail.internal.traffic.EndpointView;
-import io.siskintrail.internal.traffic.PlacedLoad;
-import io.siskintrail.internal.traffic.PrefilledPrompt;
-import io.siskintrail.internal.traffic.PrefilledPrompts;
-import io.siskintrail.internal.traffic.PromptId;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
+import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
+import io.siskintrail.internal.traffic.placement.PrefilledPrompt;
+import io.siskintrail.internal.traffic.placement.PrefilledPrompts;
+import io.siskintrail.internal.traffic.placement.PromptId;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.net.EventLoop;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RecentCrashes.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RecentCrashes.java
@@ -1,7 +1,7 @@
 package io.siskintrail.edge.internal;
 
-import io.siskintrail.internal.traffic.CrashSignature;
-import io.siskintrail.internal.traffic.CrashSuspect;
+import io.siskintrail.internal.traffic.crash.CrashSignature;
+import io.siskintrail.internal.traffic.crash.CrashSuspect;
 import io.siskintrail.lib.EndpointId;
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RefusedRequests.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RefusedRequests.java
@@ -1,8 +1,8 @@
 package io.siskintrail.edge.internal;
 
-import io.siskintrail.internal.traffic.CrashSignature;
-import io.siskintrail.internal.traffic.CrashSuspect;
-import io.siskintrail.internal.traffic.PromptPart;
+import io.siskintrail.internal.traffic.crash.CrashSignature;
+import io.siskintrail.internal.traffic.crash.CrashSuspect;
+import io.siskintrail.internal.traffic.placement.PromptPart;
 import io.siskintrail.service.LogEvent;
 import java.util.LinkedHashSet;
 import java.util.Set;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
@@ -1,6 +1,6 @@
 package io.siskintrail.edge.internal;
 
-import io.siskintrail.internal.traffic.EndpointRecord;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.net.Identity;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RequestAggregator.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestAggregator.java
@@ -10,7 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
-import io.siskintrail.internal.traffic.ClientLimits;
+import io.siskintrail.internal.traffic.configuration.ClientLimits;
 import java.util.function.Supplier;
 
 /**
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RunningAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RunningAttempt.java
@@ -1,7 +1,7 @@
 package io.siskintrail.edge.internal;
 
-import io.siskintrail.internal.traffic.CrashSuspect;
-import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.crash.CrashSuspect;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.lib.EndpointId;
 import java.util.Collection;
 import java.util.stream.Collectors;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -3,11 +3,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.siskintrail.edge.EndpointResponse;
-import io.siskintrail.internal.traffic.EndpointView;
-import io.siskintrail.internal.traffic.EventSplitter;
-import io.siskintrail.internal.traffic.SilenceRule;
-import io.siskintrail.internal.traffic.SilenceTracker;
-import io.siskintrail.internal.traffic.StreamEvent;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
+import io.siskintrail.internal.traffic.stream.EventSplitter;
+import io.siskintrail.internal.traffic.stream.SilenceRule;
+import io.siskintrail.internal.traffic.stream.SilenceTracker;
+import io.siskintrail.internal.traffic.stream.StreamEvent;
 import io.siskintrail.net.EventLoop;
 
 /**
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamKvCacheCopies.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamKvCacheCopies.java
@@ -1,8 +1,8 @@
 package io.siskintrail.edge.internal;
 
 import io.siskintrail.edge.CopySource;
-import io.siskintrail.internal.traffic.EndpointView;
-import io.siskintrail.internal.traffic.EngineSpec;
+import io.siskintrail.internal.traffic.configuration.EngineSpec;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamResponse.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamResponse.java
@@ -2,7 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.siskintrail.internal.traffic.StreamEvent;
+import io.siskintrail.internal.traffic.stream.StreamEvent;
 import io.siskintrail.net.EventLoop;
 import java.io.ByteArrayOutputStream;
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StrictRequestDecoder.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StrictRequestDecoder.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.siskintrail.internal.traffic.ClientLimits;
+import io.siskintrail.internal.traffic.configuration.ClientLimits;
 import java.util.List;
 import java.util.function.Supplier;
 
--- a/siskintrail.platform.test/tst/io/siskintrail/edge/internal/LoadExchangeTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/edge/internal/LoadExchangeTest.java
@@ -2,9 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.siskintrail.internal.traffic.EndpointRecord;
-import io.siskintrail.internal.traffic.EndpointState;
-import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
+import io.siskintrail.internal.traffic.endpoint.EndpointState;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
--- a/siskintrail.platform.test/tst/io/siskintrail/edge/internal/UndialableEndpointTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/edge/internal/UndialableEndpointTest.java
@@ -4,9 +4,9 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.siskintrail.internal.traffic.EndpointRecord;
-import io.siskintrail.internal.traffic.EndpointState;
-import io.siskintrail.internal.traffic.EndpointView;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
+import io.siskintrail.internal.traffic.endpoint.EndpointState;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.ServiceName;
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EdgeLoopbackTest.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.siskintrail.edge.CallMetadata;
-import io.siskintrail.internal.traffic.PromptId;
+import io.siskintrail.internal.traffic.placement.PromptId;
 import io.siskintrail.lib.Result;
 import java.io.IOException;
 import java.io.OutputStream;
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoadRelayTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoadRelayTest.java
@@ -2,7 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.siskintrail.internal.traffic.PlacedLoad;
+import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.net.EventLoop;
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryCallsTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryCallsTest.java
@@ -2,8 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.siskintrail.internal.traffic.EndpointRecord;
-import io.siskintrail.internal.traffic.EndpointState;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
+import io.siskintrail.internal.traffic.endpoint.EndpointState;
 import io.siskintrail.lib.Result;
 import io.siskintrail.net.HttpService;
 import io.siskintrail.registry.RegistryCall;
--- a/siskintrail.platform.test/tst/io/siskintrail/registry/internal/LoopbackRegistries.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/registry/internal/LoopbackRegistries.java
@@ -2,8 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.siskintrail.internal.traffic.ClientLimits;
-import io.siskintrail.internal.traffic.TrafficConfiguration;
+import io.siskintrail.internal.traffic.configuration.ClientLimits;
+import io.siskintrail.internal.traffic.configuration.TrafficConfiguration;
 import io.siskintrail.lib.Result;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.net.HttpService;
--- a/siskintrail.platform.test/tst/io/siskintrail/registry/internal/RefusalMemoryTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/registry/internal/RefusalMemoryTest.java
@@ -3,8 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.siskintrail.internal.generation.Fingerprint;
-import io.siskintrail.internal.traffic.CrashSignature;
-import io.siskintrail.internal.traffic.PromptPart;
+import io.siskintrail.internal.traffic.crash.CrashSignature;
+import io.siskintrail.internal.traffic.placement.PromptPart;
 import io.siskintrail.wire.registry.RegistryMessage;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
--- a/siskintrail.registry/src/io/siskintrail/registry/RegistryCall.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/RegistryCall.java
@@ -1,7 +1,7 @@
 package io.siskintrail.registry;
 
-import io.siskintrail.internal.traffic.EndpointRecord;
-import io.siskintrail.internal.traffic.TrafficConfiguration;
+import io.siskintrail.internal.traffic.configuration.TrafficConfiguration;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.Result;
 
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/CallDesk.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/CallDesk.java
@@ -1,7 +1,7 @@
 package io.siskintrail.registry.internal;
 
-import io.siskintrail.internal.traffic.EndpointRecord;
-import io.siskintrail.internal.traffic.TrafficConfiguration;
+import io.siskintrail.internal.traffic.configuration.TrafficConfiguration;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
 import io.siskintrail.lib.Result;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/EdgeFeed.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/EdgeFeed.java
@@ -1,6 +1,6 @@
 package io.siskintrail.registry.internal;
 
-import io.siskintrail.internal.traffic.EndpointRecord;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
 import io.siskintrail.net.Link;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.wire.MessageKind;
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Endpoints.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Endpoints.java
@@ -1,9 +1,9 @@
 package io.siskintrail.registry.internal;
 
-import io.siskintrail.internal.traffic.EndpointDirectory;
-import io.siskintrail.internal.traffic.EndpointKey;
-import io.siskintrail.internal.traffic.EndpointRecord;
-import io.siskintrail.internal.traffic.EndpointState;
+import io.siskintrail.internal.traffic.endpoint.EndpointDirectory;
+import io.siskintrail.internal.traffic.endpoint.EndpointKey;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
+import io.siskintrail.internal.traffic.endpoint.EndpointState;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.LogEvent;
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/LoadRelay.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/LoadRelay.java
@@ -1,6 +1,6 @@
 package io.siskintrail.registry.internal;
 
-import io.siskintrail.internal.traffic.RelayInterval;
+import io.siskintrail.internal.traffic.placement.RelayInterval;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.net.Link;
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/RefusalMemory.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/RefusalMemory.java
@@ -1,6 +1,6 @@
 package io.siskintrail.registry.internal;
 
-import io.siskintrail.internal.traffic.CrashSignature;
+import io.siskintrail.internal.traffic.crash.CrashSignature;
 import io.siskintrail.wire.registry.RegistryMessage;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/Records.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/Records.java
@@ -1,23 +1,28 @@
 package io.siskintrail.internal.traffic;
 
+import io.siskintrail.internal.traffic.configuration.Route;
+import io.siskintrail.internal.traffic.configuration.RouteKind;
+import io.siskintrail.internal.traffic.configuration.WeightedService;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
+import io.siskintrail.internal.traffic.endpoint.EndpointState;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.ServiceName;
 import java.util.List;
 
 /** Creates routes and endpoint records for tests. */
-final class Records {
-    static final ServiceName MODEL = new ServiceName("model");
+public final class Records {
+    public static final ServiceName MODEL = new ServiceName("model");
 
     private Records() {}
 
     /** Returns a route of {@code kind} with {@link #MODEL} as its only service. */
-    static Route route(RouteKind kind, long targetLatencyMillis) {
+    public static Route route(RouteKind kind, long targetLatencyMillis) {
         return route(kind, targetLatencyMillis, 3, true);
     }
 
     /** Returns a route of streams. */
-    static Route stream(boolean resumable, int maxAttempts) {
+    public static Route stream(boolean resumable, int maxAttempts) {
         return route(RouteKind.STREAM, 400, maxAttempts, resumable);
     }
 
@@ -40,11 +45,11 @@
     }
 
     /** Returns the record of a ready engine with 12 slots. */
-    static EndpointRecord engine(String id, String domain) {
+    public static EndpointRecord engine(String id, String domain) {
         return at(id, 1, 1, id + ":80", domain, EndpointState.READY);
     }
 
-    static EndpointRecord at(
+    public static EndpointRecord at(
             String id,
             long incarnation,
             long sequence,
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/StopPlanTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/admission/StopPlanTest.java
@@ -1,7 +1,10 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.admission;
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.siskintrail.internal.traffic.Records;
+import io.siskintrail.internal.traffic.configuration.Route;
+import io.siskintrail.internal.traffic.configuration.RouteKind;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/WaitingRoomTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/admission/WaitingRoomTest.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.admission;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/CrashAnalysisFuzzTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/crash/CrashAnalysisFuzzTest.java
@@ -1,8 +1,8 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.crash;
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import io.siskintrail.internal.traffic.CrashSimulation.Options;
+import io.siskintrail.internal.traffic.crash.CrashSimulation.Options;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/CrashAnalysisTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/crash/CrashAnalysisTest.java
@@ -1,10 +1,11 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.crash;
 
 import static com.google.common.truth.Truth.assertThat;
 
 import io.siskintrail.internal.generation.Fingerprint;
-import io.siskintrail.internal.traffic.CrashSignature.OfContent;
-import io.siskintrail.internal.traffic.CrashSignature.OfParts;
+import io.siskintrail.internal.traffic.crash.CrashSignature.OfContent;
+import io.siskintrail.internal.traffic.crash.CrashSignature.OfParts;
+import io.siskintrail.internal.traffic.placement.PromptPart;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
 import java.util.ArrayList;
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/EndpointDirectoryTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/endpoint/EndpointDirectoryTest.java
@@ -1,11 +1,12 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.endpoint;
 
 import static com.google.common.truth.Truth.assertThat;
-import static io.siskintrail.internal.traffic.EndpointState.DRAINING;
-import static io.siskintrail.internal.traffic.EndpointState.GONE;
-import static io.siskintrail.internal.traffic.EndpointState.READY;
-import static io.siskintrail.internal.traffic.EndpointState.SILENT;
+import static io.siskintrail.internal.traffic.endpoint.EndpointState.DRAINING;
+import static io.siskintrail.internal.traffic.endpoint.EndpointState.GONE;
+import static io.siskintrail.internal.traffic.endpoint.EndpointState.READY;
+import static io.siskintrail.internal.traffic.endpoint.EndpointState.SILENT;
 
+import io.siskintrail.internal.traffic.Records;
 import io.siskintrail.lib.EndpointId;
 import java.util.ArrayList;
 import java.util.Collections;
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/EndpointViewTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/endpoint/EndpointViewTest.java
@@ -1,7 +1,8 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.endpoint;
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.siskintrail.internal.traffic.Records;
 import io.siskintrail.lib.HostId;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/OtherWriterReportTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/endpoint/OtherWriterReportTest.java
@@ -1,9 +1,9 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.endpoint;
 
 import static com.google.common.truth.Truth.assertThat;
-import static io.siskintrail.internal.traffic.EndpointState.DRAINING;
-import static io.siskintrail.internal.traffic.EndpointState.GONE;
-import static io.siskintrail.internal.traffic.EndpointState.READY;
+import static io.siskintrail.internal.traffic.endpoint.EndpointState.DRAINING;
+import static io.siskintrail.internal.traffic.endpoint.EndpointState.GONE;
+import static io.siskintrail.internal.traffic.endpoint.EndpointState.READY;
 
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.FailureDomain;
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/PushBackTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/endpoint/PushBackTest.java
@@ -1,7 +1,11 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.endpoint;
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.siskintrail.internal.traffic.Records;
+import io.siskintrail.internal.traffic.configuration.EngineSpec;
+import io.siskintrail.internal.traffic.placement.CallPlacement;
+import io.siskintrail.internal.traffic.placement.StreamPlacement;
 import io.siskintrail.lib.FailureDomain;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/PlacementTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/placement/PlacementTest.java
@@ -1,7 +1,12 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.placement;
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.siskintrail.internal.traffic.Records;
+import io.siskintrail.internal.traffic.configuration.EngineSpec;
+import io.siskintrail.internal.traffic.endpoint.EndpointState;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
+import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/SilenceRuleTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/stream/SilenceRuleTest.java
@@ -1,9 +1,9 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.stream;
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.siskintrail.internal.traffic.SilenceRule.ProbeState;
-import io.siskintrail.internal.traffic.SilenceRule.Verdict;
+import io.siskintrail.internal.traffic.stream.SilenceRule.ProbeState;
+import io.siskintrail.internal.traffic.stream.SilenceRule.Verdict;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/SilenceTrackerTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/stream/SilenceTrackerTest.java
@@ -1,8 +1,8 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.stream;
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.siskintrail.internal.traffic.SilenceRule.Verdict;
+import io.siskintrail.internal.traffic.stream.SilenceRule.Verdict;
 import org.junit.jupiter.api.Test;
 
 /** Simulates engines that fail silently before or after the first event of a stream. */
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/StreamJournalTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/stream/StreamJournalTest.java
@@ -1,9 +1,9 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.stream;
 
 import static com.google.common.truth.Truth.assertThat;
-import static io.siskintrail.internal.traffic.StreamJournal.Verdict.DELIVER;
-import static io.siskintrail.internal.traffic.StreamJournal.Verdict.GAP;
-import static io.siskintrail.internal.traffic.StreamJournal.Verdict.REPEATED;
+import static io.siskintrail.internal.traffic.stream.StreamJournal.Verdict.DELIVER;
+import static io.siskintrail.internal.traffic.stream.StreamJournal.Verdict.GAP;
+import static io.siskintrail.internal.traffic.stream.StreamJournal.Verdict.REPEATED;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/siskintrail.test/tst/io/siskintrail/lib/IdentifiersTest.java
+++ b/siskintrail.test/tst/io/siskintrail/lib/IdentifiersTest.java
@@ -4,7 +4,7 @@
 
 import io.siskintrail.internal.consensus.ReplicaId;
 import io.siskintrail.internal.generation.Fingerprint;
-import io.siskintrail.internal.traffic.PromptId;
+import io.siskintrail.internal.traffic.placement.PromptId;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Function;
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/CrashCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/CrashCodec.java
@@ -1,9 +1,9 @@
 package io.siskintrail.wire.registry;
 
 import io.siskintrail.internal.generation.Fingerprint;
-import io.siskintrail.internal.traffic.CrashSignature;
-import io.siskintrail.internal.traffic.CrashSuspect;
-import io.siskintrail.internal.traffic.PromptPart;
+import io.siskintrail.internal.traffic.crash.CrashSignature;
+import io.siskintrail.internal.traffic.crash.CrashSuspect;
+import io.siskintrail.internal.traffic.placement.PromptPart;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.wire.gen.registry.ContentHashData;
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
@@ -1,11 +1,11 @@
 package io.siskintrail.wire.registry;
 
-import io.siskintrail.internal.traffic.EndpointAddress;
-import io.siskintrail.internal.traffic.EndpointRecord;
-import io.siskintrail.internal.traffic.EndpointState;
-import io.siskintrail.internal.traffic.PlacedLoad;
-import io.siskintrail.internal.traffic.PrefilledPrompt;
-import io.siskintrail.internal.traffic.PromptId;
+import io.siskintrail.internal.traffic.endpoint.EndpointAddress;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
+import io.siskintrail.internal.traffic.endpoint.EndpointState;
+import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
+import io.siskintrail.internal.traffic.placement.PrefilledPrompt;
+import io.siskintrail.internal.traffic.placement.PromptId;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
@@ -1,11 +1,11 @@
 package io.siskintrail.wire.registry;
 
-import io.siskintrail.internal.traffic.CrashSignature;
-import io.siskintrail.internal.traffic.CrashSuspect;
-import io.siskintrail.internal.traffic.EndpointRecord;
-import io.siskintrail.internal.traffic.PlacedLoad;
-import io.siskintrail.internal.traffic.PrefilledPrompt;
-import io.siskintrail.internal.traffic.PromptPart;
+import io.siskintrail.internal.traffic.crash.CrashSignature;
+import io.siskintrail.internal.traffic.crash.CrashSuspect;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
+import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
+import io.siskintrail.internal.traffic.placement.PrefilledPrompt;
+import io.siskintrail.internal.traffic.placement.PromptPart;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
 import java.util.List;
--- a/siskintrail/src/io/siskintrail/internal/traffic/ConfigurationWait.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/admission/ConfigurationWait.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.admission;
 
 /**
  * Decides how long a host without a configuration holds a request before it turns the request away.
--- a/siskintrail/src/io/siskintrail/internal/traffic/DrainingHosts.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/admission/DrainingHosts.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.admission;
 
 import io.siskintrail.lib.HostId;
 import java.util.HashMap;
--- a/siskintrail/src/io/siskintrail/internal/traffic/ReleaseRate.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/admission/ReleaseRate.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.admission;
 
 /**
  * Estimates queue waiting times from the recent rate at which endpoints became free to run another
--- a/siskintrail/src/io/siskintrail/internal/traffic/RetryBudget.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/admission/RetryBudget.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.admission;
 
 /**
  * Limits the further attempts (retries, hedges) that a host adds to the requests of one service
--- a/siskintrail/src/io/siskintrail/internal/traffic/StopPlan.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/admission/StopPlan.java
@@ -1,4 +1,7 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.admission;
+
+import io.siskintrail.internal.traffic.configuration.Route;
+import io.siskintrail.internal.traffic.configuration.RouteKind;
 
 /**
  * Decides which requests a host accepts while it drains, and when it may terminate. Made for
--- a/siskintrail/src/io/siskintrail/internal/traffic/WaitingRoom.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/admission/WaitingRoom.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.admission;
 
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/siskintrail/src/io/siskintrail/internal/traffic/ClientLimits.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/configuration/ClientLimits.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.configuration;
 
 /**
  * Limits on the requests and connections of a client.
--- a/siskintrail/src/io/siskintrail/internal/traffic/EngineSpec.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/configuration/EngineSpec.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.configuration;
 
 /**
  * Configured capacity and features of the engines of a service.
--- a/siskintrail/src/io/siskintrail/internal/traffic/Route.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/configuration/Route.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.configuration;
 
 import io.siskintrail.lib.ServiceName;
 import java.util.List;
--- a/siskintrail/src/io/siskintrail/internal/traffic/RouteKind.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/configuration/RouteKind.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.configuration;
 
 /** Determines whether the requests on a route may be retried. */
 public enum RouteKind {
--- a/siskintrail/src/io/siskintrail/internal/traffic/TrafficConfiguration.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/configuration/TrafficConfiguration.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.configuration;
 
 import java.util.List;
 
--- a/siskintrail/src/io/siskintrail/internal/traffic/Crash.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/crash/Crash.java
@@ -1,7 +1,8 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.crash;
 
 import io.siskintrail.internal.generation.Fingerprint;
-import io.siskintrail.internal.traffic.CrashSignature.OfParts;
+import io.siskintrail.internal.traffic.crash.CrashSignature.OfParts;
+import io.siskintrail.internal.traffic.placement.PromptPart;
 import io.siskintrail.lib.EndpointId;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashAnalysis.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/crash/CrashAnalysis.java
@@ -1,8 +1,9 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.crash;
 
 import io.siskintrail.internal.generation.Fingerprint;
-import io.siskintrail.internal.traffic.CrashSignature.OfContent;
-import io.siskintrail.internal.traffic.CrashSignature.OfParts;
+import io.siskintrail.internal.traffic.crash.CrashSignature.OfContent;
+import io.siskintrail.internal.traffic.crash.CrashSignature.OfParts;
+import io.siskintrail.internal.traffic.placement.PromptPart;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.StateMachine;
 import java.util.ArrayList;
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashCauses.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/crash/CrashCauses.java
@@ -1,7 +1,7 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.crash;
 
 import io.siskintrail.internal.generation.Fingerprint;
-import io.siskintrail.internal.traffic.CrashSignature.OfContent;
+import io.siskintrail.internal.traffic.crash.CrashSignature.OfContent;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Comparator;
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashEffect.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/crash/CrashEffect.java
@@ -1,5 +1,6 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.crash;
 
+import io.siskintrail.internal.traffic.placement.PromptPart;
 import io.siskintrail.lib.EndpointId;
 import java.util.List;
 import java.util.Map;
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashEvidence.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/crash/CrashEvidence.java
@@ -1,8 +1,9 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.crash;
 
 import io.siskintrail.internal.generation.Fingerprint;
-import io.siskintrail.internal.traffic.CrashSignature.OfContent;
-import io.siskintrail.internal.traffic.CrashSignature.OfParts;
+import io.siskintrail.internal.traffic.crash.CrashSignature.OfContent;
+import io.siskintrail.internal.traffic.crash.CrashSignature.OfParts;
+import io.siskintrail.internal.traffic.placement.PromptPart;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashInput.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/crash/CrashInput.java
@@ -1,6 +1,7 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.crash;
 
 import io.siskintrail.internal.generation.Fingerprint;
+import io.siskintrail.internal.traffic.placement.PromptPart;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
 import java.util.List;
--- a/siskintrail/src/io/siskintrail/internal/traffic/CrashMoments.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/crash/CrashMoments.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.crash;
 
 import java.util.List;
 
--- a/siskintrail/src/io/siskintrail/internal/traffic/VouchDelays.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/crash/VouchDelays.java
@@ -1,5 +1,6 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.crash;
 
+import io.siskintrail.internal.traffic.placement.PromptPart;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/siskintrail/src/io/siskintrail/internal/traffic/EndpointAddress.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/endpoint/EndpointAddress.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.endpoint;
 
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
--- a/siskintrail/src/io/siskintrail/internal/traffic/EndpointDirectory.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/endpoint/EndpointDirectory.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.endpoint;
 
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.ServiceName;
--- a/siskintrail/src/io/siskintrail/internal/traffic/EndpointReportLimits.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/endpoint/EndpointReportLimits.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.endpoint;
 
 import java.time.Duration;
 
--- a/siskintrail/src/io/siskintrail/internal/traffic/EndpointState.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/endpoint/EndpointState.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.endpoint;
 
 /** Lifecycle state of an endpoint. Of two otherwise equal reports the later constant wins. */
 public enum EndpointState {
--- a/siskintrail/src/io/siskintrail/internal/traffic/EndpointView.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/endpoint/EndpointView.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.endpoint;
 
 import io.siskintrail.lib.HostId;
 import java.util.HashMap;
--- a/siskintrail/src/io/siskintrail/internal/traffic/HealthMeter.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/endpoint/HealthMeter.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.endpoint;
 
 /**
  * Measures the health of an endpoint from the requests of one host: how many fail, how long they
--- a/siskintrail/src/io/siskintrail/internal/traffic/CallPlacement.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/CallPlacement.java
@@ -1,5 +1,7 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.placement;
 
+import io.siskintrail.internal.traffic.endpoint.EndpointState;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.lib.FailureDomain;
 import java.util.Collection;
 import java.util.function.Predicate;
--- a/siskintrail/src/io/siskintrail/internal/traffic/PrefillRate.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/PrefillRate.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.placement;
 
 /**
  * Estimates the prefill throughput of engines from the time to first event of requests that ran
--- a/siskintrail/src/io/siskintrail/internal/traffic/PrefilledPrompts.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/PrefilledPrompts.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.placement;
 
 import io.siskintrail.lib.EndpointId;
 import java.util.Iterator;
--- a/siskintrail/src/io/siskintrail/internal/traffic/PromptId.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/PromptId.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.placement;
 
 /**
  * Identifies the part of a prompt that belongs to one request or session. A client that retries
--- a/siskintrail/src/io/siskintrail/internal/traffic/PromptPart.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/PromptPart.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.placement;
 
 /**
  * Identifies one part of a prompt, which several requests may share.
--- a/siskintrail/src/io/siskintrail/internal/traffic/RelayInterval.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/RelayInterval.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.placement;
 
 /**
  * Computes how long a registry batches the load reports of hosts before it relays them. Each report
--- a/siskintrail/src/io/siskintrail/internal/traffic/StreamPlacement.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/StreamPlacement.java
@@ -1,5 +1,9 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.placement;
 
+import io.siskintrail.internal.traffic.configuration.EngineSpec;
+import io.siskintrail.internal.traffic.endpoint.EndpointState;
+import io.siskintrail.internal.traffic.endpoint.EndpointView;
+import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.FailureDomain;
 import java.util.Collection;
--- a/siskintrail/src/io/siskintrail/internal/traffic/EventSplitter.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/stream/EventSplitter.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.stream;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
--- a/siskintrail/src/io/siskintrail/internal/traffic/SilenceRule.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/stream/SilenceRule.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.stream;
 
 /**
  * Decides whether an engine has failed or is only slow to send events of one stream, from the time
--- a/siskintrail/src/io/siskintrail/internal/traffic/SilenceTracker.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/stream/SilenceTracker.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.stream;
 
 /**
  * Tracks when one attempt of a stream last received an event or a probe answer from its engine, and
--- a/siskintrail/src/io/siskintrail/internal/traffic/StreamAttempts.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/stream/StreamAttempts.java
@@ -1,4 +1,6 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.stream;
+
+import io.siskintrail.internal.traffic.configuration.Route;
 
 /**
  * Counts the attempts of one stream and decides whether another one may follow. Attempts that an
--- a/siskintrail/src/io/siskintrail/internal/traffic/StreamEvent.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/stream/StreamEvent.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.stream;
 
 /**
  * One event of a server-sent event stream.
--- a/siskintrail/src/io/siskintrail/internal/traffic/StreamJournal.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/stream/StreamJournal.java
@@ -1,4 +1,4 @@
-package io.siskintrail.internal.traffic;
+package io.siskintrail.internal.traffic.stream;
 
 /**
  * Tracks which events of a stream were delivered to the client. The next event in sequence is
