--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/Records.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/Records.java
@@ -49,6 +49,7 @@
         return at(id, 1, 1, id + ":80", domain, EndpointState.READY);
     }
 
+    /** Returns the record of an endpoint with 12 slots. */
     public static EndpointRecord at(
             String id,
             long incarnation,
