Let load reports carry waiting requests and the speeds of engines

Edges know what the others have placed, but neither what waits there nor how fast an engine is. Load reports get two optional fields for both; nothing sends them yet, and builds that do not know them read the reports as before. RegistryCodecTest covers the fields, set and not set.

--- a/siskintrail.wire.test/tst/io/siskintrail/wire/registry/RegistryCodecTest.java
+++ b/siskintrail.wire.test/tst/io/siskintrail/wire/registry/RegistryCodecTest.java
@@ -4,11 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.siskintrail.internal.generation.Fingerprint;
+import io.siskintrail.internal.traffic.admission.WaitingRequest;
 import io.siskintrail.internal.traffic.crash.CrashSignature;
 import io.siskintrail.internal.traffic.crash.CrashSuspect;
+import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
+import io.siskintrail.internal.traffic.placement.EngineSpeed;
 import io.siskintrail.internal.traffic.placement.PromptPart;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
+import io.siskintrail.lib.ServiceName;
 import io.siskintrail.wire.ThriftCodec;
 import io.siskintrail.wire.gen.registry.ContentHashData;
 import io.siskintrail.wire.gen.registry.DeathData;
@@ -17,6 +21,7 @@
 import io.siskintrail.wire.gen.registry.SoundData;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.apache.thrift.TException;
@@ -24,10 +29,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
-/** Messages about requests that crash endpoints, also those of builds without prompt parts. */
+/** Messages keep their content, also those of builds that know fewer fields. */
 class RegistryCodecTest {
     private static final HostId HOST = new HostId("edge-1");
     private static final EndpointId ENDPOINT = new EndpointId("e1");
+    private static final ServiceName SERVICE = new ServiceName("model");
     private static final Fingerprint CONTENT = new Fingerprint(3, 4);
     private static final Set<PromptPart> PARTS =
             Set.of(new PromptPart("one"), new PromptPart("two"));
@@ -44,10 +50,29 @@
                 new RegistryMessage.Refusal(new CrashSignature.OfContent(CONTENT), 600),
                 new RegistryMessage.Refusal(new CrashSignature.OfParts(PARTS), 0),
                 new RegistryMessage.Draining(HOST, 6_800),
+                new RegistryMessage.Loads(List.of(RegistryMessage.HostLoads.nothing(HOST))),
+                loads(Optional.empty()),
+                loads(
+                        Optional.of(
+                                List.of(
+                                        new WaitingRequest(
+                                                SERVICE, 2, -7, 40, 3_000, 8_900, true)))),
                 new RegistryMessage.Sound(
                         HOST, Map.of(new PromptPart("one"), 7L, new PromptPart("two"), 0L)));
     }
 
+    private static RegistryMessage loads(Optional<List<WaitingRequest>> waiting) {
+        return new RegistryMessage.Loads(
+                List.of(
+                        new RegistryMessage.HostLoads(
+                                HOST,
+                                false,
+                                List.of(new PlacedLoad(ENDPOINT, 1, 9_000, 1_025)),
+                                List.of(),
+                                waiting,
+                                List.of(new EngineSpeed(ENDPOINT, 13_600, 250)))));
+    }
+
     @ParameterizedTest
     @MethodSource("messages")
     void decodedMessageEqualsTheEncodedOne(RegistryMessage message) {
--- a/siskintrail.wire/idl/registry.thrift
+++ b/siskintrail.wire/idl/registry.thrift
@@ -100,11 +100,39 @@
   2: required string endpoint
 }
 
+/** A request that waits at an edge for capacity of a service. */
+struct WaitingData {
+  1: required string serviceName,
+  2: required i32 rank,
+  /** Hash of the client account. */
+  3: required i32 account,
+  /** Milliseconds that it has waited. */
+  4: required i32 waitedMillis,
+  /** Milliseconds for which it can still wait. */
+  5: required i32 remainingMillis,
+  /** KV cache memory that it needs, in tokens. */
+  6: required i32 tokens,
+  /** Whether it continues a stream that lost its engine. */
+  7: required bool resumption
+}
+
+/** Measured speed of an engine. */
+struct SpeedData {
+  1: required string endpoint,
+  /** Prompt tokens that it prefills in a second without other work. */
+  2: required i32 prefillTokensPerSecond,
+  /** Milliseconds since it was measured. */
+  3: required i32 ageMillis
+}
+
 struct LoadsData {
   1: required string host,
   2: required list<LoadData> loads,
   3: optional list<ReadPromptData> prompts,
-  4: optional bool complete
+  4: optional bool complete,
+  /** All requests that wait at the host; unchanged since its last report if not set. */
+  5: optional list<WaitingData> waiting,
+  6: optional list<SpeedData> speeds
 }
 
 struct AllLoadsData {
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/AllLoadsData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/AllLoadsData.java
@@ -339,14 +339,14 @@
           case 1: // HOSTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list80 = iprot.readListBegin();
-                struct.hosts = new java.util.ArrayList<LoadsData>(_list80.size);
-                @org.apache.thrift.annotation.Nullable LoadsData _elem81;
-                for (int _i82 = 0; _i82 < _list80.size; ++_i82)
+                org.apache.thrift.protocol.TList _list96 = iprot.readListBegin();
+                struct.hosts = new java.util.ArrayList<LoadsData>(_list96.size);
+                @org.apache.thrift.annotation.Nullable LoadsData _elem97;
+                for (int _i98 = 0; _i98 < _list96.size; ++_i98)
                 {
-                  _elem81 = new LoadsData();
-                  _elem81.read(iprot);
-                  struct.hosts.add(_elem81);
+                  _elem97 = new LoadsData();
+                  _elem97.read(iprot);
+                  struct.hosts.add(_elem97);
                 }
                 iprot.readListEnd();
               }
@@ -375,9 +375,9 @@
         oprot.writeFieldBegin(HOSTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.hosts.size()));
-          for (LoadsData _iter83 : struct.hosts)
+          for (LoadsData _iter99 : struct.hosts)
           {
-            _iter83.write(oprot);
+            _iter99.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -403,9 +403,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.hosts.size());
-        for (LoadsData _iter84 : struct.hosts)
+        for (LoadsData _iter100 : struct.hosts)
         {
-          _iter84.write(oprot);
+          _iter100.write(oprot);
         }
       }
     }
@@ -414,14 +414,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, AllLoadsData struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.hosts = new java.util.ArrayList<LoadsData>(_list85.size);
-        @org.apache.thrift.annotation.Nullable LoadsData _elem86;
-        for (int _i87 = 0; _i87 < _list85.size; ++_i87)
+        org.apache.thrift.protocol.TList _list101 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.hosts = new java.util.ArrayList<LoadsData>(_list101.size);
+        @org.apache.thrift.annotation.Nullable LoadsData _elem102;
+        for (int _i103 = 0; _i103 < _list101.size; ++_i103)
         {
-          _elem86 = new LoadsData();
-          _elem86.read(iprot);
-          struct.hosts.add(_elem86);
+          _elem102 = new LoadsData();
+          _elem102.read(iprot);
+          struct.hosts.add(_elem102);
         }
       }
       struct.setHostsIsSet(true);
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/LoadsData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/LoadsData.java
@@ -14,6 +14,8 @@
   private static final org.apache.thrift.protocol.TField LOADS_FIELD_DESC = new org.apache.thrift.protocol.TField("loads", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField COMPLETE_FIELD_DESC = new org.apache.thrift.protocol.TField("complete", org.apache.thrift.protocol.TType.BOOL, (short)4);
+  private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.LIST, (short)5);
+  private static final org.apache.thrift.protocol.TField SPEEDS_FIELD_DESC = new org.apache.thrift.protocol.TField("speeds", org.apache.thrift.protocol.TType.LIST, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadsDataStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadsDataTupleSchemeFactory();
@@ -22,13 +24,23 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<LoadData> loads; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<ReadPromptData> prompts; // optional
   public boolean complete; // optional
+  /**
+   * All requests that wait at the host; unchanged since its last report if not set.
+   */
+  public @org.apache.thrift.annotation.Nullable java.util.List<WaitingData> waiting; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<SpeedData> speeds; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     HOST((short)1, "host"),
     LOADS((short)2, "loads"),
     PROMPTS((short)3, "prompts"),
-    COMPLETE((short)4, "complete");
+    COMPLETE((short)4, "complete"),
+    /**
+     * All requests that wait at the host; unchanged since its last report if not set.
+     */
+    WAITING((short)5, "waiting"),
+    SPEEDS((short)6, "speeds");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +64,10 @@
           return PROMPTS;
         case 4: // COMPLETE
           return COMPLETE;
+        case 5: // WAITING
+          return WAITING;
+        case 6: // SPEEDS
+          return SPEEDS;
         default:
           return null;
       }
@@ -97,7 +113,7 @@
   // isset id assignments
   private static final int __COMPLETE_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.COMPLETE};
+  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.COMPLETE,_Fields.WAITING,_Fields.SPEEDS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -111,6 +127,12 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ReadPromptData.class))));
     tmpMap.put(_Fields.COMPLETE, new org.apache.thrift.meta_data.FieldMetaData("complete", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.WAITING, new org.apache.thrift.meta_data.FieldMetaData("waiting", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WaitingData.class))));
+    tmpMap.put(_Fields.SPEEDS, new org.apache.thrift.meta_data.FieldMetaData("speeds", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SpeedData.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadsData.class, metaDataMap);
   }
@@ -150,6 +172,20 @@
       this.prompts = __this__prompts;
     }
     this.complete = other.complete;
+    if (other.isSetWaiting()) {
+      java.util.List<WaitingData> __this__waiting = new java.util.ArrayList<WaitingData>(other.waiting.size());
+      for (WaitingData other_element : other.waiting) {
+        __this__waiting.add(new WaitingData(other_element));
+      }
+      this.waiting = __this__waiting;
+    }
+    if (other.isSetSpeeds()) {
+      java.util.List<SpeedData> __this__speeds = new java.util.ArrayList<SpeedData>(other.speeds.size());
+      for (SpeedData other_element : other.speeds) {
+        __this__speeds.add(new SpeedData(other_element));
+      }
+      this.speeds = __this__speeds;
+    }
   }
 
   @Override
@@ -164,6 +200,8 @@
     this.prompts = null;
     setCompleteIsSet(false);
     this.complete = false;
+    this.waiting = null;
+    this.speeds = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -296,6 +334,94 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __COMPLETE_ISSET_ID, value);
   }
 
+  public int getWaitingSize() {
+    return (this.waiting == null) ? 0 : this.waiting.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WaitingData> getWaitingIterator() {
+    return (this.waiting == null) ? null : this.waiting.iterator();
+  }
+
+  public void addToWaiting(WaitingData elem) {
+    if (this.waiting == null) {
+      this.waiting = new java.util.ArrayList<WaitingData>();
+    }
+    this.waiting.add(elem);
+  }
+
+  /**
+   * All requests that wait at the host; unchanged since its last report if not set.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WaitingData> getWaiting() {
+    return this.waiting;
+  }
+
+  /**
+   * All requests that wait at the host; unchanged since its last report if not set.
+   */
+  public LoadsData setWaiting(@org.apache.thrift.annotation.Nullable java.util.List<WaitingData> waiting) {
+    this.waiting = waiting;
+    return this;
+  }
+
+  public void unsetWaiting() {
+    this.waiting = null;
+  }
+
+  /** Returns true if field waiting is set (has been assigned a value) and false otherwise */
+  public boolean isSetWaiting() {
+    return this.waiting != null;
+  }
+
+  public void setWaitingIsSet(boolean value) {
+    if (!value) {
+      this.waiting = null;
+    }
+  }
+
+  public int getSpeedsSize() {
+    return (this.speeds == null) ? 0 : this.speeds.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<SpeedData> getSpeedsIterator() {
+    return (this.speeds == null) ? null : this.speeds.iterator();
+  }
+
+  public void addToSpeeds(SpeedData elem) {
+    if (this.speeds == null) {
+      this.speeds = new java.util.ArrayList<SpeedData>();
+    }
+    this.speeds.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<SpeedData> getSpeeds() {
+    return this.speeds;
+  }
+
+  public LoadsData setSpeeds(@org.apache.thrift.annotation.Nullable java.util.List<SpeedData> speeds) {
+    this.speeds = speeds;
+    return this;
+  }
+
+  public void unsetSpeeds() {
+    this.speeds = null;
+  }
+
+  /** Returns true if field speeds is set (has been assigned a value) and false otherwise */
+  public boolean isSetSpeeds() {
+    return this.speeds != null;
+  }
+
+  public void setSpeedsIsSet(boolean value) {
+    if (!value) {
+      this.speeds = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -331,6 +457,22 @@
       }
       break;
 
+    case WAITING:
+      if (value == null) {
+        unsetWaiting();
+      } else {
+        setWaiting((java.util.List<WaitingData>)value);
+      }
+      break;
+
+    case SPEEDS:
+      if (value == null) {
+        unsetSpeeds();
+      } else {
+        setSpeeds((java.util.List<SpeedData>)value);
+      }
+      break;
+
     }
   }
 
@@ -350,6 +492,12 @@
     case COMPLETE:
       return isComplete();
 
+    case WAITING:
+      return getWaiting();
+
+    case SPEEDS:
+      return getSpeeds();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -370,6 +518,10 @@
       return isSetPrompts();
     case COMPLETE:
       return isSetComplete();
+    case WAITING:
+      return isSetWaiting();
+    case SPEEDS:
+      return isSetSpeeds();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -423,6 +575,24 @@
         return false;
     }
 
+    boolean this_present_waiting = true && this.isSetWaiting();
+    boolean that_present_waiting = true && that.isSetWaiting();
+    if (this_present_waiting || that_present_waiting) {
+      if (!(this_present_waiting && that_present_waiting))
+        return false;
+      if (!this.waiting.equals(that.waiting))
+        return false;
+    }
+
+    boolean this_present_speeds = true && this.isSetSpeeds();
+    boolean that_present_speeds = true && that.isSetSpeeds();
+    if (this_present_speeds || that_present_speeds) {
+      if (!(this_present_speeds && that_present_speeds))
+        return false;
+      if (!this.speeds.equals(that.speeds))
+        return false;
+    }
+
     return true;
   }
 
@@ -446,6 +616,14 @@
     if (isSetComplete())
       hashCode = hashCode * 8191 + ((complete) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetWaiting()) ? 131071 : 524287);
+    if (isSetWaiting())
+      hashCode = hashCode * 8191 + waiting.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetSpeeds()) ? 131071 : 524287);
+    if (isSetSpeeds())
+      hashCode = hashCode * 8191 + speeds.hashCode();
+
     return hashCode;
   }
 
@@ -497,6 +675,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetWaiting(), other.isSetWaiting());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWaiting()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.waiting, other.waiting);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSpeeds(), other.isSetSpeeds());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSpeeds()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.speeds, other.speeds);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -552,6 +750,26 @@
       sb.append(this.complete);
       first = false;
     }
+    if (isSetWaiting()) {
+      if (!first) sb.append(", ");
+      sb.append("waiting:");
+      if (this.waiting == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.waiting);
+      }
+      first = false;
+    }
+    if (isSetSpeeds()) {
+      if (!first) sb.append(", ");
+      sb.append("speeds:");
+      if (this.speeds == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.speeds);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -659,6 +877,44 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // WAITING
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list70 = iprot.readListBegin();
+                struct.waiting = new java.util.ArrayList<WaitingData>(_list70.size);
+                @org.apache.thrift.annotation.Nullable WaitingData _elem71;
+                for (int _i72 = 0; _i72 < _list70.size; ++_i72)
+                {
+                  _elem71 = new WaitingData();
+                  _elem71.read(iprot);
+                  struct.waiting.add(_elem71);
+                }
+                iprot.readListEnd();
+              }
+              struct.setWaitingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 6: // SPEEDS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list73 = iprot.readListBegin();
+                struct.speeds = new java.util.ArrayList<SpeedData>(_list73.size);
+                @org.apache.thrift.annotation.Nullable SpeedData _elem74;
+                for (int _i75 = 0; _i75 < _list73.size; ++_i75)
+                {
+                  _elem74 = new SpeedData();
+                  _elem74.read(iprot);
+                  struct.speeds.add(_elem74);
+                }
+                iprot.readListEnd();
+              }
+              struct.setSpeedsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -684,9 +940,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (LoadData _iter70 : struct.loads)
+          for (LoadData _iter76 : struct.loads)
           {
-            _iter70.write(oprot);
+            _iter76.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -697,9 +953,9 @@
           oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-            for (ReadPromptData _iter71 : struct.prompts)
+            for (ReadPromptData _iter77 : struct.prompts)
             {
-              _iter71.write(oprot);
+              _iter77.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -711,6 +967,34 @@
         oprot.writeBool(struct.complete);
         oprot.writeFieldEnd();
       }
+      if (struct.waiting != null) {
+        if (struct.isSetWaiting()) {
+          oprot.writeFieldBegin(WAITING_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.waiting.size()));
+            for (WaitingData _iter78 : struct.waiting)
+            {
+              _iter78.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.speeds != null) {
+        if (struct.isSetSpeeds()) {
+          oprot.writeFieldBegin(SPEEDS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.speeds.size()));
+            for (SpeedData _iter79 : struct.speeds)
+            {
+              _iter79.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -732,9 +1016,9 @@
       oprot.writeString(struct.host);
       {
         oprot.writeI32(struct.loads.size());
-        for (LoadData _iter72 : struct.loads)
+        for (LoadData _iter80 : struct.loads)
         {
-          _iter72.write(oprot);
+          _iter80.write(oprot);
         }
       }
       java.util.BitSet optionals = new java.util.BitSet();
@@ -744,19 +1028,43 @@
       if (struct.isSetComplete()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetWaiting()) {
+        optionals.set(2);
+      }
+      if (struct.isSetSpeeds()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetPrompts()) {
         {
           oprot.writeI32(struct.prompts.size());
-          for (ReadPromptData _iter73 : struct.prompts)
+          for (ReadPromptData _iter81 : struct.prompts)
           {
-            _iter73.write(oprot);
+            _iter81.write(oprot);
           }
         }
       }
       if (struct.isSetComplete()) {
         oprot.writeBool(struct.complete);
       }
+      if (struct.isSetWaiting()) {
+        {
+          oprot.writeI32(struct.waiting.size());
+          for (WaitingData _iter82 : struct.waiting)
+          {
+            _iter82.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetSpeeds()) {
+        {
+          oprot.writeI32(struct.speeds.size());
+          for (SpeedData _iter83 : struct.speeds)
+          {
+            _iter83.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
@@ -765,28 +1073,28 @@
       struct.host = iprot.readString();
       struct.setHostIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list74 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.loads = new java.util.ArrayList<LoadData>(_list74.size);
-        @org.apache.thrift.annotation.Nullable LoadData _elem75;
-        for (int _i76 = 0; _i76 < _list74.size; ++_i76)
+        org.apache.thrift.protocol.TList _list84 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.loads = new java.util.ArrayList<LoadData>(_list84.size);
+        @org.apache.thrift.annotation.Nullable LoadData _elem85;
+        for (int _i86 = 0; _i86 < _list84.size; ++_i86)
         {
-          _elem75 = new LoadData();
-          _elem75.read(iprot);
-          struct.loads.add(_elem75);
+          _elem85 = new LoadData();
+          _elem85.read(iprot);
+          struct.loads.add(_elem85);
         }
       }
       struct.setLoadsIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.prompts = new java.util.ArrayList<ReadPromptData>(_list77.size);
-          @org.apache.thrift.annotation.Nullable ReadPromptData _elem78;
-          for (int _i79 = 0; _i79 < _list77.size; ++_i79)
+          org.apache.thrift.protocol.TList _list87 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.prompts = new java.util.ArrayList<ReadPromptData>(_list87.size);
+          @org.apache.thrift.annotation.Nullable ReadPromptData _elem88;
+          for (int _i89 = 0; _i89 < _list87.size; ++_i89)
           {
-            _elem78 = new ReadPromptData();
-            _elem78.read(iprot);
-            struct.prompts.add(_elem78);
+            _elem88 = new ReadPromptData();
+            _elem88.read(iprot);
+            struct.prompts.add(_elem88);
           }
         }
         struct.setPromptsIsSet(true);
@@ -795,6 +1103,34 @@
         struct.complete = iprot.readBool();
         struct.setCompleteIsSet(true);
       }
+      if (incoming.get(2)) {
+        {
+          org.apache.thrift.protocol.TList _list90 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.waiting = new java.util.ArrayList<WaitingData>(_list90.size);
+          @org.apache.thrift.annotation.Nullable WaitingData _elem91;
+          for (int _i92 = 0; _i92 < _list90.size; ++_i92)
+          {
+            _elem91 = new WaitingData();
+            _elem91.read(iprot);
+            struct.waiting.add(_elem91);
+          }
+        }
+        struct.setWaitingIsSet(true);
+      }
+      if (incoming.get(3)) {
+        {
+          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.speeds = new java.util.ArrayList<SpeedData>(_list93.size);
+          @org.apache.thrift.annotation.Nullable SpeedData _elem94;
+          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
+          {
+            _elem94 = new SpeedData();
+            _elem94.read(iprot);
+            struct.speeds.add(_elem94);
+          }
+        }
+        struct.setSpeedsIsSet(true);
+      }
     }
   }
 
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
@@ -211,6 +211,10 @@
         if (!h.prompts().isEmpty()) {
             data.setPrompts(h.prompts().stream().map(RegistryCodec::data).toList());
         }
+        h.waiting().ifPresent(w -> data.setWaiting(LoadReportCodec.waitingData(w)));
+        if (!h.speeds().isEmpty()) {
+            data.setSpeeds(LoadReportCodec.speedData(h.speeds()));
+        }
         return data;
     }
 
@@ -238,6 +242,11 @@
                         ? d.getPrompts().stream().map(RegistryCodec::readPrompt).toList()
                         : List.of();
         return new RegistryMessage.HostLoads(
-                new HostId(d.getHost()), d.isComplete(), loads, prompts);
+                new HostId(d.getHost()),
+                d.isComplete(),
+                loads,
+                prompts,
+                Optional.ofNullable(d.getWaiting()).map(LoadReportCodec::waiting),
+                d.isSetSpeeds() ? LoadReportCodec.speeds(d.getSpeeds()) : List.of());
     }
 }
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
@@ -1,15 +1,18 @@
 package io.siskintrail.wire.registry;
 
+import io.siskintrail.internal.traffic.admission.WaitingRequest;
 import io.siskintrail.internal.traffic.crash.CrashSignature;
 import io.siskintrail.internal.traffic.crash.CrashSuspect;
 import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
 import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
+import io.siskintrail.internal.traffic.placement.EngineSpeed;
 import io.siskintrail.internal.traffic.placement.PrefilledPrompt;
 import io.siskintrail.internal.traffic.placement.PromptPart;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** A message among registries, or between a registry and an edge. */
 public sealed interface RegistryMessage {
@@ -85,13 +88,39 @@
      *     endpoints where that changed
      * @param loads its loads
      * @param prompts the prompts that were read for it since it told last
+     * @param waiting all requests that wait at the edge; empty if that has not changed since it
+     *     told last
+     * @param speeds the speeds of engines that it measured since it told last
      */
     record HostLoads(
-            HostId host, boolean complete, List<PlacedLoad> loads, List<PrefilledPrompt> prompts) {
+            HostId host,
+            boolean complete,
+            List<PlacedLoad> loads,
+            List<PrefilledPrompt> prompts,
+            Optional<List<WaitingRequest>> waiting,
+            List<EngineSpeed> speeds) {
+
+        /** Copies the lists. */
+        public HostLoads {
+            loads = List.copyOf(loads);
+            prompts = List.copyOf(prompts);
+            waiting = waiting.map(List::copyOf);
+            speeds = List.copyOf(speeds);
+        }
+
+        /** Creates the word of an edge whose waiting requests have not changed. */
+        public HostLoads(
+                HostId host,
+                boolean complete,
+                List<PlacedLoad> loads,
+                List<PrefilledPrompt> prompts) {
+            this(host, complete, loads, prompts, Optional.empty(), List.of());
+        }
 
         /** Returns the word that {@code host} has placed nothing, or is gone. */
         public static HostLoads nothing(HostId host) {
-            return new HostLoads(host, true, List.of(), List.of());
+            return new HostLoads(
+                    host, true, List.of(), List.of(), Optional.of(List.of()), List.of());
         }
     }
 }
