Agree on the interfaces for the shared admission order

StreamPlacement counts the places that are free now, one for each engine with room; nothing uses it yet.

--- a/siskintrail/src/io/siskintrail/internal/traffic/placement/StreamPlacement.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/StreamPlacement.java
@@ -121,6 +121,40 @@
         return best;
     }
 
+    /**
+     * Returns how many requests like this one could be placed now, counting one for each engine
+     * with room.
+     *
+     * @param nowMillis monotonic time
+     * @param endpoints the engines of the service
+     * @param spec the capacity of each engine; null when it is not configured, in which case every
+     *     engine has room
+     * @param tokens the KV cache memory that each request needs, in tokens
+     * @param maxPrefillMillis the maximum remaining prefill time of an engine, in milliseconds
+     * @param atMost the number from which on it does not matter how many more there are
+     */
+    public int countPlaces(
+            long nowMillis,
+            Collection<EndpointView> endpoints,
+            EngineSpec spec,
+            long tokens,
+            long maxPrefillMillis,
+            int atMost) {
+        int places = 0;
+        for (EndpointView e : endpoints) {
+            if (places >= atMost) {
+                break;
+            }
+            PlacedLoad load = e.totalLoad(nowMillis);
+            if (isUsable(nowMillis, e)
+                    && hasRoom(load, spec, tokens)
+                    && load.prefillMillis() <= maxPrefillMillis) {
+                places++;
+            }
+        }
+        return places;
+    }
+
     /**
      * Returns the engine to keep a copy of the memory of a request, or null when no usable engine
      * in another failure domain has room.
