Avoid the engines of a failure domain that seems lost

It takes effect from 16 edges on. A stream whose retries are used up waits up to 1.5 s for what other edges leave.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -15,6 +15,7 @@
 import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.internal.traffic.endpoint.PushBack;
 import io.siskintrail.internal.traffic.placement.CallPlacement;
+import io.siskintrail.internal.traffic.placement.DomainLosses;
 import io.siskintrail.internal.traffic.placement.PrefillRate;
 import io.siskintrail.internal.traffic.placement.StreamPlacement;
 import io.siskintrail.lib.EndpointId;
@@ -24,6 +25,7 @@
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.LogEvent;
 import io.siskintrail.wire.registry.RegistryMessage;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -63,6 +65,7 @@
     private final DrainingHosts drainingHosts = new DrainingHosts();
     private final ResponseMemory responseMemory = new ResponseMemory();
     private final RetryBudgets retryBudgets;
+    private final DomainLosses domainLosses = new DomainLosses();
 
     EdgeContext(
             EventLoop loop,
@@ -282,8 +285,44 @@
                 : remaining + random.nextLong(MIN_RETURN_SPREAD_MILLIS + remaining / 4);
     }
 
+    /**
+     * Returns the engines of {@code service}, without those that may be lost together with others
+     * of their failure domain unless there are no others.
+     */
+    Collection<EndpointView> engines(ServiceName service) {
+        Collection<EndpointView> all = endpoints.ofService(service);
+        long now = EventLoop.nowMillis();
+        List<EndpointView> others = all.stream().filter(e -> !e.health().isSuspect(now)).toList();
+        return others.isEmpty() ? all : others;
+    }
+
+    /**
+     * Records that an engine was lost, so that streams avoid the others of its failure domain for a
+     * while. With few edges each one learns of a lost domain by its own streams.
+     */
+    void recordEngineLoss(EndpointView engine) {
+        if (!retryBudgets.isPooled()) {
+            return;
+        }
+        EndpointRecord lost = engine.record();
+        long now = EventLoop.nowMillis();
+        long until = now + domainLosses.recordLoss(lost.domain(), lost.id(), now);
+        for (EndpointView e : endpoints.ofService(lost.service())) {
+            if (e.record().domain().equals(lost.domain())) {
+                e.health().recordSuspicion(until);
+            }
+        }
+    }
+
+    /** Records that an engine broke a stream off, alone or since the engine was lost. */
+    void recordBrokenStream(EndpointView engine) {
+        engine.health().recordFailure(EventLoop.nowMillis());
+        recordEngineLoss(engine);
+    }
+
     /** Marks a silent or unreachable engine as unreachable and moves its streams elsewhere. */
     void handleUnreachableEngine(EndpointView engine, String cause) {
+        recordEngineLoss(engine);
         engine.health().recordUnreachable(EventLoop.nowMillis());
         crashes.reportDeath(engine);
         pool.closeIdle(engine.record().address());
@@ -297,6 +336,9 @@
      */
     void handleReportedDeath(EndpointId id) {
         EndpointView view = endpoints.get(id);
+        if (view != null) {
+            recordEngineLoss(view);
+        }
         if (view != null && !view.health().isInBackoff(EventLoop.nowMillis())) {
             view.health().recordUnreachable(EventLoop.nowMillis());
             monitor.forEach(stream -> stream.replaceLostCopy(view));
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RetryBudgets.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RetryBudgets.java
@@ -22,6 +22,9 @@
     /** Fewest edges that pool their retries; with fewer, the share of each is large enough. */
     private static final int POOL_MIN_EDGES = 16;
 
+    /** Longest wait for a retry: clients leave a stream after a gap of two seconds. */
+    private static final long MAX_WAIT_MILLIS = 1_500;
+
     private final EdgeSettings settings;
     private final IntSupplier edgeCount;
     private final ToDoubleFunction<ServiceName> openStreamsShare;
@@ -75,6 +78,15 @@
         return budget(service).hasLeft(now, ownReserve()) || mayDraw(service, now);
     }
 
+    /**
+     * Returns whether a stream may wait for a retry that other edges leave unused.
+     *
+     * @param lostAtMillis when the stream lost its engine, in monotonic milliseconds
+     */
+    boolean isWorthWaiting(long lostAtMillis) {
+        return isPooled() && EventLoop.nowMillis() - lostAtMillis < MAX_WAIT_MILLIS;
+    }
+
     /** Returns a retry that was taken at {@code acquiredAtMillis} and reached no endpoint. */
     void release(ServiceName service, long acquiredAtMillis) {
         budget(service).release(EventLoop.nowMillis(), acquiredAtMillis);
@@ -101,7 +113,8 @@
         return changes;
     }
 
-    private boolean isPooled() {
+    /** Returns whether there are enough edges to pool their retries. */
+    boolean isPooled() {
         return edgeCount.getAsInt() >= POOL_MIN_EDGES;
     }
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -278,7 +278,7 @@
         if (source != attempt) {
             return;
         }
-        source.engine().health().recordFailure(EventLoop.nowMillis());
+        edge.recordBrokenStream(source.engine());
         edge.crashes().recordFailure(source.evidence());
         failedEngines.add(source.engine().record().id());
         resume(source, cause);
@@ -336,7 +336,7 @@
         return edge.streamPlacement()
                 .choose(
                         EventLoop.nowMillis(),
-                        edge.endpoints().ofService(service),
+                        edge.engines(service),
                         engine,
                         tokens,
                         (long) (PREFILL_FRACTION * call.route().targetLatencyMillis()),
@@ -531,7 +531,7 @@
 
     /** Waits for a retry if the stream left an engine that may have finished it, else ends it. */
     private void waitForRetry() {
-        if (attempts.hasGivenUp()) {
+        if (attempts.hasGivenUp() || edge.retryBudgets().isWorthWaiting(lostAtMillis)) {
             scheduleSearch();
         } else {
             fail("retry budget exhausted");
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamKvCacheCopies.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamKvCacheCopies.java
@@ -46,12 +46,7 @@
             return null;
         }
         return edge.streamPlacement()
-                .chooseCopy(
-                        EventLoop.nowMillis(),
-                        edge.endpoints().ofService(service),
-                        engine,
-                        tokens,
-                        target);
+                .chooseCopy(EventLoop.nowMillis(), edge.engines(service), engine, tokens, target);
     }
 
     /** Starts another copy of {@code running} if its copy was at {@code lostEngine}. */
--- a/siskintrail/src/io/siskintrail/internal/traffic/endpoint/HealthMeter.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/endpoint/HealthMeter.java
@@ -28,6 +28,7 @@
     private long backoffMillis;
     private long backoffUntil = Long.MIN_VALUE;
     private long lastActivityAt = Long.MIN_VALUE;
+    private long suspectUntil = Long.MIN_VALUE;
 
     /** Records a complete answer that took {@code millis}. */
     public void recordSuccess(long nowMillis, long millis) {
@@ -45,6 +46,22 @@
         lastActivityAt = nowMillis;
         backoffMillis = 0;
         backoffUntil = Long.MIN_VALUE;
+        suspectUntil = Long.MIN_VALUE;
+    }
+
+    /**
+     * Records that the endpoint may be lost together with others of its failure domain, until it
+     * sends data.
+     *
+     * @param untilMillis when the suspicion ends, in monotonic milliseconds
+     */
+    public void recordSuspicion(long untilMillis) {
+        suspectUntil = Math.max(suspectUntil, untilMillis);
+    }
+
+    /** Returns whether the endpoint may be lost together with others of its failure domain. */
+    public boolean isSuspect(long nowMillis) {
+        return nowMillis < suspectUntil;
     }
 
     /** Records a failed request to an endpoint that is reachable. */
