Place streams by the speed of each engine

Cause: one prefill rate per service makes hosts give slow and fast engines the same work, hosts that decide with the same view pick the same engines, and the engines that are left of a lost failure domain get all streams of its hosts.

StreamPlacement adds the own prefill at that speed and the pause of running streams to the cost, and with many hosts picks at random among the engines within one prompt of the best. An engine that rejected is left out for 500 ms or until a newer report. Prefill that other hosts report later extends the limit for the first event.

--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/placement/PlacementTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/placement/PlacementTest.java
@@ -178,6 +178,23 @@
         assertThat(choose(60_000)).isEqualTo(engines.get(0));
     }
 
+    /** Guards against sending to a full engine again although nothing newer is known of it. */
+    @ParameterizedTest
+    @CsvSource({"499, false, 0", "500, false, 1", "10, true, 1"})
+    void engineThatRejectedIsLeftOut(long laterMillis, boolean newReport, int places) {
+        addEngines("a", 1);
+        EndpointView full = engines.get(0);
+        full.recordRejection(1_000);
+        if (newReport) {
+            full.updateRemoteLoad(OTHER_HOST, new PlacedLoad(full.record().id(), 1, 9, 0), 1_000);
+        }
+
+        long now = 1_000 + laterMillis;
+        assertThat(streams.countPlaces(now, engines, ENGINE, TOKENS, MAX_PREFILL_MILLIS, 5))
+                .isEqualTo(places);
+        assertThat(choose(now)).isEqualTo(places == 0 ? null : full);
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {3, 5, 10})
     void callsAvoidPartiallyFailingEndpoint(int failuresInTen) {
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/stream/SilenceTrackerTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/stream/SilenceTrackerTest.java
@@ -77,6 +77,22 @@
         assertThat(tracker.check(dueAt, lastActivityAt).verdict()).isEqualTo(Verdict.PROBE);
     }
 
+    /** Guards against a prompt that is prefilled twice since work ahead of it was not yet known. */
+    @Test
+    void prefillThatOtherHostsReportLaterExtendsLimitForFirstEvent() {
+        long limitAt = SENT_AT + 4_800;
+        tracker.recordProbeAnswer(limitAt);
+        assertThat(tracker.check(limitAt, limitAt).verdict()).isEqualTo(Verdict.STREAM_SILENT);
+
+        tracker.recordUnforeseenPrefill(500);
+        tracker.recordUnforeseenPrefill(-100);
+
+        assertThat(tracker.check(limitAt + 1_499, limitAt + 1_499).verdict())
+                .isEqualTo(Verdict.WAIT);
+        assertThat(tracker.check(limitAt + 1_500, limitAt + 1_500).verdict())
+                .isEqualTo(Verdict.STREAM_SILENT);
+    }
+
     @Test
     void engineWithoutFirstEventIsProbedAgainAfterEachAnswer() {
         long probedAt = SENT_AT + tracker.check(SENT_AT, 0).nextCheckMillis();
--- a/siskintrail/src/io/siskintrail/internal/traffic/configuration/RouteTable.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/configuration/RouteTable.java
@@ -1,8 +1,10 @@
 package io.siskintrail.internal.traffic.configuration;
 
 import io.siskintrail.lib.ServiceName;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -16,6 +18,7 @@
     private final Map<String, Map<String, Route>> routesByHost = new HashMap<>();
     private final Map<String, Account> accountsByKey = new HashMap<>();
     private final Set<ServiceName> routedServices = new HashSet<>();
+    private final Map<ServiceName, List<Route>> routesByService = new HashMap<>();
     private final Map<ServiceName, ServiceSpec> servicesByName = new HashMap<>();
 
     /** Creates an index of a configuration that {@link ConfigurationCheck} has accepted. */
@@ -24,7 +27,13 @@
         for (Route r : configuration.routes()) {
             r.services().stream()
                     .filter(s -> s.weight() > 0)
-                    .forEach(s -> routedServices.add(s.service()));
+                    .forEach(
+                            s -> {
+                                routedServices.add(s.service());
+                                routesByService
+                                        .computeIfAbsent(s.service(), n -> new ArrayList<>())
+                                        .add(r);
+                            });
             routesByHost.computeIfAbsent(r.host(), h -> new HashMap<>()).put(r.pathPrefix(), r);
         }
         for (Account a : configuration.accounts()) {
@@ -80,6 +89,11 @@
         return routedServices;
     }
 
+    /** Returns the routes that lead to a service with a weight above 0; empty if there is none. */
+    public List<Route> routesTo(ServiceName service) {
+        return routesByService.getOrDefault(service, List.of());
+    }
+
     /** Returns the names of all services of the configuration. */
     public Set<ServiceName> services() {
         return servicesByName.keySet();
--- a/siskintrail/src/io/siskintrail/internal/traffic/endpoint/EndpointView.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/endpoint/EndpointView.java
@@ -17,6 +17,12 @@
     /** Minimum share of the pending prefill time that counts as remaining until the first event. */
     private static final double MIN_PREFILL_LEFT_SHARE = 0.15;
 
+    /**
+     * How long an engine that turned a request away as full is left out: a few intervals at which
+     * loads are reported, in which streams there may have ended.
+     */
+    private static final long REJECTION_MILLIS = 500;
+
     private EndpointRecord record;
     private final HealthMeter health = new HealthMeter();
     private final PushBack pushBack = new PushBack();
@@ -27,6 +33,7 @@
     private long copyTokens;
     private long pendingPrefillMillis;
     private long prefillUpdatedAt;
+    private long rejectedUntilMillis = Long.MIN_VALUE;
 
     /** Load that another host placed, and when its report arrived. */
     private record RemoteLoad(PlacedLoad load, long receivedAtMillis) {
@@ -138,6 +145,7 @@
      * Stores the load that another host reports to have placed here, replacing its earlier report.
      */
     public void updateRemoteLoad(HostId host, PlacedLoad load, long nowMillis) {
+        rejectedUntilMillis = Long.MIN_VALUE;
         if (load.running() == 0 && load.tokens() == 0) {
             remoteLoads.remove(host);
         } else {
@@ -150,6 +158,16 @@
         remoteLoads.remove(host);
     }
 
+    /** Records that the endpoint turned a request of this host away because it was full. */
+    public void recordRejection(long nowMillis) {
+        rejectedUntilMillis = nowMillis + REJECTION_MILLIS;
+    }
+
+    /** Returns whether the endpoint was full recently and no newer report of its load arrived. */
+    public boolean hasRejectedRecently(long nowMillis) {
+        return nowMillis < rejectedUntilMillis;
+    }
+
     /** Returns the load that this host has placed here. */
     public PlacedLoad localLoad(long nowMillis) {
         return new PlacedLoad(
@@ -160,16 +178,26 @@
     public PlacedLoad totalLoad(long nowMillis) {
         int allRunning = running;
         long allTokens = memoryTokens + copyTokens;
-        long prefill = localPrefillMillis(nowMillis);
+        long prefill = localPrefillMillis(nowMillis) + remotePrefillMillis(nowMillis);
         for (RemoteLoad f : remoteLoads.values()) {
             if (f.isValid(nowMillis)) {
                 allRunning += f.load().running();
                 allTokens += f.load().tokens();
+            }
+        }
+        return new PlacedLoad(record.id(), allRunning, allTokens, prefill);
+    }
+
+    /** Returns the remaining prefill time in milliseconds of the prompts of other hosts. */
+    public long remotePrefillMillis(long nowMillis) {
+        long prefill = 0;
+        for (RemoteLoad f : remoteLoads.values()) {
+            if (f.isValid(nowMillis)) {
                 prefill +=
                         Math.max(0, f.load().prefillMillis() - (nowMillis - f.receivedAtMillis()));
             }
         }
-        return new PlacedLoad(record.id(), allRunning, allTokens, prefill);
+        return prefill;
     }
 
     /** Returns how many requests of this host are running there. */
--- a/siskintrail/src/io/siskintrail/internal/traffic/placement/StreamPlacement.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/StreamPlacement.java
@@ -6,7 +6,9 @@
 import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.FailureDomain;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 
@@ -19,6 +21,10 @@
  * between domains occasionally lose packets, and traffic on them is expensive. Also chooses an
  * engine in another failure domain to keep a copy of the KV cache memory of a request, so that the
  * loss of a whole domain does not require another prefill.
+ *
+ * <p>Built for engines of unequal speed and for many hosts with the same, slightly old view: see
+ * {@link PromptPrefill}. An engine that turned a request of this host away as full is left out
+ * until something newer is known of it.
  */
 public final class StreamPlacement {
     /**
@@ -59,6 +65,9 @@
     private final FailureDomain localDomain;
     private final DoubleSupplier random;
 
+    /** An engine with room and its cost in milliseconds. */
+    private record Candidate(EndpointView engine, double cost) {}
+
     /**
      * Creates a placement for streams from hosts in {@code localDomain}.
      *
@@ -95,8 +104,34 @@
             long maxPrefillMillis,
             EndpointId prefilledAt,
             Predicate<EndpointView> allowed) {
-        EndpointView best = null;
-        double bestCost = Double.POSITIVE_INFINITY;
+        return choose(
+                nowMillis,
+                endpoints,
+                spec,
+                tokens,
+                PromptPrefill.NONE,
+                maxPrefillMillis,
+                prefilledAt,
+                allowed);
+    }
+
+    /**
+     * Returns the engine to send a request to, as the method above does, with the speed of each
+     * engine taken into account. With many hosts it is a random one of those that are nearly as
+     * good as the best, so that hosts that decide at the same moment choose different ones.
+     *
+     * @param prefill the prefill that the request needs
+     */
+    public EndpointView choose(
+            long nowMillis,
+            Collection<EndpointView> endpoints,
+            EngineSpec spec,
+            long tokens,
+            PromptPrefill prefill,
+            long maxPrefillMillis,
+            EndpointId prefilledAt,
+            Predicate<EndpointView> allowed) {
+        List<Candidate> candidates = new ArrayList<>();
         for (EndpointView e : endpoints) {
             PlacedLoad load = e.totalLoad(nowMillis);
             if (!isUsable(nowMillis, e) || !allowed.test(e)) {
@@ -112,13 +147,12 @@
                 continue;
             }
             boolean isLocal = e.record().domain().equals(localDomain);
-            double cost = cost(nowMillis, e, load) + (isLocal ? 0 : REMOTE_DOMAIN_PENALTY_MILLIS);
-            if (cost < bestCost) {
-                best = e;
-                bestCost = cost;
-            }
+            double cost =
+                    cost(nowMillis, e, load, prefill)
+                            + (isLocal ? 0 : REMOTE_DOMAIN_PENALTY_MILLIS);
+            candidates.add(new Candidate(e, cost));
         }
-        return best;
+        return pick(candidates, prefill.toleranceMillis(nowMillis));
     }
 
     /**
@@ -172,25 +206,85 @@
             EngineSpec spec,
             long tokens,
             EndpointView primary) {
-        EndpointView best = null;
-        double bestCost = Double.POSITIVE_INFINITY;
+        return chooseCopy(nowMillis, endpoints, spec, tokens, PromptPrefill.NONE, primary);
+    }
+
+    /**
+     * Returns the engine to keep a copy, as the method above does; with many hosts a random one of
+     * those that are nearly as good as the best.
+     *
+     * @param prefill the prefill that the request needed
+     */
+    public EndpointView chooseCopy(
+            long nowMillis,
+            Collection<EndpointView> endpoints,
+            EngineSpec spec,
+            long tokens,
+            PromptPrefill prefill,
+            EndpointView primary) {
+        List<Candidate> candidates = new ArrayList<>();
         for (EndpointView e : endpoints) {
             PlacedLoad load = e.totalLoad(nowMillis);
             boolean inOtherDomain = !e.record().domain().equals(primary.record().domain());
             if (!inOtherDomain || !isUsable(nowMillis, e) || !hasRoom(load, spec, tokens)) {
                 continue;
             }
-            double cost = cost(nowMillis, e, load) + load.tokens() / COPY_TOKENS_PER_COST_MILLI;
-            if (cost < bestCost) {
-                best = e;
-                bestCost = cost;
+            double cost =
+                    cost(nowMillis, e, load, PromptPrefill.NONE)
+                            + load.tokens() / COPY_TOKENS_PER_COST_MILLI;
+            candidates.add(new Candidate(e, cost));
+        }
+        return pick(candidates, prefill.toleranceMillis(nowMillis));
+    }
+
+    /**
+     * Returns a candidate whose cost exceeds the lowest by less than {@code toleranceMillis}, with
+     * a weight that falls linearly to 0 there; null if there is no candidate.
+     */
+    private EndpointView pick(List<Candidate> candidates, double toleranceMillis) {
+        Candidate best = null;
+        for (Candidate c : candidates) {
+            best = best == null || c.cost() < best.cost() ? c : best;
+        }
+        if (best == null || toleranceMillis <= 0) {
+            return best == null ? null : best.engine();
+        }
+        double limit = best.cost() + toleranceMillis;
+        double total = 0;
+        for (Candidate c : candidates) {
+            total += Math.max(0, limit - c.cost());
+        }
+        double remaining = random.getAsDouble() * total;
+        for (Candidate c : candidates) {
+            remaining -= Math.max(0, limit - c.cost());
+            if (remaining < 0) {
+                return c.engine();
+            }
+        }
+        return best.engine();
+    }
+
+    /**
+     * Returns the share of the memory that requests may fill which is in use on the usable engines,
+     * over all hosts; 1 if no engine is usable.
+     */
+    static double usedMemoryShare(
+            long nowMillis, Collection<EndpointView> endpoints, EngineSpec spec) {
+        long usable = 0;
+        long used = 0;
+        for (EndpointView e : endpoints) {
+            if (e.isServing() && !e.health().isInBackoff(nowMillis)) {
+                usable += spec.memoryTokens();
+                used += e.totalLoad(nowMillis).tokens();
             }
         }
-        return best;
+        return usable == 0 ? 1 : used / (USABLE_MEMORY_SHARE * usable);
     }
 
     private static boolean isUsable(long nowMillis, EndpointView e) {
-        return e.acceptsRequests(nowMillis) && !e.health().isInBackoff(nowMillis);
+        return e.acceptsRequests(nowMillis)
+                && !e.health().isInBackoff(nowMillis)
+                && !e.hasRejectedRecently(nowMillis);
     }
 
     private static boolean hasRoom(PlacedLoad load, EngineSpec spec, long tokens) {
@@ -199,8 +293,10 @@
                         && load.tokens() + tokens <= USABLE_MEMORY_SHARE * spec.memoryTokens();
     }
 
-    private double cost(long nowMillis, EndpointView e, PlacedLoad load) {
-        double cost = load.prefillMillis() + RUNNING_STREAM_COST_MILLIS * load.running();
+    private double cost(long nowMillis, EndpointView e, PlacedLoad load, PromptPrefill prefill) {
+        double cost = load.prefillMillis() + prefill.millis(nowMillis, e, load.running());
+        double pause = RUNNING_STREAM_COST_MILLIS + prefill.pauseMillis(nowMillis);
+        cost += pause * prefill.stepFactor(nowMillis, e) * load.running();
         cost += FAILURE_PENALTY_MILLIS * e.health().failureShare(nowMillis);
         cost += MAX_JITTER_MILLIS * random.getAsDouble();
         boolean silent = e.record().state() == EndpointState.SILENT;
--- a/siskintrail/src/io/siskintrail/internal/traffic/stream/SilenceTracker.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/stream/SilenceTracker.java
@@ -14,6 +14,7 @@
     private final SilenceRule rule;
     private final long sentAt;
     private final double expectedFirstEventMillis;
+    private long unforeseenMillis;
     private long lastEventAt = NEVER;
     private long probedAt;
     private boolean probeAnswered;
@@ -57,6 +58,14 @@
         readingSince = nowMillis;
     }
 
+    /**
+     * Records that the engine had {@code millis} of prefill to do before this attempt that nothing
+     * told of when it was sent. Giving up the attempt for that would repeat its own prefill.
+     */
+    public void recordUnforeseenPrefill(long millis) {
+        unforeseenMillis = Math.max(unforeseenMillis, millis);
+    }
+
     /** Returns whether the engine is read from. */
     public boolean isReading() {
         return reading;
@@ -92,7 +101,9 @@
         }
         long sinceActivityOrProbeMillis = Math.min(engineSilentMillis, nowMillis - probedAt);
         return rule.checkBeforeFirstEvent(
-                nowMillis - sentAt, sinceActivityOrProbeMillis, expectedFirstEventMillis);
+                nowMillis - sentAt,
+                sinceActivityOrProbeMillis,
+                expectedFirstEventMillis + unforeseenMillis);
     }
 
     private SilenceRule.ProbeState probeStateSince(long nowMillis, long engineSilentMillis) {
