Open a second connection when the first is slow to open

A lost SYN packet is repeated by the system only after a second. A probe whose SYN was lost failed after 80 ms, and the edge then took all its streams off a live engine; a request lost 250 ms. On a link that loses 3% of the packets each way, one probe in seventeen failed for that reason.

EndpointDial opens a second connection after 40 ms and uses the one that is open first; the other is closed. A request is written only to an open connection, so it is still sent once, on a connection of its own. Probes of an endpoint that are asked for during a probe share its result. The metrics page counts probes apart from other connections.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -273,6 +273,7 @@
                 siskintrail_edge_endpoints_pushing_back %d
                 siskintrail_edge_running %d
                 siskintrail_edge_connections_opened_total %d
+                siskintrail_edge_probes_opened_total %d
                 """
                         .formatted(
                                 isReady() ? 1 : 0,
@@ -283,7 +284,8 @@
                                 endpoints.count(EndpointView::isLeaving),
                                 endpoints.count(e -> e.pushBack().isActive(now)),
                                 server.openRequests(),
-                                pool.openedConnections());
+                                pool.openedConnections(),
+                                pool.openedProbes());
         byte[] page = (gauges + stats.page()).getBytes(StandardCharsets.UTF_8);
         answer.accept(new HttpService.Answer(200, "text/plain", page));
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -16,6 +17,10 @@
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.Addresses;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -47,7 +52,9 @@
     private final Bootstrap bootstrap;
     private final KeptConnections idle =
             new KeptConnections(MAX_IDLE_PER_ENDPOINT, MAX_IDLE_MILLIS);
+    private final Map<String, List<Consumer<Boolean>>> pendingProbes = new HashMap<>();
     private long openedConnections;
+    private long openedProbes;
 
     EndpointPool(EventLoop loop, TrafficProtocol protocol) {
         this.loop = loop;
@@ -56,7 +63,6 @@
                 new Bootstrap()
                         .group(loop.group())
                         .channelFactory(() -> loop.closeOnStop(new NioSocketChannel()))
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .option(
                                 ChannelOption.RECVBUF_ALLOCATOR,
                                 new AdaptiveRecvByteBufAllocator(
@@ -76,27 +82,46 @@
         connect(address, attempt);
     }
 
-    /** Checks by opening a connection whether the endpoint at {@code address} is reachable. */
+    /**
+     * Checks by opening a connection whether the endpoint at {@code address} is reachable. Callers
+     * that ask while a check is under way share its result.
+     */
     void probe(String address, Consumer<Boolean> onResult) {
         Optional<InetSocketAddress> socketAddress = parse(address);
         if (socketAddress.isEmpty()) {
             loop.execute(() -> onResult.accept(false));
             return;
         }
+        List<Consumer<Boolean>> sharing = pendingProbes.get(address);
+        if (sharing != null) {
+            sharing.add(onResult);
+            return;
+        }
+        pendingProbes.put(address, new ArrayList<>(List.of(onResult)));
+        new EndpointDial(
+                        loop,
+                        PROBE_TIMEOUT_MILLIS,
+                        millis -> openProbe(socketAddress.get(), millis),
+                        () -> true,
+                        (channel, cause) -> endProbe(address, channel))
+                .start();
+    }
+
+    private ChannelFuture openProbe(InetSocketAddress address, int timeoutMillis) {
         openedConnections++;
-        ChannelFuture connecting =
-                bootstrap
-                        .clone()
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, PROBE_TIMEOUT_MILLIS)
-                        .handler(new ChannelInboundHandlerAdapter())
-                        .connect(socketAddress.get());
-        connecting.addListener(
-                result -> {
-                    if (result.isSuccess()) {
-                        connecting.channel().close();
-                    }
-                    onResult.accept(result.isSuccess());
-                });
+        openedProbes++;
+        return bootstrap
+                .clone()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(address);
+    }
+
+    private void endProbe(String address, Channel channel) {
+        if (channel != null) {
+            channel.close();
+        }
+        pendingProbes.remove(address).forEach(onResult -> onResult.accept(channel != null));
     }
 
     /** Closes the idle connections to an endpoint that is gone. */
@@ -114,6 +139,11 @@
         return openedConnections;
     }
 
+    /** Returns how many of the connections were opened only to check an endpoint. */
+    long openedProbes() {
+        return openedProbes;
+    }
+
     /** Returns whether a response may answer the request of {@code attempt}. */
     boolean isAnswerTo(HttpResponse response, Attempt attempt) {
         String id = protocol.readResponse(response).requestId();
@@ -151,37 +181,44 @@
             loop.execute(() -> notifyConnectFailure(attempt, "address is not ip:port"));
             return;
         }
+        new EndpointDial(
+                        loop,
+                        CONNECT_TIMEOUT_MILLIS,
+                        millis -> open(address, socketAddress.get(), millis),
+                        () -> !attempt.isFinished(),
+                        (channel, cause) -> handleDialed(channel, cause, attempt))
+                .start();
+    }
+
+    private ChannelFuture open(String address, InetSocketAddress socketAddress, int timeoutMillis) {
         openedConnections++;
         EndpointConnection connection = new EndpointConnection(address, this);
-        ChannelFuture connecting =
-                bootstrap
-                        .clone()
-                        .handler(
-                                new ChannelInitializer<SocketChannel>() {
-                                    @Override
-                                    protected void initChannel(SocketChannel channel) {
-                                        channel.pipeline()
-                                                .addLast(connection.headLimit())
-                                                .addLast(new HttpRequestEncoder())
-                                                .addLast(connection.newDecoder())
-                                                .addLast(connection);
-                                    }
-                                })
-                        .connect(socketAddress.get());
-        connecting.addListener(
-                result -> onConnectResult(result.isSuccess(), result.cause(), connection, attempt));
-    }
-
-    private void onConnectResult(
-            boolean success, Throwable cause, EndpointConnection connection, Attempt attempt) {
+        return bootstrap
+                .clone()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+                .handler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                channel.pipeline()
+                                        .addLast(connection.headLimit())
+                                        .addLast(new HttpRequestEncoder())
+                                        .addLast(connection.newDecoder())
+                                        .addLast(connection);
+                            }
+                        })
+                .connect(socketAddress);
+    }
+
+    private void handleDialed(Channel channel, Throwable cause, Attempt attempt) {
         if (attempt.isFinished()) {
-            if (success) {
-                connection.close();
+            if (channel != null) {
+                channel.close();
             }
             return;
         }
-        if (success) {
-            connection.send(attempt);
+        if (channel != null) {
+            channel.pipeline().get(EndpointConnection.class).send(attempt);
             return;
         }
         String failure = cause == null ? "unknown" : cause.getClass().getSimpleName();
