Choose an endpoint for a hedge only if it should answer sooner

A hedged call went to any other endpoint, also to one that is expected to answer after the first. CallPlacement.chooseSooner takes the time that the first endpoint is still expected to need.

A host that sends two calls a second to three endpoints sees an endpoint about once in 1.5 s, and a slow period lasts 0.6 s, so it learns of one mostly when it is over; the target is also three times the latency in a slow period.

--- a/siskintrail/src/io/siskintrail/internal/traffic/placement/CallPlacement.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/CallPlacement.java
@@ -43,8 +43,26 @@
      */
     public EndpointView choose(
             long nowMillis, Collection<EndpointView> endpoints, Predicate<EndpointView> allowed) {
+        return chooseSooner(nowMillis, endpoints, allowed, Double.POSITIVE_INFINITY);
+    }
+
+    /**
+     * Returns the endpoint with the lowest expected latency, or null when none is usable that is
+     * expected to answer in less than {@code limitMillis}.
+     *
+     * @param nowMillis monotonic time
+     * @param endpoints the endpoints of the service
+     * @param allowed returns false for endpoints to which this call was sent before
+     * @param limitMillis how long the call takes without a further attempt, for example {@link
+     *     #remainingMillis}
+     */
+    public EndpointView chooseSooner(
+            long nowMillis,
+            Collection<EndpointView> endpoints,
+            Predicate<EndpointView> allowed,
+            double limitMillis) {
         EndpointView best = null;
-        double bestCost = Double.POSITIVE_INFINITY;
+        double bestCost = limitMillis;
         FailureShares failures = new FailureShares(nowMillis, endpoints);
         for (EndpointView e : endpoints) {
             if (!e.acceptsRequests(nowMillis) || !allowed.test(e)) {
@@ -59,8 +77,25 @@
         return best;
     }
 
+    /**
+     * Returns how long the answer to a call is still expected to take, in milliseconds: the rest of
+     * the usual latency, but at least as long as the call has taken already. The latter holds for a
+     * call whose endpoint may have become slow or silent, of which nothing else is known.
+     *
+     * @param usualMillis the expected latency when the call was sent
+     * @param elapsedMillis the time since then
+     */
+    public static double remainingMillis(double usualMillis, long elapsedMillis) {
+        return Math.max(usualMillis - elapsedMillis, elapsedMillis);
+    }
+
+    /** Returns the expected latency in milliseconds of a call to {@code endpoint}. */
+    public static double expectedMillis(EndpointView endpoint) {
+        return endpoint.health().latencyMillis(DEFAULT_LATENCY_MILLIS);
+    }
+
     private double cost(long nowMillis, EndpointView e, double excessFailureShare) {
-        double latency = e.health().latencyMillis(DEFAULT_LATENCY_MILLIS);
+        double latency = expectedMillis(e);
         double loadFactor = 1 + (double) e.running() / Math.max(1, e.record().slots());
         double failurePenalty =
                 1 + FAILURE_PENALTY_FACTOR * excessFailureShare * excessFailureShare;
