Send calls elsewhere that are not connected or were rejected

A call waited 250 ms for a connection, longer than the targets of short calls, before another endpoint was tried. It now goes elsewhere after 0.4 of its target; nothing was sent by then, so this holds for calls that may run only once, too, and takes no retry.

A call that all endpoints rejected as not run was answered with a Retry-After of 80 ms or more, although a full endpoint has room again within the duration of a call. It now waits in the queue for the usual time, within its maximum number of attempts and the retry budget, and is sent again. A rejection no longer counts as capacity that became free. A further attempt is sent only to an endpoint where this host itself does not fill all slots, and a hedge only if it should answer sooner.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -6,6 +6,7 @@
 import io.siskintrail.edge.EndpointResponse;
 import io.siskintrail.internal.traffic.configuration.RouteKind;
 import io.siskintrail.internal.traffic.endpoint.EndpointView;
+import io.siskintrail.internal.traffic.placement.CallPlacement;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
@@ -37,6 +38,13 @@
      */
     private static final double MAX_QUEUE_TIME_FRACTION = 0.5;
 
+    /**
+     * Fraction of the target latency after which a call goes to another endpoint because no
+     * connection is open. Nothing was sent by then, so that this is no further attempt. Leaves the
+     * other endpoint more than half of the target.
+     */
+    private static final double CONNECT_WAIT_FRACTION = 0.4;
+
     /** Retry-After for an endpoint that rejected the call although it seemed to have capacity. */
     private static final long REJECTED_RETRY_MILLIS = 80;
 
@@ -52,6 +60,10 @@
     private int failedConnects;
     private boolean answered;
     private boolean outcomeUnknown;
+
+    /** Whether the call waits to be sent again, which takes a retry from the budget. */
+    private boolean wasRejected;
+
     private BufferedResponse lastErrorResponse;
 
     /** Response that was received completely by the attempt {@code source}. */
@@ -72,7 +84,14 @@
             reject(ResultCode.NO_ENDPOINT, "service has no endpoint", UNAVAILABLE_RETRY_MILLIS);
             return;
         }
-        enqueue((long) (MAX_QUEUE_TIME_FRACTION * call.route().targetLatencyMillis()));
+        enqueue(queueTimeMillis());
+    }
+
+    /** Returns for how many milliseconds the call may still wait in the queue; 0 or less if not. */
+    private long queueTimeMillis() {
+        long elapsedMillis = EventLoop.nowMillis() - call.arrivedAtMillis();
+        return (long) (MAX_QUEUE_TIME_FRACTION * call.route().targetLatencyMillis())
+                - elapsedMillis;
     }
 
     @Override
@@ -143,9 +162,10 @@
                                 candidate ->
                                         !triedEndpoints.contains(candidate.record().id())
                                                 && hasCapacity(candidate));
-        if (endpoint == null) {
+        if (endpoint == null || wasRejected && !tryTakeRetry()) {
             return false;
         }
+        wasRejected = false;
         leaveQueue();
         send(endpoint);
         return true;
@@ -166,30 +186,46 @@
         UnaryAttempt newAttempt = new UnaryAttempt(endpoint, sentAttempts);
         runningAttempts.add(newAttempt);
         newAttempt.start();
-        if (isIdempotent() && sentAttempts < call.route().maxAttempts() && hedgeTimer == null) {
-            long delayMillis = (long) (HEDGE_DELAY_FRACTION * call.route().targetLatencyMillis());
-            hedgeTimer = edge.loop().after(Math.max(1, delayMillis), this::sendHedge);
+        if (isIdempotent() && hedgeTimer == null) {
+            scheduleHedge();
         }
     }
 
-    private void sendHedge() {
-        if (!hasEnded() && runningAttempts.size() == 1) {
-            trySendAgain();
+    private void scheduleHedge() {
+        long delayMillis = (long) (HEDGE_DELAY_FRACTION * call.route().targetLatencyMillis());
+        hedgeTimer = after(Math.max(1, delayMillis), this::hedge);
+    }
+
+    /** Sends a second attempt if another endpoint is expected to answer before the first. */
+    private void hedge() {
+        if (hasEnded() || sentAttempts >= call.route().maxAttempts()) {
+            return;
+        }
+        if (runningAttempts.size() == 1) {
+            trySendAgain(runningAttempts.get(0).remainingMillis());
         }
+        scheduleHedge();
     }
 
     /** Sends the call to another endpoint if a retry is allowed; returns whether it was sent. */
     private boolean trySendAgain() {
+        return trySendAgain(Double.POSITIVE_INFINITY);
+    }
+
+    /** Like {@link #trySendAgain()}, if an answer is expected in less than {@code limitMillis}. */
+    private boolean trySendAgain(double limitMillis) {
         if (sentAttempts >= call.route().maxAttempts() || edge.crashes().refuses(call)) {
             return false;
         }
-        long now = EventLoop.nowMillis();
         EndpointView nextEndpoint =
                 edge.callPlacement()
-                        .choose(
-                                now,
+                        .chooseSooner(
+                                EventLoop.nowMillis(),
                                 edge.endpoints().ofService(service),
-                                candidate -> !triedEndpoints.contains(candidate.record().id()));
+                                candidate ->
+                                        !triedEndpoints.contains(candidate.record().id())
+                                                && hasCapacity(candidate),
+                                limitMillis);
         if (nextEndpoint == null || !tryTakeRetry()) {
             return false;
         }
@@ -197,6 +233,58 @@
         return true;
     }
 
+    /**
+     * Queues a call that all endpoints rejected as not run, so that it is sent again when one has
+     * room; returns whether it waits. The wait is short, as a client that is told to retry comes
+     * back later than an endpoint needs for a call.
+     */
+    private boolean tryQueueRejected() {
+        boolean mayBeSentAgain =
+                sentAttempts < call.route().maxAttempts()
+                        && !outcomeUnknown
+                        && lastErrorResponse == null
+                        && runningAttempts.isEmpty()
+                        && !hasEnded()
+                        && hasRetryLeft()
+                        && !edge.crashes().refuses(call);
+        long waitMillis = queueTimeMillis();
+        if (!mayBeSentAgain || waitMillis <= 0 || edge.pushBackMillis(service) > waitMillis) {
+            return false;
+        }
+        triedEndpoints.clear();
+        wasRejected = true;
+        enqueue(waitMillis);
+        return true;
+    }
+
+    /**
+     * Sends a call to another endpoint if the connection to the first is not open yet. A dead
+     * endpoint or a lost packet then delays it by less than its target latency.
+     */
+    private void leaveUnconnected(UnaryAttempt unconnected) {
+        boolean isOnlyAttempt =
+                runningAttempts.size() == 1 && runningAttempts.contains(unconnected);
+        if (!isOnlyAttempt
+                || unconnected.attempt.isWritten()
+                || failedConnects + 1 >= MAX_FAILED_CONNECTS) {
+            return;
+        }
+        long now = EventLoop.nowMillis();
+        EndpointView other =
+                edge.callPlacement()
+                        .choose(
+                                now,
+                                edge.endpoints().ofService(service),
+                                candidate ->
+                                        !triedEndpoints.contains(candidate.record().id())
+                                                && hasCapacity(candidate)
+                                                && !candidate.health().isInBackoff(now));
+        if (other != null) {
+            unconnected.stop();
+            handleConnectFailure(unconnected, "not connected yet");
+        }
+    }
+
     private void handleResponse(
             UnaryAttempt endedAttempt,
             BufferedResponse response,
@@ -209,7 +297,7 @@
                     "attempt.not-run",
                     endedAttempt,
                     "status=%d".formatted(endpointResponse.status()));
-            endUnlessRetrying(trySendAgain());
+            endUnlessRetrying(trySendAgain() || tryQueueRejected());
             return;
         }
         if (!endpointResponse.signed()) {
@@ -313,10 +401,13 @@
         private final long startedAtMillis = EventLoop.nowMillis();
         private final ResponseBuffer body =
                 new ResponseBuffer(edge.responseMemory(), MAX_RESPONSE_BYTES);
+        private final double expectedMillis;
+        private Future<?> connectTimer;
         private EndpointResponse endpointResponse;
         private HttpHeaders headers;
 
         UnaryAttempt(EndpointView endpoint, int number) {
+            expectedMillis = CallPlacement.expectedMillis(endpoint);
             this.number = number;
             // Event ID, copy target, copy source and weight version apply only to streams.
             EndpointRequest request = buildForwardedRequest(endpoint, -1, null, null, -1);
@@ -327,9 +418,17 @@
         void start() {
             attempt.endpoint().beginRequest(0);
             edge.crashes().recordSent(evidence);
+            long waitMillis = (long) (CONNECT_WAIT_FRACTION * call.route().targetLatencyMillis());
+            connectTimer = after(Math.max(1, waitMillis), () -> leaveUnconnected(this));
             edge.pool().send(attempt);
         }
 
+        /** Returns how long the answer is still expected to take, in milliseconds. */
+        double remainingMillis() {
+            return CallPlacement.remainingMillis(
+                    expectedMillis, EventLoop.nowMillis() - startedAtMillis);
+        }
+
         /** Returns the number of the attempt and its connection, for the log. */
         String describe() {
             return "attempt=%d connection=%s".formatted(number, attempt.describeConnection());
@@ -410,9 +509,13 @@
 
         private void releaseEndpoint() {
             body.release();
+            connectTimer.cancel(false);
             attempt.endpoint().endRequest(0);
             edge.crashes().recordEnded(evidence);
-            edge.queues().releaseOne(service);
+            boolean wasFull = endpointResponse != null && endpointResponse.notRun();
+            if (!wasFull) {
+                edge.queues().releaseOne(service);
+            }
         }
     }
 }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/ScriptedEndpoint.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/ScriptedEndpoint.java
@@ -69,6 +69,11 @@
         return requests;
     }
 
+    /** Returns how many connections were accepted, with or without a request. */
+    int acceptedConnections() {
+        return connections.size();
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
