--- a/siskintrail/src/io/siskintrail/internal/traffic/configuration/RouteTable.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/configuration/RouteTable.java
@@ -17,6 +17,7 @@
     private final Map<String, Account> accountsByKey = new HashMap<>();
     private final Set<ServiceName> routedServices = new HashSet<>();
     private final Map<ServiceName, ServiceSpec> servicesByName = new HashMap<>();
+    private final Map<ServiceName, Long> shortestStreamTargets = new HashMap<>();
 
     /** Creates an index of a configuration that {@link ConfigurationCheck} has accepted. */
     public RouteTable(TrafficConfiguration configuration) {
@@ -24,7 +25,7 @@
         for (Route r : configuration.routes()) {
             r.services().stream()
                     .filter(s -> s.weight() > 0)
-                    .forEach(s -> routedServices.add(s.service()));
+                    .forEach(s -> addTarget(r, s.service()));
             routesByHost.computeIfAbsent(r.host(), h -> new HashMap<>()).put(r.pathPrefix(), r);
         }
         for (Account a : configuration.accounts()) {
@@ -33,6 +34,13 @@
         configuration.services().forEach(s -> servicesByName.put(s.name(), s));
     }
 
+    private void addTarget(Route route, ServiceName service) {
+        routedServices.add(service);
+        if (route.kind() == RouteKind.STREAM) {
+            shortestStreamTargets.merge(service, route.targetLatencyMillis(), Math::min);
+        }
+    }
+
     /** Returns the version of the configuration. */
     public long version() {
         return configuration.version();
@@ -80,6 +88,14 @@
         return routedServices;
     }
 
+    /**
+     * Returns the shortest latency target, in milliseconds, of the stream routes that lead to a
+     * service with a weight above 0; {@link Long#MAX_VALUE} if there is none.
+     */
+    public long shortestStreamTargetMillis(ServiceName service) {
+        return shortestStreamTargets.getOrDefault(service, Long.MAX_VALUE);
+    }
+
     /** Returns the names of all services of the configuration. */
     public Set<ServiceName> services() {
         return servicesByName.keySet();
--- a/siskintrail/src/io/siskintrail/internal/traffic/endpoint/EndpointView.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/endpoint/EndpointView.java
@@ -150,6 +150,12 @@
         remoteLoads.remove(host);
     }
 
+    /** Returns how many requests of another host were running here by its last report. */
+    public int remoteRunning(HostId host) {
+        RemoteLoad remote = remoteLoads.get(host);
+        return remote == null ? 0 : remote.load().running();
+    }
+
     /** Returns the load that this host has placed here. */
     public PlacedLoad localLoad(long nowMillis) {
         return new PlacedLoad(
