Admit streams in one order over all edges from 16 edges on

Cause: each edge placed the requests that wait at it without regard to those at other edges, a rank 2 stream was placed behind more pending prefill than a rank 0 stream accepts, and every stream that lost its engine polled each 50 ms.

Change: SharedQueues keeps an AdmissionOrder for each service with engines, fed by load reports, and places a stream at position p only if more than p places are free. StreamAdmission states the limits: pending prefill 0.3 of the shortest target of the service, waiting as long as a start is in time. Streams that lost their engine wait in the same order as resumptions. Load reports carry the waiting requests when they change, and each second while any wait. The setting sharedOrderMinHosts (default 16, optional) says from how many edges on; below that nothing changes.

--- a/siskintrail.edge/src/io/siskintrail/edge/EdgeSettings.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/EdgeSettings.java
@@ -1,5 +1,6 @@
 package io.siskintrail.edge;
 
+import io.siskintrail.service.SettingsException;
 import java.util.List;
 
 /**
@@ -22,6 +23,8 @@
  * @param retryReserve retries to a service that all hosts together may make per retry budget window
  *     in addition to {@code retryRatio}
  * @param retryWindowSeconds the length of the retry budget window, in seconds
+ * @param sharedOrderMinHosts the number of edges from which on requests that wait for engines are
+ *     admitted in one order over all edges; 1 to {@link #MAX_MIN_HOSTS}
  */
 public record EdgeSettings(
         String host,
@@ -36,14 +39,60 @@
         double outOfRotationSeconds,
         double retryRatio,
         double retryReserve,
-        double retryWindowSeconds) {
+        double retryWindowSeconds,
+        long sharedOrderMinHosts) {
+    /** Default of {@code sharedOrderMinHosts}: with fewer edges each sees enough by itself. */
+    public static final long DEFAULT_MIN_HOSTS = 16;
+
+    /** Maximum of {@code sharedOrderMinHosts}. */
+    public static final long MAX_MIN_HOSTS = 100_000;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    /** Makes a defensive copy of the seed list. */
+    /**
+     * Makes a defensive copy of the seed list.
+     *
+     * @throws SettingsException if {@code sharedOrderMinHosts} is out of range
+     */
     public EdgeSettings {
+        if (sharedOrderMinHosts < 1 || sharedOrderMinHosts > MAX_MIN_HOSTS) {
+            throw new SettingsException("sharedOrderMinHosts", "1 to " + MAX_MIN_HOSTS);
+        }
         seeds = List.copyOf(seeds);
     }
 
+    /** Creates settings with {@link #DEFAULT_MIN_HOSTS}. */
+    public EdgeSettings(
+            String host,
+            String domain,
+            String ip,
+            String frontAddress,
+            String readinessAddress,
+            int linkPort,
+            int metricsPort,
+            List<String> seeds,
+            double graceSeconds,
+            double outOfRotationSeconds,
+            double retryRatio,
+            double retryReserve,
+            double retryWindowSeconds) {
+        this(
+                host,
+                domain,
+                ip,
+                frontAddress,
+                readinessAddress,
+                linkPort,
+                metricsPort,
+                seeds,
+                graceSeconds,
+                outOfRotationSeconds,
+                retryRatio,
+                retryReserve,
+                retryWindowSeconds,
+                DEFAULT_MIN_HOSTS);
+    }
+
     /** Returns the time from the stop request to the end of the process, in milliseconds. */
     public long graceMillis() {
         return (long) (graceSeconds * MILLIS_PER_SECOND);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -202,6 +202,7 @@
     @Override
     public void onRelayedMessage(RegistryMessage message) {
         if (message instanceof RegistryMessage.Loads loads) {
+            context.sharedQueues().applyReports(loads, endpoints);
             context.loadExchange().applyReport(loads, endpoints);
             recordEndedHosts(loads);
         } else if (message instanceof RegistryMessage.Draining draining) {
@@ -284,7 +285,9 @@
                                 endpoints.count(e -> e.pushBack().isActive(now)),
                                 server.openRequests(),
                                 pool.openedConnections());
-        byte[] page = (gauges + stats.page()).getBytes(StandardCharsets.UTF_8);
+        byte[] page =
+                (gauges + context.sharedQueues().gauges() + stats.page())
+                        .getBytes(StandardCharsets.UTF_8);
         answer.accept(new HttpService.Answer(200, "text/plain", page));
     }
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -57,6 +57,7 @@
     private final CallPlacement callPlacement;
     private final StreamPlacement streamPlacement;
     private final AdmissionQueues queues;
+    private final SharedQueues sharedQueues;
     private final Map<ServiceName, PrefillRate> prefillRates = new HashMap<>();
     private final StreamMonitor monitor;
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
@@ -96,6 +97,7 @@
         this.callPlacement = new CallPlacement(localDomain);
         this.streamPlacement = new StreamPlacement(localDomain, random::nextDouble);
         this.queues = new AdmissionQueues(loop, random::nextLong);
+        this.sharedQueues = new SharedQueues(this, registryFollower, settings);
         this.monitor = new StreamMonitor(loop);
     }
 
@@ -175,6 +177,11 @@
         return queues;
     }
 
+    /** Returns the requests that wait in one order over all edges. */
+    SharedQueues sharedQueues() {
+        return sharedQueues;
+    }
+
     /** Returns the monitor of open streams. */
     StreamMonitor monitor() {
         return monitor;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeStats.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeStats.java
@@ -39,6 +39,20 @@
                 millis);
     }
 
+    /**
+     * Counts a stream that started or was refused in the order of all edges, by rank and account.
+     *
+     * @param event {@code started} or {@code refused}
+     */
+    void recordOrder(String event, CallContext call) {
+        String name = "siskintrail_edge_order_%s_total".formatted(event);
+        increment(name, "rank=\"%d\"".formatted(call.rank()));
+        String account = call.accountId() == null ? "-" : call.accountId().value();
+        increment(
+                "siskintrail_edge_order_account_%s_total".formatted(event),
+                "account=\"%s\"".formatted(accountLabel(account)));
+    }
+
     /** Records a latency in milliseconds, clamped to the histogram range. */
     void recordLatency(String name, String labels, long millis) {
         latencies
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Exchange.java
@@ -165,6 +165,16 @@
         }
     }
 
+    /**
+     * Ends a queued request that cannot start in time.
+     *
+     * @param detail position, places and forecast, for the log and the client
+     * @param retryAfterMillis the Retry-After if it was not run, in milliseconds
+     */
+    final void endLate(String detail, long retryAfterMillis) {
+        guard(() -> handleLate(detail, retryAfterMillis));
+    }
+
     /** Returns the request ID, {@code -} if it is unknown. */
     final String requestId() {
         return call.requestId();
@@ -213,6 +223,11 @@
     /** Responds when the deadline or the queue time of the request has passed. */
     protected abstract void handleTimeout();
 
+    /** Ends a request that cannot start in time, as {@link #endLate} says. */
+    protected void handleLate(String detail, long retryAfterMillis) {
+        reject(ResultCode.NOT_RUN_NO_ROOM, detail, retryAfterMillis);
+    }
+
     /** Tries to place a queued request; returns whether it no longer needs to wait. */
     protected abstract boolean tryPlace();
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
@@ -1,5 +1,6 @@
 package io.siskintrail.edge.internal;
 
+import io.siskintrail.internal.traffic.admission.WaitingRequest;
 import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
 import io.siskintrail.internal.traffic.placement.PrefilledPrompt;
@@ -13,14 +14,17 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * Reports to other edges the load that this edge has placed on engines and which prompts the
- * engines have prefilled, and applies the reports of other edges. One registry relays the reports,
- * so that edges need no links among each other. Reports contain only changes, batched for {@link
- * #BATCH_MILLIS}. Since messages can be lost, the full load is reported periodically. When an edge
- * ends, the registry reports on its behalf that the edge has placed nothing.
+ * engines have prefilled, and which requests wait at this edge, and applies the reports of other
+ * edges. One registry relays the reports, so that edges need no links among each other. Reports
+ * contain only changes, batched for {@link #BATCH_MILLIS}. Since messages can be lost, the full
+ * load is reported periodically. When an edge ends, the registry reports on its behalf that the
+ * edge has placed nothing.
  */
 final class LoadExchange {
     /** Batching time of changes; short compared with the prefill of a prompt. */
@@ -43,6 +47,10 @@
 
     private final List<PrefilledPrompt> unreportedPrompts = new ArrayList<>();
     private final PrefilledPrompts prefilledPrompts = new PrefilledPrompts();
+
+    /** Returns the requests that wait at this edge; null if they have not changed. */
+    private Supplier<List<WaitingRequest>> changedWaiting;
+
     private boolean reportScheduled;
 
     /**
@@ -63,6 +71,16 @@
         scheduleReport();
     }
 
+    /**
+     * Records that other requests wait at this edge than it reported last.
+     *
+     * @param waiting returns them when the report is sent
+     */
+    void recordWaitingChanged(Supplier<List<WaitingRequest>> waiting) {
+        changedWaiting = waiting;
+        scheduleReport();
+    }
+
     /** Records that an engine has prefilled a prompt that this edge sent to it. */
     void recordPromptPrefilled(PrefilledPrompt prefilledPrompt) {
         prefilledPrompts.recordPrefill(prefilledPrompt, EventLoop.nowMillis());
@@ -124,13 +142,21 @@
         mayBeCountedElsewhere = !nextReportIsComplete || !loads.isEmpty();
         List<PrefilledPrompt> promptsToReport = List.copyOf(unreportedPrompts);
         unreportedPrompts.clear();
+        Optional<List<WaitingRequest>> waiting =
+                Optional.ofNullable(changedWaiting).map(Supplier::get);
+        changedWaiting = null;
         boolean isComplete = nextReportIsComplete;
         nextReportIsComplete = false;
         sender.accept(
                 new RegistryMessage.Loads(
                         List.of(
                                 new RegistryMessage.HostLoads(
-                                        localHost, isComplete, loads, promptsToReport))));
+                                        localHost,
+                                        isComplete,
+                                        loads,
+                                        promptsToReport,
+                                        waiting,
+                                        List.of()))));
     }
 
     private void scheduleReport() {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -23,21 +23,9 @@
  * another one after the last event that the client received, from a KV cache copy if there is one.
  */
 final class StreamExchange extends Exchange {
-    /** Maximum fraction of the target latency that a request waits for an engine to appear. */
-    private static final double NO_ENGINE_FRACTION = 0.12;
-
     /** Delay before a stream that lost or doubts its engine searches for another one again. */
     private static final long SEARCH_DELAY_MILLIS = 50;
 
-    /**
-     * Maximum fraction of the target latency that queued prefills may take on an engine before a
-     * request.
-     */
-    private static final double PREFILL_FRACTION = 0.3;
-
-    /** Maximum fraction of the target latency that a request waits for capacity. */
-    private static final double QUEUE_FRACTION = 0.5;
-
     /**
      * Time after which a stream that stays at a silent engine may go on there through a new
      * connection: longer than a sound engine pauses, so that only the connection can be at fault.
@@ -53,6 +41,7 @@
     private final StreamJournal journal;
     private final StreamResponse response;
     private final StreamKvCacheCopies copies;
+    private final StreamAdmission admission;
     private final Set<EndpointId> failedEngines = new HashSet<>();
     private final StreamAttempts attempts;
     private StreamAttempt attempt;
@@ -76,16 +65,16 @@
         response = new StreamResponse(edge, call, client);
         journal = new StreamJournal(call.metadata().lastEventId());
         copies = new StreamKvCacheCopies(edge, call.requestId(), service, engine, tokens);
+        admission = new StreamAdmission(edge, call, this, attempts, engine, tokens);
     }
 
     @Override
     protected void placeOrQueue() {
-        if (tryPlace()) {
-            return;
+        if (admission.isShared()) {
+            admission.enterAsNew();
+        } else if (!tryPlace()) {
+            enqueue(admission.maxWaitMillis());
         }
-        boolean hasNoEndpoint = edge.endpoints().ofService(service).isEmpty();
-        double waitFraction = hasNoEndpoint ? NO_ENGINE_FRACTION : QUEUE_FRACTION;
-        enqueue((long) (waitFraction * call.route().targetLatencyMillis()));
     }
 
     @Override
@@ -115,6 +104,7 @@
     @Override
     protected void releaseResources() {
         leaveQueue();
+        admission.leave();
         copies.stop(true);
         if (attempt != null) {
             StreamAttempt lastAttempt = attempt;
@@ -134,21 +124,34 @@
         } else if (mayHaveExecuted()) {
             reject(ResultCode.CALL_TIMED_OUT, "attempts=%d".formatted(attempts.sent()), 0);
         } else {
-            reject(
-                    ResultCode.NOT_RUN_NO_ROOM,
-                    "timed out waiting for capacity",
-                    UNAVAILABLE_RETRY_MILLIS);
+            handleLate("timed out waiting for capacity", UNAVAILABLE_RETRY_MILLIS);
+        }
+    }
+
+    @Override
+    protected void handleLate(String detail, long retryAfterMillis) {
+        if (response.isStarted() || mayHaveExecuted()) {
+            fail(detail);
+        } else {
+            super.handleLate(detail, retryAfterMillis);
         }
     }
 
     @Override
     protected boolean tryPlace() {
-        EndpointView target = chooseEngine();
+        EndpointView copy = copies.usableHolder();
+        EndpointView target = copy != null ? copy : chooseEngine();
         if (target == null) {
             return false;
         }
+        if (attempts.isWritten() && !tryTakeRetry()) {
+            admission.leave();
+            waitForRetry();
+            return true;
+        }
         leaveQueue();
-        send(target, null);
+        admission.leave();
+        send(target, copy);
         return true;
     }
 
@@ -338,7 +341,7 @@
                         edge.endpoints().ofService(service),
                         engine,
                         tokens,
-                        (long) (PREFILL_FRACTION * call.route().targetLatencyMillis()),
+                        admission.maxPrefillMillis(),
                         edge.loadExchange().findEngineWithPrompt(call.metadata().prompt()),
                         candidate ->
                                 candidate != excluded
@@ -460,6 +463,9 @@
         if (copies.usableHolder() != null) {
             return true;
         }
+        if (admission.isShared() && !admission.isTurnOfResumption()) {
+            return false;
+        }
         boolean isPauseOver = EventLoop.nowMillis() - doubtedAtMillis >= MAX_PAUSE_MILLIS;
         if (chooseEngine(isPauseOver ? null : source.engine()) != null) {
             return true;
@@ -511,21 +517,18 @@
             fail("no attempts left");
             return;
         }
-        EndpointView copy = copies.usableHolder();
-        EndpointView target = copy != null ? copy : chooseEngine();
-        if (target == null) {
-            if (response.isStarted()
-                    || mayHaveExecuted()
-                    || !rejectIfPushedBack(queueMillisLeft())) {
-                scheduleSearch();
+        if (admission.isShared() && copies.usableHolder() == null) {
+            boolean isResumption = response.isStarted() || mayHaveExecuted();
+            admission.enterAgain(isResumption, response.isStarted(), lostAtMillis);
+            if (attempt == null) {
+                failedEngines.clear();
             }
-            return;
-        }
-        if (attempts.isWritten() && !tryTakeRetry()) {
-            waitForRetry();
-            return;
+        } else if (!tryPlace()
+                && (response.isStarted()
+                        || mayHaveExecuted()
+                        || !rejectIfPushedBack(admission.queueMillisLeft()))) {
+            scheduleSearch();
         }
-        send(target, copy);
     }
 
     /** Waits for a retry if the stream left an engine that may have finished it, else ends it. */
@@ -537,11 +540,6 @@
         }
     }
 
-    private long queueMillisLeft() {
-        long limitMillis = (long) (QUEUE_FRACTION * call.route().targetLatencyMillis());
-        return Math.max(0, call.arrivedAtMillis() + limitMillis - EventLoop.nowMillis());
-    }
-
     /** Schedules another search for an engine; engines that failed may be tried again then. */
     private void scheduleSearch() {
         if (!searchScheduled) {
@@ -593,5 +591,6 @@
 
     private void releaseCapacity() {
         edge.queues().releaseOne(service);
+        edge.sharedQueues().recordEnd(service);
     }
 }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SettingsFilesTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SettingsFilesTest.java
@@ -107,6 +107,21 @@
         assertThat(failure.detail()).contains(expectedDetail);
     }
 
+    @ParameterizedTest
+    @CsvSource({"1,true", "100000,true", "0,false", "100001,false"})
+    void sharedOrderMinHostsIsChecked(long value, boolean isAccepted) throws Exception {
+        Path file =
+                write(EDGE_SETTINGS.replace("8.6}", "8.6,\"sharedOrderMinHosts\":" + value + '}'));
+
+        if (SettingsFiles.readEdge(file) instanceof Result.Err<EdgeSettings> error) {
+            assertThat(isAccepted).isFalse();
+            assertThat(error.failure().code()).isEqualTo(ResultCode.SETTINGS_OUT_OF_RANGE);
+            assertThat(error.failure().detail()).contains("sharedOrderMinHosts");
+        } else {
+            assertThat(isAccepted).isTrue();
+        }
+    }
+
     @Test
     void missingFileIsUnreadable() {
         Result<EdgeSettings> read = SettingsFiles.readEdge(folder.resolve("none.json"));
