--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -58,6 +58,7 @@
     private final CallPlacement callPlacement;
     private final StreamPlacement streamPlacement;
     private final AdmissionQueues queues;
+    private final SharedQueues sharedQueues;
     private final Map<ServiceName, PrefillRate> prefillRates = new HashMap<>();
     private final StreamMonitor monitor;
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
@@ -86,7 +87,11 @@
         HostId localHost = new HostId(settings.host());
         this.retryBudgets =
                 new RetryBudgets(
-                        settings, registryFollower::edgeCount, this::openStreamsShare, stats);
+                        settings,
+                        registryFollower::edgeCount,
+                        this::hasManyEdges,
+                        this::openStreamsShare,
+                        stats);
         this.loadExchange =
                 new LoadExchange(loop, localHost, registryFollower::sendToRelay, retryBudgets);
         this.random = new SplittableRandom(seed);
@@ -102,6 +107,7 @@
         this.callPlacement = new CallPlacement(localDomain);
         this.streamPlacement = new StreamPlacement(localDomain, random::nextDouble);
         this.queues = new AdmissionQueues(loop, random::nextLong);
+        this.sharedQueues = new SharedQueues(this, registryFollower, settings);
         this.monitor = new StreamMonitor(loop);
     }
 
@@ -181,6 +187,11 @@
         return queues;
     }
 
+    /** Returns the requests that wait in one order over all edges. */
+    SharedQueues sharedQueues() {
+        return sharedQueues;
+    }
+
     /** Returns the monitor of open streams. */
     StreamMonitor monitor() {
         return monitor;
@@ -191,6 +202,11 @@
         return retryBudgets;
     }
 
+    /** Returns whether there are enough edges to decide by what they report to each other. */
+    private boolean hasManyEdges() {
+        return sharedQueues.isActive();
+    }
+
     /** Returns this edge's share of the open streams of all edges at {@code service}. */
     private double openStreamsShare(ServiceName service) {
         long now = EventLoop.nowMillis();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RetryBudgets.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RetryBudgets.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.ToDoubleFunction;
 
@@ -19,14 +20,12 @@
  * draw on what the other edges leave unused. Confined to the event loop.
  */
 final class RetryBudgets {
-    /** Fewest edges that pool their retries; with fewer, the share of each is large enough. */
-    private static final int POOL_MIN_EDGES = 16;
-
     /** Longest wait for a retry: clients leave a stream after a gap of two seconds. */
     private static final long MAX_WAIT_MILLIS = 1_500;
 
     private final EdgeSettings settings;
     private final IntSupplier edgeCount;
+    private final BooleanSupplier hasManyEdges;
     private final ToDoubleFunction<ServiceName> openStreamsShare;
     private final EdgeStats stats;
     private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
@@ -37,16 +36,20 @@
      * Creates budgets of which nothing is used.
      *
      * @param edgeCount returns the number of edges, at least 1
+     * @param hasManyEdges returns whether there are enough edges to pool their retries; with few,
+     *     the share of each is large enough
      * @param openStreamsShare returns this edge's share of the open streams of a service, from 0 to
      *     1
      */
     RetryBudgets(
             EdgeSettings settings,
             IntSupplier edgeCount,
+            BooleanSupplier hasManyEdges,
             ToDoubleFunction<ServiceName> openStreamsShare,
             EdgeStats stats) {
         this.settings = settings;
         this.edgeCount = edgeCount;
+        this.hasManyEdges = hasManyEdges;
         this.openStreamsShare = openStreamsShare;
         this.stats = stats;
     }
@@ -115,7 +118,7 @@
 
     /** Returns whether there are enough edges to pool their retries. */
     boolean isPooled() {
-        return edgeCount.getAsInt() >= POOL_MIN_EDGES;
+        return hasManyEdges.getAsBoolean();
     }
 
     private boolean mayDraw(ServiceName service, long now) {
--- a/siskintrail.platform.test/tst/io/siskintrail/edge/internal/LoadExchangeTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/edge/internal/LoadExchangeTest.java
@@ -29,7 +29,7 @@
                     loop,
                     new HostId("self"),
                     sentMessages::add,
-                    new RetryBudgets(null, () -> 1, s -> 0, new EdgeStats()));
+                    new RetryBudgets(null, () -> 1, () -> false, s -> 0, new EdgeStats()));
     private final EndpointView engine =
             new EndpointView(
                     new EndpointRecord(
