Use engine speeds and the copy policy in the edge

Cause: the edge computed pending prefill and expected first events with one rate per service, gave every stream a copy also while requests waited for memory, sent again at once to an engine that was full, and no longer counted the memory that an engine keeps for the copy of a lost run.

Change: EngineSelection chooses engines and predicts first events; it replaces PrefillRate. Speeds travel with the next load report. Copies follow CopyPolicy. Memory of a copy counts until the copy is used or its retention time ends. From 16 edges on, all streams of a service share the lowest limit of pending prefill. Counters of placements, rejections and copies.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/AdmissionQueues.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/AdmissionQueues.java
@@ -64,6 +64,11 @@
         return (long) queue(service).expectedWaitMillis(EventLoop.nowMillis(), rank);
     }
 
+    /** Returns whether requests wait for capacity of a service. */
+    boolean hasWaiting(ServiceName service) {
+        return queue(service).size() > 0;
+    }
+
     /** Records that capacity for one request became free, and places waiting requests. */
     void releaseOne(ServiceName service) {
         queue(service).recordRelease(EventLoop.nowMillis());
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -16,7 +16,7 @@
 import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.internal.traffic.endpoint.PushBack;
 import io.siskintrail.internal.traffic.placement.CallPlacement;
-import io.siskintrail.internal.traffic.placement.PrefillRate;
+import io.siskintrail.internal.traffic.placement.CopyPolicy;
 import io.siskintrail.internal.traffic.placement.StreamPlacement;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.FailureDomain;
@@ -57,7 +57,8 @@
     private final CallPlacement callPlacement;
     private final StreamPlacement streamPlacement;
     private final AdmissionQueues queues;
-    private final Map<ServiceName, PrefillRate> prefillRates = new HashMap<>();
+    private final FailureDomain localDomain;
+    private final Map<ServiceName, CopyPolicy> copyPolicies = new HashMap<>();
     private final StreamMonitor monitor;
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
     private final StopPlan stopPlan = new StopPlan();
@@ -92,7 +93,7 @@
                         registryFollower,
                         random::nextDouble,
                         this::endUnansweredRequests);
-        FailureDomain localDomain = new FailureDomain(settings.domain());
+        this.localDomain = new FailureDomain(settings.domain());
         this.callPlacement = new CallPlacement(localDomain);
         this.streamPlacement = new StreamPlacement(localDomain, random::nextDouble);
         this.queues = new AdmissionQueues(loop, random::nextLong);
@@ -132,9 +133,19 @@
         return responseMemory;
     }
 
-    /** Returns the measured prefill rate of the engines of a service; never null. */
-    PrefillRate prefillRate(ServiceName service) {
-        return prefillRates.computeIfAbsent(service, s -> new PrefillRate());
+    /** Returns which streams of a service get a copy; never null. */
+    CopyPolicy copyPolicy(ServiceName service) {
+        return copyPolicies.computeIfAbsent(service, s -> new CopyPolicy());
+    }
+
+    /** Returns the number of edges, this one included. */
+    int edgeCount() {
+        return registryFollower.edgeCount();
+    }
+
+    /** Returns whether an endpoint is in the failure domain of this edge. */
+    boolean isLocal(EndpointView endpoint) {
+        return endpoint.record().domain().equals(localDomain);
     }
 
     SplittableRandom random() {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
@@ -2,6 +2,7 @@
 
 import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
+import io.siskintrail.internal.traffic.placement.EngineSpeed;
 import io.siskintrail.internal.traffic.placement.PrefilledPrompt;
 import io.siskintrail.internal.traffic.placement.PrefilledPrompts;
 import io.siskintrail.internal.traffic.placement.PromptId;
@@ -13,6 +14,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -43,6 +45,7 @@
 
     private final List<PrefilledPrompt> unreportedPrompts = new ArrayList<>();
     private final PrefilledPrompts prefilledPrompts = new PrefilledPrompts();
+    private final ServiceSpeeds speeds = new ServiceSpeeds();
     private boolean reportScheduled;
 
     /**
@@ -75,6 +78,11 @@
         return prefilledPrompts.findEndpoint(prompt, EventLoop.nowMillis());
     }
 
+    /** Returns the measured speeds of engines, as of this edge and of the reports of others. */
+    ServiceSpeeds speeds() {
+        return speeds;
+    }
+
     /** Schedules a report of the full load; without load, only if others may still count some. */
     void reportAll() {
         loadedEngines
@@ -109,6 +117,12 @@
                     view.updateRemoteLoad(hostLoads.host(), load, now);
                 }
             }
+            for (EngineSpeed speed : hostLoads.speeds()) {
+                EndpointView view = endpoints.get(speed.endpoint());
+                if (view != null) {
+                    speeds.of(view.record().service()).recordReported(now, speed);
+                }
+            }
             hostLoads
                     .prompts()
                     .forEach(readPrompt -> prefilledPrompts.recordPrefill(readPrompt, now));
@@ -130,7 +144,12 @@
                 new RegistryMessage.Loads(
                         List.of(
                                 new RegistryMessage.HostLoads(
-                                        localHost, isComplete, loads, promptsToReport))));
+                                        localHost,
+                                        isComplete,
+                                        loads,
+                                        promptsToReport,
+                                        Optional.empty(),
+                                        speeds.takeUnreported(now)))));
     }
 
     private void scheduleReport() {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAttempt.java
@@ -24,15 +24,14 @@
     private final EndpointView copyHolder;
     private final CallContext call;
     private final long tokens;
-    private final long prefillMillis;
-    private final double expectedMillis;
-    private final boolean engineIdle;
+    private final EngineSelection.ExpectedPrefill expected;
     private final Attempt attempt;
     private final RunningAttempt evidence;
     private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
     private final ResponseBuffer errorBuffer;
     private final long sentAtMillis = EventLoop.nowMillis();
     private final SilenceTracker silence;
+    private final long remotePrefillAtSend;
     private boolean ended;
     private boolean complete;
     private EndpointResponse endpointResponse;
@@ -44,8 +43,7 @@
      * @param call the request of the client
      * @param copyHolder the engine that stores a copy of the KV cache; null for none
      * @param tokens the KV cache size of the request on each engine, in tokens
-     * @param prefillMillis the expected prefill time in milliseconds
-     * @param expectedMillis the expected time to the first event in milliseconds
+     * @param expected the expected times of the prefill and to the first event
      * @param silenceRule distinguishes a slow engine from a lost one
      */
     StreamAttempt(
@@ -56,8 +54,7 @@
             EndpointRequest request,
             CallContext call,
             long tokens,
-            long prefillMillis,
-            double expectedMillis,
+            EngineSelection.ExpectedPrefill expected,
             SilenceRule silenceRule) {
         this.edge = edge;
         this.errorBuffer = new ResponseBuffer(edge.responseMemory(), MAX_ERROR_BYTES);
@@ -66,10 +63,9 @@
         this.copyHolder = copyHolder;
         this.call = call;
         this.tokens = tokens;
-        this.prefillMillis = prefillMillis;
-        this.expectedMillis = expectedMillis;
-        this.silence = new SilenceTracker(silenceRule, sentAtMillis, expectedMillis);
-        this.engineIdle = engine.totalLoad(sentAtMillis).running() == 0;
+        this.expected = expected;
+        this.silence = new SilenceTracker(silenceRule, sentAtMillis, expected.firstEventMillis());
+        this.remotePrefillAtSend = engine.remotePrefillMillis(sentAtMillis);
         this.attempt = new Attempt(engine, request, call.requestId(), this);
         this.evidence = new RunningAttempt(attempt, call);
     }
@@ -77,7 +73,7 @@
     /** Sends the request. */
     void start() {
         engine.beginRequest(tokens);
-        engine.beginPrefill(sentAtMillis, prefillMillis);
+        engine.beginPrefill(sentAtMillis, expected.prefillMillis());
         edge.loadExchange().recordChange(engine);
         edge.crashes().recordSent(evidence);
         if (copyHolder != null) {
@@ -148,11 +144,15 @@
     }
 
     double expectedMillis() {
-        return expectedMillis;
+        return expected.firstEventMillis();
     }
 
     /** Returns the verdict whether the engine is still alive. */
     SilenceRule.Look checkSilence(long nowMillis) {
+        if (!hasEvents()) {
+            long foreseen = Math.max(0, remotePrefillAtSend - (nowMillis - sentAtMillis));
+            silence.recordUnforeseenPrefill(engine.remotePrefillMillis(nowMillis) - foreseen);
+        }
         return silence.check(nowMillis, engine.health().lastActivityAt());
     }
 
@@ -263,13 +263,20 @@
         evidence.markAnswered();
         exchange.recordAnswered();
         long now = EventLoop.nowMillis();
-        engine.endPrefill(now, prefillMillis);
+        engine.endPrefill(now, expected.prefillMillis());
         edge.loadExchange().recordChange(engine);
         exchange.recordPromptPrefilled(engine);
         exchange.scheduleSilenceCheck();
-        if (engineIdle && prefillMillis > 0) {
-            exchange.recordPrefillMillis(now - sentAtMillis);
-        }
+        edge.loadExchange()
+                .speeds()
+                .of(engine.record().service())
+                .recordFirstEvent(
+                        now,
+                        engine.record().id(),
+                        expected.unreadTokens(),
+                        expected.aheadTokens(),
+                        expected.decoding(),
+                        now - sentAtMillis);
     }
 
     private void releaseLoad() {
@@ -277,7 +284,7 @@
         errorBuffer.release();
         engine.endRequest(tokens);
         if (!hasEvents()) {
-            engine.endPrefill(EventLoop.nowMillis(), prefillMillis);
+            engine.endPrefill(EventLoop.nowMillis(), expected.prefillMillis());
         }
         edge.loadExchange().recordChange(engine);
         edge.crashes().recordEnded(evidence);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -5,7 +5,6 @@
 import io.siskintrail.internal.traffic.configuration.EngineSpec;
 import io.siskintrail.internal.traffic.configuration.ServiceSpec;
 import io.siskintrail.internal.traffic.endpoint.EndpointView;
-import io.siskintrail.internal.traffic.placement.PrefillRate;
 import io.siskintrail.internal.traffic.placement.PrefilledPrompt;
 import io.siskintrail.internal.traffic.stream.SilenceRule;
 import io.siskintrail.internal.traffic.stream.StreamAttempts;
@@ -29,12 +28,6 @@
     /** Delay before a stream that lost or doubts its engine searches for another one again. */
     private static final long SEARCH_DELAY_MILLIS = 50;
 
-    /**
-     * Maximum fraction of the target latency that queued prefills may take on an engine before a
-     * request.
-     */
-    private static final double PREFILL_FRACTION = 0.3;
-
     /** Maximum fraction of the target latency that a request waits for capacity. */
     private static final double QUEUE_FRACTION = 0.5;
 
@@ -53,6 +46,7 @@
     private final StreamJournal journal;
     private final StreamResponse response;
     private final StreamKvCacheCopies copies;
+    private final EngineSelection selection;
     private final Set<EndpointId> failedEngines = new HashSet<>();
     private final StreamAttempts attempts;
     private StreamAttempt attempt;
@@ -75,7 +69,8 @@
         attempts = new StreamAttempts(call.route());
         response = new StreamResponse(edge, call, client);
         journal = new StreamJournal(call.metadata().lastEventId());
-        copies = new StreamKvCacheCopies(edge, call.requestId(), service, engine, tokens);
+        selection = new EngineSelection(edge, call, service, engine, tokens);
+        copies = new StreamKvCacheCopies(edge, call, service, engine, tokens, selection);
     }
 
     @Override
@@ -187,7 +182,7 @@
     /** Starts another copy if the copy of the stream was at {@code lostEngine}. */
     void replaceLostCopy(EndpointView lostEngine) {
         if (attempt != null) {
-            copies.replaceLost(attempt, lostEngine);
+            copies.replaceLost(attempt, lostEngine, journal.lastId());
         }
     }
 
@@ -319,11 +314,6 @@
         edge.monitor().scheduleCheck(nextCheckAtMillis(EventLoop.nowMillis()));
     }
 
-    /** Records the prefill time, in milliseconds, of an engine that had no other work. */
-    void recordPrefillMillis(long elapsedMillis) {
-        edge.prefillRate(service).recordPrefill(call.metadata().promptTokens(), elapsedMillis);
-    }
-
     private EndpointView chooseEngine() {
         return chooseEngine(null);
     }
@@ -332,17 +322,7 @@
      * Returns an engine for the next attempt other than {@code excluded}, null if there is none.
      */
     private EndpointView chooseEngine(EndpointView excluded) {
-        return edge.streamPlacement()
-                .choose(
-                        EventLoop.nowMillis(),
-                        edge.endpoints().ofService(service),
-                        engine,
-                        tokens,
-                        (long) (PREFILL_FRACTION * call.route().targetLatencyMillis()),
-                        edge.loadExchange().findEngineWithPrompt(call.metadata().prompt()),
-                        candidate ->
-                                candidate != excluded
-                                        && !failedEngines.contains(candidate.record().id()));
+        return selection.choose(excluded, failedEngines);
     }
 
     /**
@@ -352,18 +332,10 @@
      *     target}; null if there is none
      */
     private void send(EndpointView target, EndpointView heldCopy) {
-        long now = EventLoop.nowMillis();
-        EndpointView copy = copies.chooseHolder(target);
-        boolean isPrefilled =
-                target.record()
-                        .id()
-                        .equals(edge.loadExchange().findEngineWithPrompt(call.metadata().prompt()));
-        int unreadTokens = heldCopy == null && !isPrefilled ? call.metadata().promptTokens() : 0;
-        PrefillRate rate = edge.prefillRate(service);
-        double expectedMillis =
-                target.totalLoad(now).prefillMillis() + rate.firstEventMillis(unreadTokens);
+        EngineSelection.ExpectedPrefill expected = selection.expect(target, heldCopy != null);
+        EndpointView copy = copies.chooseHolder(target, journal.lastId());
         String copyAddress = copy == null ? null : copy.record().address();
-        CopySource resumeFrom = heldCopy == null ? null : copies.source();
+        CopySource resumeFrom = heldCopy == null ? null : copies.use();
         EndpointRequest request =
                 buildForwardedRequest(
                         target,
@@ -383,19 +355,10 @@
                                 call.metadata().prompt(),
                                 copyAddress,
                                 resumeFrom,
-                                expectedMillis));
+                                expected.firstEventMillis()));
         attempt =
                 new StreamAttempt(
-                        edge,
-                        this,
-                        target,
-                        copy,
-                        request,
-                        call,
-                        tokens,
-                        (long) rate.prefillMillis(unreadTokens),
-                        expectedMillis,
-                        silenceRule);
+                        edge, this, target, copy, request, call, tokens, expected, silenceRule);
         attempt.start();
         scheduleSilenceCheck();
     }
@@ -413,6 +376,9 @@
             resume(source, "no copy: " + cause);
             return;
         }
+        if (endpointResponse.notRun()) {
+            selection.recordNotRun(source.engine());
+        }
         failedEngines.add(source.engine().record().id());
         edge.recordDiverted(endpointResponse);
         if (!endpointResponse.pushesBack()) {
@@ -488,7 +454,7 @@
         if (source.mayHaveExecuted()) {
             copies.recordCopyOf(source);
         }
-        copies.stop(false);
+        copies.hold();
         if (!attempts.mayResume()) {
             fail("route does not allow resuming");
         } else if (attempts.backoffMillis() > 0) {
--- a/siskintrail.platform.test/tst/io/siskintrail/edge/internal/LoadExchangeTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/edge/internal/LoadExchangeTest.java
@@ -87,6 +87,31 @@
         assertThat(report.loads()).isEmpty();
     }
 
+    /** Guards against a speed that takes a report of its own, or is repeated. */
+    @Test
+    void measuredSpeedIsSentOnceWithNextReport() throws InterruptedException {
+        loop.execute(
+                () ->
+                        loadExchange
+                                .speeds()
+                                .of(new ServiceName("s"))
+                                .recordFirstEvent(
+                                        EventLoop.nowMillis(),
+                                        engine.record().id(),
+                                        8_000,
+                                        0,
+                                        false,
+                                        1_080));
+        loop.execute(this::beginLoad);
+
+        RegistryMessage.HostLoads report = nextReport();
+        assertThat(report.loads()).hasSize(1);
+        assertThat(report.speeds()).hasSize(1);
+        assertThat(report.speeds().get(0).prefillTokensPerSecond()).isEqualTo(8_000);
+        loop.execute(this::endLoad);
+        assertThat(nextReport().speeds()).isEmpty();
+    }
+
     private void beginLoad() {
         engine.beginRequest(REQUEST_TOKENS);
         loadExchange.recordChange(engine);
