--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -15,8 +15,8 @@
 import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.internal.traffic.endpoint.PushBack;
 import io.siskintrail.internal.traffic.placement.CallPlacement;
+import io.siskintrail.internal.traffic.placement.CopyPolicy;
 import io.siskintrail.internal.traffic.placement.DomainLosses;
-import io.siskintrail.internal.traffic.placement.PrefillRate;
 import io.siskintrail.internal.traffic.placement.StreamPlacement;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.FailureDomain;
@@ -59,7 +59,8 @@
     private final StreamPlacement streamPlacement;
     private final AdmissionQueues queues;
     private final SharedQueues sharedQueues;
-    private final Map<ServiceName, PrefillRate> prefillRates = new HashMap<>();
+    private final FailureDomain localDomain;
+    private final Map<ServiceName, CopyPolicy> copyPolicies = new HashMap<>();
     private final StreamMonitor monitor;
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
     private final StopPlan stopPlan = new StopPlan();
@@ -103,7 +104,7 @@
                         registryFollower,
                         random::nextDouble,
                         this::endUnansweredRequests);
-        FailureDomain localDomain = new FailureDomain(settings.domain());
+        this.localDomain = new FailureDomain(settings.domain());
         this.callPlacement = new CallPlacement(localDomain);
         this.streamPlacement = new StreamPlacement(localDomain, random::nextDouble);
         this.queues = new AdmissionQueues(loop, random::nextLong);
@@ -144,9 +145,19 @@
         return responseMemory;
     }
 
-    /** Returns the measured prefill rate of the engines of a service; never null. */
-    PrefillRate prefillRate(ServiceName service) {
-        return prefillRates.computeIfAbsent(service, s -> new PrefillRate());
+    /** Returns which streams of a service get a copy; never null. */
+    CopyPolicy copyPolicy(ServiceName service) {
+        return copyPolicies.computeIfAbsent(service, s -> new CopyPolicy());
+    }
+
+    /** Returns the number of edges, this one included. */
+    int edgeCount() {
+        return registryFollower.edgeCount();
+    }
+
+    /** Returns whether an endpoint is in the failure domain of this edge. */
+    boolean isLocal(EndpointView endpoint) {
+        return endpoint.record().domain().equals(localDomain);
     }
 
     SplittableRandom random() {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
@@ -3,6 +3,7 @@
 import io.siskintrail.internal.traffic.admission.WaitingRequest;
 import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
+import io.siskintrail.internal.traffic.placement.EngineSpeed;
 import io.siskintrail.internal.traffic.placement.PrefilledPrompt;
 import io.siskintrail.internal.traffic.placement.PrefilledPrompts;
 import io.siskintrail.internal.traffic.placement.PromptId;
@@ -52,6 +53,7 @@
     /** Returns the requests that wait at this edge; null if they have not changed. */
     private Supplier<List<WaitingRequest>> changedWaiting;
 
+    private final ServiceSpeeds speeds = new ServiceSpeeds();
     private boolean reportScheduled;
 
     /**
@@ -100,6 +102,11 @@
         return prefilledPrompts.findEndpoint(prompt, EventLoop.nowMillis());
     }
 
+    /** Returns the measured speeds of engines, as of this edge and of the reports of others. */
+    ServiceSpeeds speeds() {
+        return speeds;
+    }
+
     /** Schedules a report of the full load; without load, only if others may still count some. */
     void reportAll() {
         loadedEngines
@@ -135,6 +142,12 @@
                 }
             }
             retryBudgets.applyReport(hostLoads.host(), hostLoads.retries());
+            for (EngineSpeed speed : hostLoads.speeds()) {
+                EndpointView view = endpoints.get(speed.endpoint());
+                if (view != null) {
+                    speeds.of(view.record().service()).recordReported(now, speed);
+                }
+            }
             hostLoads
                     .prompts()
                     .forEach(readPrompt -> prefilledPrompts.recordPrefill(readPrompt, now));
@@ -164,7 +177,7 @@
                                         loads,
                                         promptsToReport,
                                         waiting,
-                                        List.of(),
+                                        speeds.takeUnreported(now),
                                         retryBudgets.takeChanges()))));
     }
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAdmission.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAdmission.java
@@ -42,6 +42,7 @@
     private final CallContext call;
     private final StreamExchange exchange;
     private final StreamAttempts attempts;
+    private final EngineSelection selection;
     private final ServiceName service;
     private final EngineSpec engine;
     private final long tokens;
@@ -58,12 +59,14 @@
             CallContext call,
             StreamExchange exchange,
             StreamAttempts attempts,
+            EngineSelection selection,
             EngineSpec engine,
             long tokens) {
         this.edge = edge;
         this.call = call;
         this.exchange = exchange;
         this.attempts = attempts;
+        this.selection = selection;
         this.service = exchange.service;
         this.engine = engine;
         this.tokens = tokens;
@@ -120,7 +123,7 @@
         if (isStarted) {
             leavesAtMillis = Math.min(leavesAtMillis, lostAtMillis + leavingGapMillis());
         }
-        enter(lostAtMillis, leavesAtMillis - firstEventMillis(), true);
+        enter(lostAtMillis, leavesAtMillis - selection.firstEventMillis(), true);
     }
 
     /** Leaves the order, if the stream waits in it. */
@@ -152,7 +155,7 @@
         return edge.streamPlacement()
                 .countPlaces(
                         EventLoop.nowMillis(),
-                        edge.endpoints().ofService(service),
+                        edge.engines(service),
                         engine,
                         size,
                         maxPrefillMillis(),
@@ -185,14 +188,10 @@
                         ? maxWaitMillis()
                         : Math.max(
                                 (long) (QUEUE_FRACTION * targetMillis),
-                                targetMillis - maxPrefillMillis() - firstEventMillis());
+                                targetMillis - maxPrefillMillis() - selection.firstEventMillis());
         return Math.min(call.arrivedAtMillis() + waitMillis, call.deadlineAtMillis());
     }
 
-    private long firstEventMillis() {
-        return (long) edge.prefillRate(service).firstEventMillis(call.metadata().promptTokens());
-    }
-
     private long leavingGapMillis() {
         return Math.max(
                 MIN_LEAVING_GAP_MILLIS,
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -5,7 +5,6 @@
 import io.siskintrail.internal.traffic.configuration.EngineSpec;
 import io.siskintrail.internal.traffic.configuration.ServiceSpec;
 import io.siskintrail.internal.traffic.endpoint.EndpointView;
-import io.siskintrail.internal.traffic.placement.PrefillRate;
 import io.siskintrail.internal.traffic.placement.PrefilledPrompt;
 import io.siskintrail.internal.traffic.stream.SilenceRule;
 import io.siskintrail.internal.traffic.stream.StreamAttempts;
@@ -41,6 +40,7 @@
     private final StreamJournal journal;
     private final StreamResponse response;
     private final StreamKvCacheCopies copies;
+    private final EngineSelection selection;
     private final StreamAdmission admission;
     private final Set<EndpointId> failedEngines = new HashSet<>();
     private final StreamAttempts attempts;
@@ -64,8 +64,9 @@
         attempts = new StreamAttempts(call.route());
         response = new StreamResponse(edge, call, client);
         journal = new StreamJournal(call.metadata().lastEventId());
-        copies = new StreamKvCacheCopies(edge, call.requestId(), service, engine, tokens);
-        admission = new StreamAdmission(edge, call, this, attempts, engine, tokens);
+        selection = new EngineSelection(edge, call, service, engine, tokens);
+        copies = new StreamKvCacheCopies(edge, call, service, engine, tokens, selection);
+        admission = new StreamAdmission(edge, call, this, attempts, selection, engine, tokens);
     }
 
     @Override
@@ -190,7 +191,7 @@
     /** Starts another copy if the copy of the stream was at {@code lostEngine}. */
     void replaceLostCopy(EndpointView lostEngine) {
         if (attempt != null) {
-            copies.replaceLost(attempt, lostEngine);
+            copies.replaceLost(attempt, lostEngine, journal.lastId());
         }
     }
 
@@ -323,11 +324,6 @@
         edge.monitor().scheduleCheck(nextCheckAtMillis(EventLoop.nowMillis()));
     }
 
-    /** Records the prefill time, in milliseconds, of an engine that had no other work. */
-    void recordPrefillMillis(long elapsedMillis) {
-        edge.prefillRate(service).recordPrefill(call.metadata().promptTokens(), elapsedMillis);
-    }
-
     private EndpointView chooseEngine() {
         return chooseEngine(null);
     }
@@ -336,17 +332,7 @@
      * Returns an engine for the next attempt other than {@code excluded}, null if there is none.
      */
     private EndpointView chooseEngine(EndpointView excluded) {
-        return edge.streamPlacement()
-                .choose(
-                        EventLoop.nowMillis(),
-                        edge.engines(service),
-                        engine,
-                        tokens,
-                        admission.maxPrefillMillis(),
-                        edge.loadExchange().findEngineWithPrompt(call.metadata().prompt()),
-                        candidate ->
-                                candidate != excluded
-                                        && !failedEngines.contains(candidate.record().id()));
+        return selection.choose(excluded, failedEngines, admission.maxPrefillMillis());
     }
 
     /**
@@ -356,18 +342,10 @@
      *     target}; null if there is none
      */
     private void send(EndpointView target, EndpointView heldCopy) {
-        long now = EventLoop.nowMillis();
-        EndpointView copy = copies.chooseHolder(target);
-        boolean isPrefilled =
-                target.record()
-                        .id()
-                        .equals(edge.loadExchange().findEngineWithPrompt(call.metadata().prompt()));
-        int unreadTokens = heldCopy == null && !isPrefilled ? call.metadata().promptTokens() : 0;
-        PrefillRate rate = edge.prefillRate(service);
-        double expectedMillis =
-                target.totalLoad(now).prefillMillis() + rate.firstEventMillis(unreadTokens);
+        EngineSelection.ExpectedPrefill expected = selection.expect(target, heldCopy != null);
+        EndpointView copy = copies.chooseHolder(target, journal.lastId());
         String copyAddress = copy == null ? null : copy.record().address();
-        CopySource resumeFrom = heldCopy == null ? null : copies.source();
+        CopySource resumeFrom = heldCopy == null ? null : copies.use();
         EndpointRequest request =
                 buildForwardedRequest(
                         target,
@@ -387,19 +365,10 @@
                                 call.metadata().prompt(),
                                 copyAddress,
                                 resumeFrom,
-                                expectedMillis));
+                                expected.firstEventMillis()));
         attempt =
                 new StreamAttempt(
-                        edge,
-                        this,
-                        target,
-                        copy,
-                        request,
-                        call,
-                        tokens,
-                        (long) rate.prefillMillis(unreadTokens),
-                        expectedMillis,
-                        silenceRule);
+                        edge, this, target, copy, request, call, tokens, expected, silenceRule);
         attempt.start();
         scheduleSilenceCheck();
     }
@@ -417,6 +386,9 @@
             resume(source, "no copy: " + cause);
             return;
         }
+        if (endpointResponse.notRun()) {
+            selection.recordNotRun(source.engine());
+        }
         failedEngines.add(source.engine().record().id());
         edge.recordDiverted(endpointResponse);
         if (!endpointResponse.pushesBack()) {
@@ -495,7 +467,7 @@
         if (source.mayHaveExecuted()) {
             copies.recordCopyOf(source);
         }
-        copies.stop(false);
+        copies.hold();
         if (!attempts.mayResume()) {
             fail("route does not allow resuming");
         } else if (attempts.backoffMillis() > 0) {
