Test the shared order on edges, and let Retry-After follow the wait

Cause: the forecast assumes at least four starts a second, so that a stream that had waited 2.8 s for one slot was told to return after 0.26 s; clients return only once or twice.

Change: Retry-After is at least half of the time that the stream has waited, and spread over as long again.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/SharedQueues.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/SharedQueues.java
@@ -43,7 +43,7 @@
      */
     private static final double OPTIMISM_FACTOR = 2;
 
-    /** Shortest Retry-After and shortest time over which refused requests return. */
+    /** Shortest Retry-After; refused requests return spread over as long again. */
     private static final long MIN_RETRY_MILLIS = 100;
 
     private final EdgeContext edge;
@@ -362,16 +362,14 @@
             AdmissionOrder.Waiting<StreamAdmission> entry, int position, long forecastMillis) {
         int places = entry.item().countPlaces(0, position + 1);
         edge.stats().recordOrder("refused", entry.item().exchange().call);
-        long spreadMillis = edge.random().nextLong(MIN_RETRY_MILLIS + forecastMillis / 2);
+        long waitedMillis = EventLoop.nowMillis() - entry.request().sinceMillis();
+        // Clients return only a few times, and this one has waited longer than was forecast.
+        long retryMillis = Math.max(MIN_RETRY_MILLIS, Math.max(forecastMillis, waitedMillis / 2));
         entry.item()
                 .exchange()
                 .endLate(
                         "position=%d places=%d forecast_ms=%d waited_ms=%d"
-                                .formatted(
-                                        position,
-                                        places,
-                                        forecastMillis,
-                                        EventLoop.nowMillis() - entry.request().sinceMillis()),
-                        Math.max(MIN_RETRY_MILLIS, forecastMillis) + spreadMillis);
+                                .formatted(position, places, forecastMillis, waitedMillis),
+                        retryMillis + edge.random().nextLong(retryMillis));
     }
 }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoadRelayTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoadRelayTest.java
@@ -2,9 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.siskintrail.internal.traffic.admission.WaitingRequest;
 import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.HostId;
+import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.net.Identity;
 import io.siskintrail.net.Link;
@@ -22,6 +24,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -49,6 +52,18 @@
                     List.of(new PlacedLoad(new EndpointId("e1"), 3, 700, 900)),
                     List.of());
 
+    private static final RegistryMessage.HostLoads WAITING =
+            new RegistryMessage.HostLoads(
+                    REPORTER,
+                    false,
+                    List.of(),
+                    List.of(),
+                    Optional.of(
+                            List.of(
+                                    new WaitingRequest(
+                                            new ServiceName("llm"), 0, 7, 20, 900, 9_000, true))),
+                    List.of());
+
     @TempDir Path folder;
     private final EventLoop loop = new EventLoop("test");
     private final int linkPort = FreePorts.next();
@@ -129,6 +144,20 @@
         assertThat(observer.nextLoads()).isEqualTo(RegistryMessage.HostLoads.nothing(REPORTER));
     }
 
+    /** Guards against places that are held back for the requests of an edge that ended. */
+    @Test
+    void waitingRequestsAreRelayedAndEndWithTheirEdge() throws InterruptedException {
+        Edge observer = new Edge(new HostId("observer"));
+        Edge reporter = new Edge(REPORTER);
+        assertThat(observer.opened.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isNotNull();
+
+        reporter.awaitLinkAndSend(WAITING);
+        assertThat(observer.nextLoads()).isEqualTo(WAITING);
+        loop.execute(reporter.dialer::stop);
+
+        assertThat(observer.nextLoads().waiting()).isEqualTo(Optional.of(List.of()));
+    }
+
     /**
      * Guards against reporting an edge as gone when its old link ends, although the edge has
      * already dialed again after a silence.
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackEdge.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackEdge.java
@@ -25,6 +25,11 @@
 
     /** Starts an edge that follows the registry with these ports. */
     LoopbackEdge(String host, int callPort, int linkPort) {
+        this(host, callPort, linkPort, EdgeSettings.DEFAULT_MIN_HOSTS);
+    }
+
+    /** Starts an edge that shares the admission order from {@code sharedOrderMinHosts} edges on. */
+    LoopbackEdge(String host, int callPort, int linkPort, long sharedOrderMinHosts) {
         edge =
                 new EdgeService(
                         new EdgeSettings(
@@ -40,7 +45,8 @@
                                 0,
                                 0.8,
                                 100,
-                                10),
+                                10,
+                                sharedOrderMinHosts),
                         new PlatformTrafficProtocol());
         edge.start();
     }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/LoopbackSystem.java
@@ -222,6 +222,11 @@
         return new LoopbackEdge(host, callPort, linkPort);
     }
 
+    /** Starts a further edge, which shares the order from {@code sharedOrderMinHosts} edges on. */
+    LoopbackEdge startEdge(String host, long sharedOrderMinHosts) {
+        return new LoopbackEdge(host, callPort, linkPort, sharedOrderMinHosts);
+    }
+
     /** Stops the registry and starts it again with the same data and addresses. */
     void restartRegistry() {
         registry.stop();
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/configuration/RouteTableTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/configuration/RouteTableTest.java
@@ -4,6 +4,7 @@
 
 import io.siskintrail.lib.ServiceName;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -44,4 +45,40 @@
 
         assertThat(route == null ? "-" : route.name()).isEqualTo(expectedRoute);
     }
+
+    /** Guards against a limit of queued work that follows the target of a short call. */
+    @Test
+    void shortestTargetIsThatOfTheStreams() {
+        RouteTable streams =
+                new RouteTable(
+                        new TrafficConfiguration(
+                                3,
+                                List.of(
+                                        routeWithTarget("/bulk/", RouteKind.STREAM, 10_000),
+                                        routeWithTarget("/urgent/", RouteKind.STREAM, 4_000),
+                                        routeWithTarget("/call/", RouteKind.IDEMPOTENT, 200)),
+                                List.of(),
+                                ClientLimits.DEFAULT,
+                                List.of()));
+
+        assertThat(streams.shortestStreamTargetMillis(MODEL_SERVICE.service())).isEqualTo(4_000);
+        assertThat(streams.shortestStreamTargetMillis(new ServiceName("other")))
+                .isEqualTo(Long.MAX_VALUE);
+    }
+
+    private static Route routeWithTarget(String prefix, RouteKind kind, long targetMillis) {
+        return new Route(
+                prefix,
+                "host.example",
+                prefix,
+                kind,
+                List.of(MODEL_SERVICE),
+                25_000,
+                targetMillis,
+                700,
+                0,
+                1,
+                false,
+                true);
+    }
 }
