Allocate less for each request on an edge

EdgeStats formatted five series names for each request, LogEvent ran a stream over the characters of each value and built lines of disabled levels, and details of log lines were formatted. EdgeStats now keeps the series of a request by its outcome, rank and account, LogEvent tests characters in a loop and skips disabled levels, and details are joined. The trailers of a request to an endpoint are no longer made by copying its headers.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeStats.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeStats.java
@@ -1,5 +1,6 @@
 package io.siskintrail.edge.internal;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
@@ -17,9 +18,31 @@
     private static final int MAX_ACCOUNT_HISTOGRAMS = 64;
 
     private static final String OTHER_ACCOUNTS = "others";
+    private static final String RANK_SERIES = "siskintrail_edge_request_millis";
+    private static final String ACCOUNT_SERIES = "siskintrail_edge_account_millis";
     private final Map<String, Long> counters = new TreeMap<>();
     private final Map<String, Histogram> latencies = new TreeMap<>();
 
+    /** Series of requests by what is known of each, so that no request builds their names. */
+    private final Map<Outcome, Count> requests = new HashMap<>();
+
+    private final Map<String, Histogram> byRank = new HashMap<>();
+    private final Map<String, Histogram> byAccount = new HashMap<>();
+
+    /** Labels of a counter of requests. */
+    private record Outcome(String outcome, int code, String rank) {
+
+        String series() {
+            return "siskintrail_edge_requests_total{outcome=\"%s\",code=\"%d\",rank=\"%s\"}"
+                    .formatted(outcome, code, rank);
+        }
+    }
+
+    /** Number of requests that had one outcome. */
+    private static final class Count {
+        private long value;
+    }
+
     /** Increments a counter. {@code labels} is in metrics page format and may be empty. */
     void increment(String name, String labels) {
         counters.merge(labels.isEmpty() ? name : name + '{' + labels + '}', 1L, Long::sum);
@@ -28,30 +51,44 @@
     /** Records the outcome and latency of a request. */
     void recordRequest(CallContext call, String outcome, int code, long millis) {
         String rank = call.route() == null ? "-" : Integer.toString(call.rank());
-        increment(
-                "siskintrail_edge_requests_total",
-                "outcome=\"%s\",code=\"%d\",rank=\"%s\"".formatted(outcome, code, rank));
-        recordLatency("siskintrail_edge_request_millis", "rank=\"%s\"".formatted(rank), millis);
+        requests.computeIfAbsent(new Outcome(outcome, code, rank), o -> new Count()).value++;
+        byRank.computeIfAbsent(rank, r -> histogram(RANK_SERIES, "rank=\"" + r + '"'))
+                .recordValue(clamp(millis));
         String account = call.accountId() == null ? "-" : call.accountId().value();
-        recordLatency(
-                "siskintrail_edge_account_millis",
-                "account=\"%s\"".formatted(accountLabel(account)),
-                millis);
+        Histogram known = byAccount.get(account);
+        Histogram ofAccount = known == null ? addAccount(account) : known;
+        ofAccount.recordValue(clamp(millis));
+    }
+
+    private Histogram addAccount(String account) {
+        if (latencies.size() >= MAX_ACCOUNT_HISTOGRAMS) {
+            return histogram(ACCOUNT_SERIES, "account=\"" + OTHER_ACCOUNTS + '"');
+        }
+        Histogram added = histogram(ACCOUNT_SERIES, "account=\"" + account + '"');
+        byAccount.put(account, added);
+        return added;
     }
 
     /** Records a latency in milliseconds, clamped to the histogram range. */
     void recordLatency(String name, String labels, long millis) {
-        latencies
-                .computeIfAbsent(
-                        name + '{' + labels,
-                        n -> new Histogram(1, MAX_LATENCY_MILLIS, SIGNIFICANT_DIGITS))
-                .recordValue(Math.max(1, Math.min(MAX_LATENCY_MILLIS, millis)));
+        histogram(name, labels).recordValue(clamp(millis));
+    }
+
+    private Histogram histogram(String name, String labels) {
+        return latencies.computeIfAbsent(
+                name + '{' + labels, n -> new Histogram(1, MAX_LATENCY_MILLIS, SIGNIFICANT_DIGITS));
+    }
+
+    private static long clamp(long millis) {
+        return Math.max(1, Math.min(MAX_LATENCY_MILLIS, millis));
     }
 
     /** Returns the metrics page. */
     String page() {
         StringBuilder page = new StringBuilder();
-        counters.forEach((name, n) -> page.append(name).append(' ').append(n).append('\n'));
+        Map<String, Long> all = new TreeMap<>(counters);
+        requests.forEach((outcome, count) -> all.put(outcome.series(), count.value));
+        all.forEach((name, n) -> page.append(name).append(' ').append(n).append('\n'));
         latencies.forEach(
                 (name, histogram) -> {
                     for (double percentile : PERCENTILES) {
@@ -69,11 +106,4 @@
                 });
         return page.toString();
     }
-
-    private String accountLabel(String account) {
-        String key = "siskintrail_edge_account_millis{account=\"%s\"".formatted(account);
-        return latencies.containsKey(key) || latencies.size() < MAX_ACCOUNT_HISTOGRAMS
-                ? account
-                : OTHER_ACCOUNTS;
-    }
 }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -88,7 +89,7 @@
                         request.target(),
                         Unpooled.wrappedBuffer(request.body()),
                         request.headers(),
-                        request.headers().copy().clear());
+                        new DefaultHttpHeaders());
         requestSent = false;
         ctx.writeAndFlush(message).addListener(write -> requestSent = write.isSuccess());
     }
@@ -120,7 +121,7 @@
     String describe() {
         SocketAddress local = ctx.channel().localAddress();
         int port = local instanceof InetSocketAddress socket ? socket.getPort() : 0;
-        return "%d/%d".formatted(port, sentRequests);
+        return port + "/" + sentRequests;
     }
 
     /**
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -182,7 +182,7 @@
     private void send(EndpointView endpoint) {
         triedEndpoints.add(endpoint.record().id());
         sentAttempts++;
-        logAttempt("attempt.sent", endpoint, "attempt=%d".formatted(sentAttempts));
+        logAttempt("attempt.sent", endpoint, "attempt=" + sentAttempts);
         UnaryAttempt newAttempt = new UnaryAttempt(endpoint, sentAttempts);
         runningAttempts.add(newAttempt);
         newAttempt.start();
@@ -384,12 +384,14 @@
         end(
                 "answered",
                 0,
-                "status=%d attempts=%d endpoint=%s %s"
-                        .formatted(
-                                response.status(),
-                                sentAttempts,
-                                source.attempt.endpoint().record().id().value(),
-                                source.describe()));
+                "status="
+                        + response.status()
+                        + " attempts="
+                        + sentAttempts
+                        + " endpoint="
+                        + source.attempt.endpoint().record().id().value()
+                        + ' '
+                        + source.describe());
         client.sendResponse(response.status(), response.headers(), response.body());
     }
 
@@ -431,7 +433,7 @@
 
         /** Returns the number of the attempt and its connection, for the log. */
         String describe() {
-            return "attempt=%d connection=%s".formatted(number, attempt.describeConnection());
+            return "attempt=" + number + " connection=" + attempt.describeConnection();
         }
 
         void stop() {
--- a/siskintrail.service/src/io/siskintrail/service/LogEvent.java
+++ b/siskintrail.service/src/io/siskintrail/service/LogEvent.java
@@ -10,14 +10,22 @@
  * <p>Not safe for use by several threads.
  */
 public final class LogEvent {
+    /** Length of most lines. */
+    private static final int INITIAL_CHARS = 192;
+
     private final Logger logger;
     private final Level level;
+
+    /** The line so far; null if the level is disabled. */
     private final StringBuilder line;
 
     private LogEvent(Logger logger, Level level, String event) {
         this.logger = logger;
         this.level = level;
-        this.line = new StringBuilder("event=").append(event);
+        this.line =
+                logger.isLoggable(level)
+                        ? new StringBuilder(INITIAL_CHARS).append("event=").append(event)
+                        : null;
     }
 
     /** Starts a line at level INFO. */
@@ -37,13 +45,17 @@
 
     /** Adds a pair; a null value is written as {@code -}. */
     public LogEvent with(String key, Object value) {
-        line.append(' ').append(key).append('=').append(quote(String.valueOf(orDash(value))));
+        if (line != null) {
+            line.append(' ').append(key).append('=').append(quote(String.valueOf(orDash(value))));
+        }
         return this;
     }
 
     /** Writes the line. */
     public void write() {
-        logger.log(level, line.toString());
+        if (line != null) {
+            logger.log(level, line.toString());
+        }
     }
 
     private static Object orDash(Object value) {
@@ -51,11 +63,7 @@
     }
 
     static String quote(String value) {
-        boolean plain =
-                !value.isEmpty()
-                        && value.chars()
-                                .allMatch(c -> c > ' ' && c != '"' && c != '=' && c != 0x7f);
-        if (plain) {
+        if (isPlain(value)) {
             return value;
         }
         String escaped =
@@ -65,4 +73,14 @@
                         .replace("\r", "\\r");
         return '"' + escaped + '"';
     }
+
+    private static boolean isPlain(String value) {
+        for (int i = 0; i < value.length(); i++) {
+            char c = value.charAt(i);
+            if (c <= ' ' || c == '"' || c == '=' || c == 0x7f) {
+                return false;
+            }
+        }
+        return !value.isEmpty();
+    }
 }
