--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeStats.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeStats.java
@@ -69,6 +69,14 @@
         return added;
     }
 
+    /** Returns the label of an account, which is that of all others when there are too many. */
+    private String accountLabel(String account) {
+        if (!byAccount.containsKey(account)) {
+            addAccount(account);
+        }
+        return byAccount.containsKey(account) ? account : OTHER_ACCOUNTS;
+    }
+
     /**
      * Counts a stream that started or was refused in the order of all edges, by rank and account.
      *
