--- a/siskintrail.platform.test/tst/io/siskintrail/platform/SharedOrderTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/SharedOrderTest.java
@@ -115,6 +115,24 @@
         }
     }
 
+    /** Guards against an edge that waits for reports which cannot arrive. */
+    @Test
+    void edgeWithoutRegistriesDecidesAlone() throws Exception {
+        try (ScriptedEndpoint engine = engine(EVENTS)) {
+            register(engine);
+            CompletableFuture<String> running = send(first, "/bulk/running");
+            TimeUnit.MILLISECONDS.sleep(REPORT_MILLIS);
+            system.closeRegistry();
+            CompletableFuture<String> bulk = send(first, "/bulk/waiting");
+            CompletableFuture<String> urgent = send(first, "/urgent/waiting");
+
+            assertThat(running.get()).startsWith("HTTP/1.1 200");
+            assertThat(bulk.get()).startsWith("HTTP/1.1 200");
+            assertThat(urgent.get()).startsWith("HTTP/1.1 200");
+            assertThat(path(engine.requests().get(1))).isEqualTo("/urgent/waiting");
+        }
+    }
+
     private void register(ScriptedEndpoint engine) throws Exception {
         system.register("e1", "llm", engine.address(), "a");
         first.awaitReady();
