Let new streams wait for room for a copy instead of skipping copies

Streams without a copy are prefilled again after a loss: that is another half of the prefill load, every stream takes longer, and more of them meet the next loss.

A new stream now starts only where an engine has room for a second stream of its size, until half of its wait is over. Copies are skipped only when nine tenths of the memory are in use.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EngineSelection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EngineSelection.java
@@ -45,15 +45,17 @@
      *
      * @param excluded an engine that must not be chosen, null for none
      * @param failed the ids of further engines that must not be chosen
+     * @param freeTokens the memory that the engine must have free, in tokens
      * @param maxPrefillMillis the maximum remaining prefill time of an engine, in milliseconds
      */
-    EndpointView choose(EndpointView excluded, Set<EndpointId> failed, long maxPrefillMillis) {
+    EndpointView choose(
+            EndpointView excluded, Set<EndpointId> failed, long freeTokens, long maxPrefillMillis) {
         return edge.streamPlacement()
                 .choose(
                         EventLoop.nowMillis(),
                         edge.engines(service),
                         engine,
-                        tokens,
+                        freeTokens,
                         prefill(),
                         maxPrefillMillis,
                         edge.loadExchange().findEngineWithPrompt(call.metadata().prompt()),
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/SharedQueues.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/SharedQueues.java
@@ -140,12 +140,6 @@
         }
     }
 
-    /** Returns whether requests wait for engines of {@code service} at any edge. */
-    boolean hasWaiting(ServiceName service) {
-        AdmissionOrder<StreamAdmission> order = queue(service).order;
-        return order.size() > 0 || order.remoteSize(EventLoop.nowMillis()) > 0;
-    }
-
     /** Returns how many waiting requests go before a resumption that does not wait itself. */
     int countAhead(ServiceName service, int rank) {
         return queue(service).order.countAhead(EventLoop.nowMillis(), rank);
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAdmission.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAdmission.java
@@ -86,6 +86,21 @@
         return (long) (PREFILL_FRACTION * targetMillis);
     }
 
+    /**
+     * Returns the memory that an engine must have free for the stream to start there, in tokens.
+     * While a new stream can still wait, it leaves room for the copy of another one: streams
+     * without a copy are prefilled again when a failure domain is lost, which delays all others.
+     */
+    long placementTokens() {
+        if (entry == null || entry.request().resumption() || !engine.copiesMemory()) {
+            return tokens;
+        }
+        AdmissionOrder.Request request = entry.request();
+        long halfMillis = (request.latestStartMillis() - request.sinceMillis()) / 2;
+        boolean canWait = EventLoop.nowMillis() < request.sinceMillis() + halfMillis;
+        return canWait ? 2 * tokens : tokens;
+    }
+
     /** Returns how long a new stream may wait if each edge decides by itself, in milliseconds. */
     long maxWaitMillis() {
         boolean hasNoEndpoint = edge.endpoints().ofService(service).isEmpty();
@@ -151,7 +166,9 @@
      * @param atMost the number from which on more places do not matter
      */
     int countPlaces(long maxTokens, int atMost) {
-        long size = Math.max(tokens, Math.min(maxTokens, engine.memoryTokens() / MEMORY_DIVISOR));
+        long largest =
+                Math.max(tokens, Math.min(maxTokens, engine.memoryTokens() / MEMORY_DIVISOR));
+        long size = largest + placementTokens() - tokens;
         return edge.streamPlacement()
                 .countPlaces(
                         EventLoop.nowMillis(),
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -332,7 +332,8 @@
      * Returns an engine for the next attempt other than {@code excluded}, null if there is none.
      */
     private EndpointView chooseEngine(EndpointView excluded) {
-        return selection.choose(excluded, failedEngines, admission.maxPrefillMillis());
+        return selection.choose(
+                excluded, failedEngines, admission.placementTokens(), admission.maxPrefillMillis());
     }
 
     /**
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamKvCacheCopies.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamKvCacheCopies.java
@@ -63,9 +63,7 @@
         long now = EventLoop.nowMillis();
         Collection<EndpointView> endpoints = edge.engines(service);
         boolean isMemoryShort =
-                edge.sharedQueues().isActive()
-                        && CopyPolicy.isMemoryShort(
-                                now, endpoints, engine, edge.sharedQueues().hasWaiting(service));
+                edge.sharedQueues().isActive() && CopyPolicy.isMemoryShort(now, endpoints, engine);
         long sentTokens = (lastEventId + 1) * engine.tokensPerEvent();
         int outputLeft = (int) Math.max(0, call.metadata().outputTokens() - sentTokens);
         if (!edge.copyPolicy(service).wantsCopy(isMemoryShort, isMostUrgent(), outputLeft)) {
--- a/siskintrail/src/io/siskintrail/internal/traffic/placement/CopyPolicy.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/CopyPolicy.java
@@ -9,17 +9,18 @@
 
 /**
  * Decides which streams of a service get a copy of their KV cache memory. A copy takes as much
- * memory as the stream itself. Built for engines whose memory is the bottleneck: at 27 streams of
- * 9,000 tokens per second, copies of all would halve what 84 engines can run. While memory is
- * short, only the streams that gain most get a copy: those of the most urgent rank, and those with
- * the longest remaining output, which are the most likely to meet a loss. Not thread-safe.
+ * memory as the stream itself. Load: a failure domain is lost every few seconds while the memory of
+ * the engines is nearly used up. New streams wait for room for their copy, so memory is short
+ * mostly after a loss; then only the streams that gain most get a copy: those of the most urgent
+ * rank, and those with the longest remaining output, which are the most likely to meet a loss. Not
+ * thread-safe.
  */
 public final class CopyPolicy {
     /**
-     * Share of the usable memory in use above which memory is short: beyond it, the streams of one
-     * of three failure domains do not fit on the engines of the other two.
+     * Share of the usable memory in use above which memory is short: beyond it hardly any engine
+     * has room for a stream, and a copy may take the place of one that lost its engine.
      */
-    private static final double SHORTAGE_SHARE = 2.0 / 3;
+    private static final double SHORTAGE_SHARE = 0.9;
 
     /** Streams whose outputs are compared; enough for a quartile. */
     private static final int RECENT_STREAMS = 32;
@@ -53,18 +54,11 @@
      * @param endpoints the engines of the service
      * @param spec the capacity of each engine; null when it is not configured, in which case memory
      *     is never short
-     * @param hasWaiting whether requests wait for a place on these engines
      */
     public static boolean isMemoryShort(
-            long nowMillis,
-            Collection<EndpointView> endpoints,
-            EngineSpec spec,
-            boolean hasWaiting) {
-        if (spec == null) {
-            return false;
-        }
-        return hasWaiting
-                || StreamPlacement.usedMemoryShare(nowMillis, endpoints, spec) > SHORTAGE_SHARE;
+            long nowMillis, Collection<EndpointView> endpoints, EngineSpec spec) {
+        return spec != null
+                && StreamPlacement.usedMemoryShare(nowMillis, endpoints, spec) > SHORTAGE_SHARE;
     }
 
     private int upperQuartile() {
