Keep rollouts in the replicated log of the registries

Registries need a durable record of which rollouts were ordered and how they ended. RolloutTable builds it from committed commands; rollouts of a service are numbered, so that a command committed twice or replayed onto newer state changes nothing. ReplicatedState holds it beside the configuration. A rollout command begins with a negative number, which builds without rollouts take for an outdated configuration and ignore; commands of unknown kinds change nothing.

RolloutTableTest and ReplicatedStateTest show this; FullDiskTest and DamagedDisksTest pass.

--- a/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
@@ -15,6 +15,8 @@
 import io.siskintrail.internal.consensus.ReplicaSettings;
 import io.siskintrail.internal.consensus.Role;
 import io.siskintrail.internal.consensus.StoredState;
+import io.siskintrail.internal.rollout.RolloutRecord;
+import io.siskintrail.internal.rollout.RolloutTable;
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.net.EventLoop;
@@ -72,7 +74,7 @@
     private final int voters;
     private final RegistryPeers peers;
     private final Runnable changed;
-    private final NewestConfiguration state = new NewestConfiguration();
+    private final ReplicatedState state = new ReplicatedState(this::rolloutChanged);
     private final List<ReplicaEffect.Persist> unsynced = new ArrayList<>();
     private final Map<HostId, FailureDomain> domains = new HashMap<>();
     private final Map<Long, PendingCommand> proposals = new HashMap<>();
@@ -143,7 +145,7 @@
                 .with("replica", self)
                 .with("term", replica.term())
                 .with("last", replica.lastIndex())
-                .with("version", state.version())
+                .with("version", configuration().version())
                 .write();
     }
 
@@ -161,7 +163,12 @@
 
     /** Returns the newest configuration that is known to be committed. */
     NewestConfiguration configuration() {
-        return state;
+        return state.configuration();
+    }
+
+    /** Returns the rollouts that are known to be committed. */
+    RolloutTable rollouts() {
+        return state.rollouts();
     }
 
     /** Returns the hosts whose replicas are in use. */
@@ -342,7 +349,7 @@
         boolean isNew = false;
         if (entry.body() instanceof EntryBody.Command c) {
             bytesSinceSnapshot += c.payload().length();
-            isNew = state.apply(c.payload().array());
+            isNew = state.apply(c.payload().array(), EventLoop.nowMillis());
         }
         AppendedProposal mine = appended.remove(entry.index());
         if (mine != null) {
@@ -350,8 +357,8 @@
         }
         if (isNew) {
             LogEvent.info(LOG, "configuration.committed")
-                    .with("version", state.version())
-                    .with("bytes", state.content().length)
+                    .with("version", configuration().version())
+                    .with("bytes", configuration().content().length)
                     .with("index", applied)
                     .write();
             changed.run();
@@ -360,13 +367,23 @@
     }
 
     private void restore(Payload image, long index) {
-        state.apply(image.array());
+        state.restore(image.array(), EventLoop.nowMillis());
         applied = Math.max(applied, index);
         snapshotAt = Math.max(snapshotAt, index);
         bytesSinceSnapshot = 0;
         runApplied();
     }
 
+    private void rolloutChanged(RolloutRecord rollout) {
+        LogEvent.info(LOG, "rollout.committed")
+                .with("service", rollout.order().service())
+                .with("to", rollout.order().to())
+                .with("number", rollout.number())
+                .with("status", rollout.status())
+                .with("index", applied)
+                .write();
+    }
+
     private void runApplied() {
         while (!applyWaiters.isEmpty() && applyWaiters.firstKey() <= applied) {
             applyWaiters.pollFirstEntry().getValue().forEach(Runnable::run);
