Take orders of rollouts at the registries

A rollout is ordered with a POST to /api/rollouts and read with a GET of its service. RolloutDesk acknowledges an order only once it is committed and applied; a read catches up first and is refused with 503 when that is not confirmed. The same order again is accepted as before while the rollout is the newest one and runs, or for 10 s after its start; an invalid order, an unknown service and another running rollout are refused with codes of their own (3022 to 3026).

RolloutOrdersTest runs three registries on loopback: an acknowledged order is read after the end of the leader and after a restart of all; BoundaryTest also checks the new path.

--- a/siskintrail.platform.test/tst/io/siskintrail/platform/BoundaryTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/BoundaryTest.java
@@ -33,6 +33,7 @@
                 "SISKINTRAIL_SETTINGS",
                 "/api/config",
                 "/api/replicas",
+                "/api/rollouts",
                 "/api/kv-",
                 "io.siskintrail.platform"
             })
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryCallsTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryCallsTest.java
@@ -2,9 +2,15 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.siskintrail.internal.rollout.RolloutOrder;
+import io.siskintrail.internal.rollout.RolloutRecord;
 import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
 import io.siskintrail.internal.traffic.endpoint.EndpointState;
+import io.siskintrail.lib.EndpointVersion;
+import io.siskintrail.lib.Failure;
 import io.siskintrail.lib.Result;
+import io.siskintrail.lib.ResultCode;
+import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.HttpService;
 import io.siskintrail.registry.RegistryCall;
 import java.nio.charset.StandardCharsets;
@@ -24,6 +30,8 @@
                     + "\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":4,\"born\":1700,"
                     + "\"unknown\":[1]}";
 
+    private static final String ORDER = "{\"service\":\"app\",\"to\":\"v2\",\"durationS\":12}";
+
     private final PlatformRegistryProtocol protocol =
             new PlatformRegistryProtocol(
                     Clock.fixed(Instant.ofEpochMilli(1_700_000_000_000L), ZoneOffset.UTC));
@@ -172,6 +180,65 @@
         assertThat(put.configuration()).isInstanceOf(Result.Err.class);
     }
 
+    @ParameterizedTest
+    @CsvSource({"12, 12000", "0.5, 500"})
+    void rolloutCallsAreParsed(String duration, long millis) {
+        RolloutOrder expected =
+                new RolloutOrder(new ServiceName("app"), new EndpointVersion("v2"), millis);
+
+        assertThat(call("POST", "/api/rollouts", ORDER.replace("12", duration)))
+                .isEqualTo(new RegistryCall.StartRollout(Result.ok(expected)));
+        assertThat(call("GET", "/api/rollouts/app", ""))
+                .isEqualTo(new RegistryCall.ReadRollout(expected.service()));
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "12 | 0",
+                "12 | -1",
+                "12 | 0.0001",
+                "12 | 1e999",
+                "12 | '\"12\"'",
+                "12 | null",
+                "'\"v2\"' | '\"\"'",
+                "'\"v2\"' | '\"v 2\"'",
+                "'\"v2\"' | 2",
+                "'\"to\"' | '\"with\"'",
+                "'\"app\"' | '\"\"'",
+                "'}' | ''",
+            })
+    void invalidRolloutOrderIsRefused(String field, String odd) {
+        var call =
+                (RegistryCall.StartRollout)
+                        call("POST", "/api/rollouts", ORDER.replace(field, odd));
+        Failure failure = ((Result.Err<RolloutOrder>) call.order()).failure();
+
+        assertThat(failure.code()).isEqualTo(ResultCode.ROLLOUT_REFUSED);
+        assertThat(failure.detail()).isNotEmpty();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET, /api/rollouts", "GET, /api/rollouts/", "PUT, /api/rollouts/app"})
+    void otherRolloutCallsAreUnknown(String method, String path) {
+        assertThat(call(method, path, ORDER)).isInstanceOf(RegistryCall.Unknown.class);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"RUNNING, running", "COMPLETED, completed", "ROLLED_BACK, rolled_back"})
+    void rolloutIsDescribed(RolloutRecord.Status status, String state) {
+        RolloutOrder order = new RolloutOrder(new ServiceName("app"), new EndpointVersion("v2"), 1);
+
+        assertThat(protocol.describeRollout(new RolloutRecord(order, 1, 0, status)))
+                .containsExactly("state", state, "to", "v2");
+    }
+
+    private RegistryCall call(String method, String path, String body) {
+        return protocol.read(
+                new HttpService.Call(method, path, body.getBytes(StandardCharsets.UTF_8)));
+    }
+
     private RegistryCall put(String path, String body) {
         return protocol.read(
                 new HttpService.Call("PUT", path, body.getBytes(StandardCharsets.UTF_8)));
--- a/siskintrail.platform.test/tst/io/siskintrail/registry/internal/LoopbackRegistries.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/registry/internal/LoopbackRegistries.java
@@ -2,12 +2,18 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.siskintrail.internal.rollout.RolloutOrder;
+import io.siskintrail.internal.rollout.RolloutRecord;
 import io.siskintrail.internal.traffic.configuration.ClientLimits;
+import io.siskintrail.internal.traffic.configuration.ServiceSpec;
 import io.siskintrail.internal.traffic.configuration.TrafficConfiguration;
+import io.siskintrail.lib.EndpointVersion;
 import io.siskintrail.lib.Result;
+import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.net.HttpService;
 import io.siskintrail.registry.RegistryCall;
+import io.siskintrail.registry.RegistryProtocol;
 import io.siskintrail.registry.RegistrySettings;
 import io.siskintrail.storage.StorageFiles;
 import io.siskintrail.testkit.FreePorts;
@@ -21,12 +27,20 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.UnaryOperator;
 
-/** Three registries in this process, on folders of their own; a configuration is its version. */
+/**
+ * Three registries in this process, on folders of their own. A configuration is its version and
+ * names the service {@link #SERVICE}. A rollout is ordered with a POST of its version and its
+ * duration in milliseconds, and read with a GET of the path of its service.
+ */
 final class LoopbackRegistries {
     static final int COUNT = 3;
 
+    static final ServiceName SERVICE = new ServiceName("s");
+
     /** Time for an attempt to open the disk and for an election. */
     private static final long RECOVERY_MILLIS = 4_000;
 
@@ -39,6 +53,7 @@
     private final HttpClient http = HttpClient.newHttpClient();
     private final List<EventLoop> loops = new ArrayList<>();
     private final List<Registry> registries = new ArrayList<>();
+    private final Map<Integer, Integer> metricsPorts = new TreeMap<>();
     private long version;
 
     LoopbackRegistries(Path folder) {
@@ -55,6 +70,31 @@
         loops.clear();
     }
 
+    /** Ends a registry without a stop, so that it hands nothing on; they were started in order. */
+    void kill(int number) {
+        loops.get(number).stop();
+        registries.get(number).closeDisk();
+        loops.remove(number);
+        registries.remove(number);
+    }
+
+    /** Returns the number of the registry whose metrics say that it leads. */
+    int leader() throws Exception {
+        long end = EventLoop.nowMillis() + RECOVERY_MILLIS;
+        while (true) {
+            for (int i = 0; i < metricsPorts.size(); i++) {
+                URI uri = URI.create("http://%s:%d/".formatted(ip(i), metricsPorts.get(i)));
+                HttpRequest request = HttpRequest.newBuilder(uri).timeout(CALL_TIMEOUT).build();
+                if (http.send(request, HttpResponse.BodyHandlers.ofString())
+                        .body()
+                        .contains("siskintrail_registry_leader 1")) {
+                    return i;
+                }
+            }
+            assertThat(EventLoop.nowMillis()).isLessThan(end);
+        }
+    }
+
     /** Returns the folder of a registry. */
     Path folder(int number) {
         return folder.resolve("data-" + number);
@@ -66,6 +106,8 @@
         for (int i = 0; i < COUNT; i++) {
             seeds.add(ip(i) + ":" + callPort);
         }
+        int metricsPort = FreePorts.next();
+        metricsPorts.put(number, metricsPort);
         RegistrySettings settings =
                 new RegistrySettings(
                         "core-" + number,
@@ -73,7 +115,7 @@
                         ip(number),
                         seeds.get(number),
                         linkPort,
-                        FreePorts.next(),
+                        metricsPort,
                         seeds,
                         true,
                         folder(number).toString(),
@@ -82,22 +124,48 @@
         EventLoop loop = new EventLoop("registry-" + number);
         Path data = Path.of(settings.dataFolder());
         ReplicaDisk disk = ReplicaDisk.of(data, files);
-        Registry registry = new Registry(loop, settings, LoopbackRegistries::read, disk);
+        Registry registry = new Registry(loop, settings, new Protocol(), disk);
         loops.add(loop);
         registries.add(registry);
         registry.start();
     }
 
-    /** Reads a call whose body is the version of a configuration. */
-    private static RegistryCall read(HttpService.Call call) {
-        if (!call.method().equals("PUT")) {
-            return new RegistryCall.ReadConfiguration();
+    private static final class Protocol implements RegistryProtocol {
+        @Override
+        public RegistryCall read(HttpService.Call call) {
+            String body = new String(call.body(), StandardCharsets.US_ASCII);
+            if (call.method().equals("POST")) {
+                String[] order = body.split(" ");
+                return new RegistryCall.StartRollout(
+                        Result.ok(
+                                new RolloutOrder(
+                                        new ServiceName(call.target().substring(1)),
+                                        new EndpointVersion(order[0]),
+                                        Long.parseLong(order[1]))));
+            }
+            if (!call.method().equals("PUT")) {
+                return call.target().length() > 1
+                        ? new RegistryCall.ReadRollout(new ServiceName(call.target().substring(1)))
+                        : new RegistryCall.ReadConfiguration();
+            }
+            return new RegistryCall.PutConfiguration(readConfiguration(call.body()), call.body());
+        }
+
+        @Override
+        public Result<TrafficConfiguration> readConfiguration(byte[] content) {
+            return Result.ok(
+                    new TrafficConfiguration(
+                            Long.parseLong(new String(content, StandardCharsets.US_ASCII)),
+                            List.of(),
+                            List.of(new ServiceSpec(SERVICE, "/", 1, null)),
+                            ClientLimits.DEFAULT,
+                            List.of()));
+        }
+
+        @Override
+        public Map<String, String> describeRollout(RolloutRecord rollout) {
+            return Map.of(rollout.status().name(), rollout.order().to().value());
         }
-        long sent = Long.parseLong(new String(call.body(), StandardCharsets.US_ASCII));
-        TrafficConfiguration configuration =
-                new TrafficConfiguration(
-                        sent, List.of(), List.of(), ClientLimits.DEFAULT, List.of());
-        return new RegistryCall.PutConfiguration(Result.ok(configuration), call.body());
     }
 
     /** Sends changes for a time, acknowledged or not. */
@@ -145,19 +213,36 @@
 
     /** Returns the body of a response with status 200, empty for any other outcome. */
     String call(int number, HttpRequest.Builder builder) throws InterruptedException {
-        HttpRequest request =
-                builder.uri(URI.create("http://%s:%d/".formatted(ip(number), callPort)))
-                        .timeout(CALL_TIMEOUT)
-                        .build();
         try {
-            HttpResponse<String> response =
-                    http.send(request, HttpResponse.BodyHandlers.ofString());
+            HttpResponse<String> response = send(number, "", builder);
             return response.statusCode() == 200 ? response.body() : "";
         } catch (IOException e) {
             return "";
         }
     }
 
+    /** Orders a rollout of a service at one registry; returns the response. */
+    HttpResponse<String> order(int number, String service, String order) throws Exception {
+        return send(
+                number,
+                service,
+                HttpRequest.newBuilder().POST(HttpRequest.BodyPublishers.ofString(order)));
+    }
+
+    /** Reads the rollout of a service at one registry; returns the response. */
+    HttpResponse<String> rollout(int number, String service) throws Exception {
+        return send(number, service, HttpRequest.newBuilder().GET());
+    }
+
+    private HttpResponse<String> send(int number, String path, HttpRequest.Builder builder)
+            throws IOException, InterruptedException {
+        HttpRequest request =
+                builder.uri(URI.create("http://%s:%d/%s".formatted(ip(number), callPort, path)))
+                        .timeout(CALL_TIMEOUT)
+                        .build();
+        return http.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
     private static String ip(int number) {
         return "127.0.0." + (21 + number);
     }
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/CallDesk.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/CallDesk.java
@@ -10,16 +10,11 @@
 import io.siskintrail.registry.RegistryCall;
 import io.siskintrail.registry.RegistryProtocol;
 import io.siskintrail.service.LogEvent;
-import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 
 /** Answers the calls of operators and endpoints. */
 final class CallDesk implements HttpService.Handler {
     private static final System.Logger LOG = System.getLogger(CallDesk.class.getName());
-    private static final String JSON = "application/json";
-    private static final int OK = 200;
-    private static final int BAD_REQUEST = 400;
-    private static final int NOT_FOUND = 404;
 
     /** Time for a call; callers turn to another host after a second. */
     private static final long CALL_MILLIS = 900;
@@ -33,16 +28,19 @@
     private final RegistryReplica replica;
     private final LogAccess log;
     private final Endpoints endpoints;
+    private final RolloutDesk rollouts;
 
     CallDesk(
             RegistryProtocol protocol,
             RegistryReplica replica,
             LogAccess log,
-            Endpoints endpoints) {
+            Endpoints endpoints,
+            RolloutDesk rollouts) {
         this.protocol = protocol;
         this.replica = replica;
         this.log = log;
         this.endpoints = endpoints;
+        this.rollouts = rollouts;
     }
 
     @Override
@@ -56,9 +54,13 @@
             report(r.endpoint(), answer);
         } else if (asked instanceof RegistryCall.Leave l) {
             endpoints.left(l.endpoint());
-            answer.accept(empty(OK));
+            answer.accept(Answers.empty(Answers.OK));
+        } else if (asked instanceof RegistryCall.StartRollout s) {
+            rollouts.start(s.order(), answer);
+        } else if (asked instanceof RegistryCall.ReadRollout r) {
+            rollouts.read(r.service(), answer);
         } else {
-            answer.accept(empty(NOT_FOUND));
+            answer.accept(Answers.empty(Answers.NOT_FOUND));
         }
     }
 
@@ -68,13 +70,13 @@
                     .with("code", e.failure().code().number())
                     .with("detail", e.failure().detail())
                     .write();
-            answer.accept(failure(BAD_REQUEST, e.failure().detail()));
+            answer.accept(Answers.failure(Answers.BAD_REQUEST, e.failure().detail()));
             return;
         }
         long version = ((Result.Ok<TrafficConfiguration>) put.configuration()).value().version();
         if (version <= replica.configuration().version()) {
             logPut(version, "already-superseded", 0);
-            answer.accept(empty(OK));
+            answer.accept(Answers.empty(Answers.OK));
             return;
         }
         long began = EventLoop.nowMillis();
@@ -84,7 +86,10 @@
                 began + time,
                 done -> {
                     logPut(version, done ? "committed" : "unconfirmed", began);
-                    answer.accept(done ? empty(OK) : failure(ResultCode.RULES_PENDING));
+                    answer.accept(
+                            done
+                                    ? Answers.empty(Answers.OK)
+                                    : Answers.failure(ResultCode.RULES_PENDING));
                 });
     }
 
@@ -100,20 +105,20 @@
                     boolean known = done && held.version() > 0;
                     answer.accept(
                             known
-                                    ? new Answer(OK, JSON, held.content())
-                                    : failure(ResultCode.CONFIGURATION_UNCONFIRMED));
+                                    ? Answers.json(held.content())
+                                    : Answers.failure(ResultCode.CONFIGURATION_UNCONFIRMED));
                 });
     }
 
     private void report(Result<EndpointRecord> report, Consumer<Answer> answer) {
         if (report instanceof Result.Ok<EndpointRecord> ok) {
             endpoints.reported(ok.value());
-            answer.accept(empty(OK));
+            answer.accept(Answers.empty(Answers.OK));
             return;
         }
         String detail = ((Result.Err<EndpointRecord>) report).failure().detail();
         LogEvent.warning(LOG, "endpoint.report.unreadable").with("detail", detail).write();
-        answer.accept(failure(BAD_REQUEST, detail));
+        answer.accept(Answers.failure(Answers.BAD_REQUEST, detail));
     }
 
     private static void logPut(long version, String outcome, long began) {
@@ -123,18 +128,4 @@
                 .with("ms", began == 0 ? 0 : EventLoop.nowMillis() - began)
                 .write();
     }
-
-    private static Answer failure(ResultCode code) {
-        return failure(code.httpStatus(), code.meaning());
-    }
-
-    private static Answer empty(int status) {
-        return new Answer(status, JSON, "{}".getBytes(StandardCharsets.UTF_8));
-    }
-
-    private static Answer failure(int status, String detail) {
-        String text = detail.replace("\\", "\\\\").replace("\"", "\\\"");
-        String body = "{\"detail\":\"%s\"}".formatted(text.replaceAll("\\p{Cntrl}", " "));
-        return new Answer(status, JSON, body.getBytes(StandardCharsets.UTF_8));
-    }
 }
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -61,6 +61,7 @@
     private final RegistryPeers peers;
     private final RegistryReplica replica;
     private final LogAccess log;
+    private final RolloutDesk rollouts;
     private final EdgeFeed feed = new EdgeFeed();
     private final RefusalMemory refusals = new RefusalMemory();
     private final LoadRelay relay;
@@ -98,6 +99,7 @@
                         this::tellStatus,
                         new SecureRandom().nextLong());
         log = new LogAccess(loop, replica, peers);
+        rollouts = new RolloutDesk(protocol, replica, log);
         relay = new LoadRelay(loop, feed);
         endpoints = new Endpoints(settings.heartbeatMillis(), peers, feed);
         calls =
@@ -105,7 +107,7 @@
                         loop,
                         Addresses.parse(settings.callAddress()),
                         MAX_CALL_BYTES,
-                        new CallDesk(protocol, replica, log, endpoints));
+                        new CallDesk(protocol, replica, log, endpoints, rollouts));
         metrics =
                 new HttpService(
                         loop,
--- a/platform/src/io/siskintrail/platform/JsonObjects.java
+++ b/siskintrail.service/src/io/siskintrail/service/JsonObjects.java
@@ -1,4 +1,4 @@
-package io.siskintrail.platform;
+package io.siskintrail.service;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonFactoryBuilder;
@@ -14,12 +14,13 @@
 /**
  * Parses JSON objects into trees. Uses the tree codec of Jackson jr and no bean mapper: loading a
  * bean mapper, with the date formats and locales that the mapper needs, would by itself take a
- * third of the startup time of an edge or a registry.
+ * third of the startup time of an edge or a registry. A program that uses this class brings Jackson
+ * jr itself, since the others run without it.
  */
-final class JsonObjects {
+public final class JsonObjects {
     /**
      * Keeps the recursive parser from overflowing the stack on deeply nested input. The most deeply
-     * nested message of the platform has five levels.
+     * nested message that programs read has five levels.
      */
     private static final int MAX_NESTING_DEPTH = 64;
 
@@ -41,7 +42,7 @@
      * @throws IllegalArgumentException if {@code content} is not valid JSON, not an object, or has
      *     further content after the object
      */
-    static JrsObject read(byte[] content) {
+    public static JrsObject read(byte[] content) {
         try (JsonParser parser = FACTORY.createParser(content)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new IllegalArgumentException("expected a JSON object");
--- a/siskintrail/src/io/siskintrail/lib/ResultCode.java
+++ b/siskintrail/src/io/siskintrail/lib/ResultCode.java
@@ -63,6 +63,12 @@
     CONFIGURATION_REFUSED(3020, 400, "The configuration is invalid; no part of it was applied."),
     CONFIGURATION_UNCONFIRMED(
             3021, 503, "The host cannot confirm which configuration is the newest."),
+    ROLLOUT_REFUSED(3022, 400, "The rollout order is invalid; nothing was started."),
+    ROLLOUT_PENDING(3023, 409, "The same rollout order is being committed; send it again."),
+    ROLLOUT_CONFLICT(3024, 409, "Another rollout of the service runs; nothing was started."),
+    ROLLOUT_UNKNOWN(3025, 404, "No rollout of the service was ordered."),
+    ROLLOUT_UNCONFIRMED(
+            3026, 503, "The host cannot confirm the state of the rollout; send the call again."),
 
     // 4xxx: control replicas and their storage.
     CONTROL_UNAVAILABLE(4001, 503, "No control leader accepted the command; it was not proposed."),
