Let endpoint records carry the version of the software

A rollout moves traffic between endpoints by the version that they report. EndpointRecord gains EndpointVersion, empty if the report does not name one; registries read it from the field version of the report and pass it on in an optional field.

RegistryCodecTest and RegistryCallsTest show this.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
@@ -99,6 +99,7 @@
                 .with("endpoint", record.id())
                 .with("service", record.service())
                 .with("state", record.state())
+                .with("version", record.version())
                 .with("incarnation", record.incarnation())
                 .with("sequence", record.sequence())
                 .write();
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryCallsTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/RegistryCallsTest.java
@@ -46,6 +46,17 @@
         assertThat(record.sequence()).isEqualTo(4);
         assertThat(record.state()).isEqualTo(EndpointState.READY);
         assertThat(record.domain().value()).isEqualTo("a");
+        assertThat(record.version()).isEqualTo(EndpointVersion.NONE);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'\"v2\"', v2", "'\"\"', ''", "null, ''"})
+    void versionIsOptional(String field, String version) {
+        String body = VALID_REPORT.replace("}", ",\"version\":" + field + "}");
+        RegistryCall.Report report = (RegistryCall.Report) put("/api/replicas/e1", body);
+
+        assertThat(((Result.Ok<EndpointRecord>) report.endpoint()).value().version())
+                .isEqualTo(new EndpointVersion(version));
     }
 
     @ParameterizedTest
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Endpoints.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Endpoints.java
@@ -114,6 +114,7 @@
                     .with("endpoint", r.id())
                     .with("service", r.service())
                     .with("state", r.state())
+                    .with("version", r.version())
                     .with("incarnation", r.incarnation())
                     .with("sequence", r.sequence())
                     .write();
--- a/siskintrail.wire.test/tst/io/siskintrail/wire/registry/RegistryCodecTest.java
+++ b/siskintrail.wire.test/tst/io/siskintrail/wire/registry/RegistryCodecTest.java
@@ -7,10 +7,14 @@
 import io.siskintrail.internal.traffic.admission.WaitingRequest;
 import io.siskintrail.internal.traffic.crash.CrashSignature;
 import io.siskintrail.internal.traffic.crash.CrashSuspect;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
+import io.siskintrail.internal.traffic.endpoint.EndpointState;
 import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
 import io.siskintrail.internal.traffic.placement.EngineSpeed;
 import io.siskintrail.internal.traffic.placement.PromptPart;
 import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.EndpointVersion;
+import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.ServiceName;
 import io.siskintrail.wire.ThriftCodec;
@@ -50,6 +54,8 @@
                 new RegistryMessage.Refusal(new CrashSignature.OfContent(CONTENT), 600),
                 new RegistryMessage.Refusal(new CrashSignature.OfParts(PARTS), 0),
                 new RegistryMessage.Draining(HOST, 6_800),
+                new RegistryMessage.Endpoints(
+                        List.of(record(EndpointVersion.NONE), record(new EndpointVersion("v2")))),
                 new RegistryMessage.Loads(List.of(RegistryMessage.HostLoads.nothing(HOST))),
                 loads(Optional.empty()),
                 loads(
@@ -61,6 +67,20 @@
                         HOST, Map.of(new PromptPart("one"), 7L, new PromptPart("two"), 0L)));
     }
 
+    private static EndpointRecord record(EndpointVersion version) {
+        return new EndpointRecord(
+                ENDPOINT,
+                1,
+                2,
+                SERVICE,
+                "10.0.0.1:80",
+                new FailureDomain("a"),
+                4,
+                0,
+                EndpointState.READY,
+                version);
+    }
+
     private static RegistryMessage loads(Optional<List<WaitingRequest>> waiting) {
         return new RegistryMessage.Loads(
                 List.of(
--- a/siskintrail.wire/idl/registry.thrift
+++ b/siskintrail.wire/idl/registry.thrift
@@ -12,7 +12,9 @@
   7: required i32 slots,
   8: required i64 coldMillis,
   /** Index of the state. */
-  9: required i32 state
+  9: required i32 state,
+  /** Version of the software; not set if the endpoint does not report it. */
+  10: optional string version
 }
 
 struct EndpointRecordsData {
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/EndpointRecordData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/EndpointRecordData.java
@@ -19,6 +19,7 @@
   private static final org.apache.thrift.protocol.TField SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("slots", org.apache.thrift.protocol.TType.I32, (short)7);
   private static final org.apache.thrift.protocol.TField COLD_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("coldMillis", org.apache.thrift.protocol.TType.I64, (short)8);
   private static final org.apache.thrift.protocol.TField STATE_FIELD_DESC = new org.apache.thrift.protocol.TField("state", org.apache.thrift.protocol.TType.I32, (short)9);
+  private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.STRING, (short)10);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new EndpointRecordDataStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new EndpointRecordDataTupleSchemeFactory();
@@ -38,6 +39,10 @@
    * Index of the state.
    */
   public int state; // required
+  /**
+   * Version of the software; not set if the endpoint does not report it.
+   */
+  public @org.apache.thrift.annotation.Nullable java.lang.String version; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -55,7 +60,11 @@
     /**
      * Index of the state.
      */
-    STATE((short)9, "state");
+    STATE((short)9, "state"),
+    /**
+     * Version of the software; not set if the endpoint does not report it.
+     */
+    VERSION((short)10, "version");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -89,6 +98,8 @@
           return COLD_MILLIS;
         case 9: // STATE
           return STATE;
+        case 10: // VERSION
+          return VERSION;
         default:
           return null;
       }
@@ -138,6 +149,7 @@
   private static final int __COLDMILLIS_ISSET_ID = 3;
   private static final int __STATE_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.VERSION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -159,6 +171,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.STATE, new org.apache.thrift.meta_data.FieldMetaData("state", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.VERSION, new org.apache.thrift.meta_data.FieldMetaData("version", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(EndpointRecordData.class, metaDataMap);
   }
@@ -216,6 +230,9 @@
     this.slots = other.slots;
     this.coldMillis = other.coldMillis;
     this.state = other.state;
+    if (other.isSetVersion()) {
+      this.version = other.version;
+    }
   }
 
   @Override
@@ -239,6 +256,7 @@
     this.coldMillis = 0;
     setStateIsSet(false);
     this.state = 0;
+    this.version = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -468,6 +486,37 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STATE_ISSET_ID, value);
   }
 
+  /**
+   * Version of the software; not set if the endpoint does not report it.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getVersion() {
+    return this.version;
+  }
+
+  /**
+   * Version of the software; not set if the endpoint does not report it.
+   */
+  public EndpointRecordData setVersion(@org.apache.thrift.annotation.Nullable java.lang.String version) {
+    this.version = version;
+    return this;
+  }
+
+  public void unsetVersion() {
+    this.version = null;
+  }
+
+  /** Returns true if field version is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersion() {
+    return this.version != null;
+  }
+
+  public void setVersionIsSet(boolean value) {
+    if (!value) {
+      this.version = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -543,6 +592,14 @@
       }
       break;
 
+    case VERSION:
+      if (value == null) {
+        unsetVersion();
+      } else {
+        setVersion((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -577,6 +634,9 @@
     case STATE:
       return getState();
 
+    case VERSION:
+      return getVersion();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -607,6 +667,8 @@
       return isSetColdMillis();
     case STATE:
       return isSetState();
+    case VERSION:
+      return isSetVersion();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -705,6 +767,15 @@
         return false;
     }
 
+    boolean this_present_version = true && this.isSetVersion();
+    boolean that_present_version = true && that.isSetVersion();
+    if (this_present_version || that_present_version) {
+      if (!(this_present_version && that_present_version))
+        return false;
+      if (!this.version.equals(that.version))
+        return false;
+    }
+
     return true;
   }
 
@@ -738,6 +809,10 @@
 
     hashCode = hashCode * 8191 + state;
 
+    hashCode = hashCode * 8191 + ((isSetVersion()) ? 131071 : 524287);
+    if (isSetVersion())
+      hashCode = hashCode * 8191 + version.hashCode();
+
     return hashCode;
   }
 
@@ -839,6 +914,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -914,6 +999,16 @@
     sb.append("state:");
     sb.append(this.state);
     first = false;
+    if (isSetVersion()) {
+      if (!first) sb.append(", ");
+      sb.append("version:");
+      if (this.version == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.version);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1050,6 +1145,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 10: // VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.version = iprot.readString();
+              struct.setVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1116,6 +1219,13 @@
       oprot.writeFieldBegin(STATE_FIELD_DESC);
       oprot.writeI32(struct.state);
       oprot.writeFieldEnd();
+      if (struct.version != null) {
+        if (struct.isSetVersion()) {
+          oprot.writeFieldBegin(VERSION_FIELD_DESC);
+          oprot.writeString(struct.version);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1143,6 +1253,14 @@
       oprot.writeI32(struct.slots);
       oprot.writeI64(struct.coldMillis);
       oprot.writeI32(struct.state);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetVersion()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetVersion()) {
+        oprot.writeString(struct.version);
+      }
     }
 
     @Override
@@ -1166,6 +1284,11 @@
       struct.setColdMillisIsSet(true);
       struct.state = iprot.readI32();
       struct.setStateIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.version = iprot.readString();
+        struct.setVersionIsSet(true);
+      }
     }
   }
 
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
@@ -7,6 +7,7 @@
 import io.siskintrail.internal.traffic.placement.PrefilledPrompt;
 import io.siskintrail.internal.traffic.placement.PromptId;
 import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.EndpointVersion;
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.ServiceName;
@@ -151,16 +152,21 @@
     }
 
     private static EndpointRecordData data(EndpointRecord r) {
-        return new EndpointRecordData(
-                r.id().value(),
-                r.incarnation(),
-                r.sequence(),
-                r.service().value(),
-                r.address(),
-                r.domain().value(),
-                r.slots(),
-                r.coldMillis(),
-                r.state().ordinal());
+        EndpointRecordData data =
+                new EndpointRecordData(
+                        r.id().value(),
+                        r.incarnation(),
+                        r.sequence(),
+                        r.service().value(),
+                        r.address(),
+                        r.domain().value(),
+                        r.slots(),
+                        r.coldMillis(),
+                        r.state().ordinal());
+        if (!r.version().isNone()) {
+            data.setVersion(r.version().value());
+        }
+        return data;
     }
 
     /** Returns the record, empty if it names no endpoint to use; the others of its message hold. */
@@ -190,7 +196,8 @@
                 new FailureDomain(d.getDomain()),
                 d.getSlots(),
                 d.getColdMillis(),
-                states[d.getState()]);
+                states[d.getState()],
+                d.isSetVersion() ? new EndpointVersion(d.getVersion()) : EndpointVersion.NONE);
     }
 
     private static LoadsData data(RegistryMessage.HostLoads h) {
--- a/siskintrail/src/io/siskintrail/internal/traffic/endpoint/EndpointDirectory.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/endpoint/EndpointDirectory.java
@@ -208,6 +208,7 @@
         return a.incarnation() == b.incarnation()
                 && a.state() == b.state()
                 && a.address().equals(b.address())
-                && a.slots() == b.slots();
+                && a.slots() == b.slots()
+                && a.version().equals(b.version());
     }
 }
--- a/siskintrail/src/io/siskintrail/internal/traffic/endpoint/EndpointRecord.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/endpoint/EndpointRecord.java
@@ -1,6 +1,7 @@
 package io.siskintrail.internal.traffic.endpoint;
 
 import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.EndpointVersion;
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.ServiceName;
 
@@ -18,6 +19,8 @@
  * @param coldMillis remaining warm-up time at the time of the report, during which the endpoint is
  *     slow
  * @param state the lifecycle state
+ * @param version the version of the endpoint's software; {@link EndpointVersion#NONE} if the report
+ *     does not contain it
  */
 public record EndpointRecord(
         EndpointId id,
@@ -28,12 +31,46 @@
         FailureDomain domain,
         int slots,
         long coldMillis,
-        EndpointState state) {
+        EndpointState state,
+        EndpointVersion version) {
+
+    /** Creates the record of an endpoint that does not report its version. */
+    public EndpointRecord(
+            EndpointId id,
+            long incarnation,
+            long sequence,
+            ServiceName service,
+            String address,
+            FailureDomain domain,
+            int slots,
+            long coldMillis,
+            EndpointState state) {
+        this(
+                id,
+                incarnation,
+                sequence,
+                service,
+                address,
+                domain,
+                slots,
+                coldMillis,
+                state,
+                EndpointVersion.NONE);
+    }
 
     /** Returns a copy of this record with the state {@code next}. */
     public EndpointRecord with(EndpointState next) {
         return new EndpointRecord(
-                id, incarnation, sequence, service, address, domain, slots, coldMillis, next);
+                id,
+                incarnation,
+                sequence,
+                service,
+                address,
+                domain,
+                slots,
+                coldMillis,
+                next,
+                version);
     }
 
     /**
