--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -2,6 +2,7 @@
 
 import io.siskintrail.edge.EdgeSettings;
 import io.siskintrail.edge.TrafficProtocol;
+import io.siskintrail.internal.rollout.RolloutRecord;
 import io.siskintrail.internal.traffic.configuration.RouteTable;
 import io.siskintrail.internal.traffic.configuration.TrafficConfiguration;
 import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
@@ -199,6 +200,11 @@
         }
     }
 
+    @Override
+    public void onRollouts(List<RolloutRecord> rollouts) {
+        endpoints.applyRollouts(rollouts);
+    }
+
     @Override
     public void onRelayedMessage(RegistryMessage message) {
         if (message instanceof RegistryMessage.Loads loads) {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointTable.java
@@ -1,10 +1,13 @@
 package io.siskintrail.edge.internal;
 
+import io.siskintrail.internal.rollout.RolloutRecord;
+import io.siskintrail.internal.rollout.RolloutTable;
 import io.siskintrail.internal.traffic.endpoint.EndpointDirectory;
 import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
 import io.siskintrail.internal.traffic.endpoint.EndpointState;
 import io.siskintrail.internal.traffic.endpoint.EndpointView;
 import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.EndpointVersion;
 import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.LogEvent;
@@ -36,6 +39,8 @@
     private final EndpointDirectory directory =
             new EndpointDirectory(NO_TIMEOUT_MILLIS, TOMBSTONE_MILLIS);
     private final Map<ServiceName, Map<EndpointId, EndpointView>> viewsByService = new HashMap<>();
+    private final RolloutTable rollouts = new RolloutTable();
+    private final Map<ServiceName, EndpointVersion> excludedVersions = new HashMap<>();
     private final Consumer<EndpointView> onEndpointEnded;
 
     /** Creates an empty table that calls {@code onEndpointEnded} for each endpoint that ended. */
@@ -61,10 +66,45 @@
         directory.setServices(services, EventLoop.nowMillis()).forEach(this::applyRecord);
     }
 
-    /** Returns the endpoints of a service, empty if none is known. */
+    /**
+     * Applies the rollouts that a registry holds; those of a registry that is behind change
+     * nothing.
+     */
+    void applyRollouts(List<RolloutRecord> records) {
+        for (RolloutRecord changed : rollouts.restore(records, EventLoop.nowMillis())) {
+            LogEvent.info(LOG, "rollout.told")
+                    .with("service", changed.order().service())
+                    .with("to", changed.order().to())
+                    .with("number", changed.number())
+                    .with("status", changed.status())
+                    .write();
+            if (changed.status() == RolloutRecord.Status.COMPLETED) {
+                excludedVersions.remove(changed.order().service());
+            } else {
+                excludedVersions.put(changed.order().service(), changed.order().to());
+            }
+        }
+    }
+
+    /**
+     * Returns the endpoints of a service that requests may be placed on, empty if none is known.
+     * Those of a version that is being rolled out or was rolled back are left out, unless there are
+     * no others.
+     */
     Collection<EndpointView> ofService(ServiceName service) {
         Map<EndpointId, EndpointView> views = viewsByService.get(service);
-        return views == null ? List.of() : views.values();
+        if (views == null) {
+            return List.of();
+        }
+        EndpointVersion excluded = excludedVersions.get(service);
+        if (excluded == null) {
+            return views.values();
+        }
+        List<EndpointView> others =
+                views.values().stream()
+                        .filter(view -> !view.record().version().equals(excluded))
+                        .toList();
+        return others.isEmpty() ? views.values() : others;
     }
 
     /** Returns the endpoint {@code id}, null if unknown. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RegistryFollower.java
@@ -1,5 +1,6 @@
 package io.siskintrail.edge.internal;
 
+import io.siskintrail.internal.rollout.RolloutRecord;
 import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.net.EventLoop;
@@ -52,6 +53,9 @@
         /** Called with endpoint reports. */
         void onEndpointReports(List<EndpointRecord> records);
 
+        /** Called with the newest rollout of each service that one registry holds. */
+        void onRollouts(List<RolloutRecord> rollouts);
+
         /**
          * Called with a load report of other edges, or with another message that a registry relays.
          */
@@ -154,6 +158,7 @@
         if (message instanceof RegistryMessage.Status status) {
             statuses.put(link.peer(), status);
             connect(status.registries());
+            listener.onRollouts(status.rollouts());
             fetchIfNewer(link, status);
         } else if (message instanceof RegistryMessage.Content content) {
             storeConfiguration(link, content);
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -278,7 +278,8 @@
                 replica.configuration().version(),
                 replica.isCurrent(),
                 new ArrayList<>(hosts),
-                feed.count());
+                feed.count(),
+                replica.rollouts().rollouts());
     }
 
     private void answerMetrics(HttpService.Call call, Consumer<HttpService.Answer> answer) {
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/RegistryReplica.java
@@ -109,7 +109,7 @@
      * @param first the hosts that begin a log; empty when this host must not
      * @param voters how many replicas are to vote
      * @param peers reaches the other hosts
-     * @param changed called when another configuration is in force
+     * @param changed called when another configuration is in force, or a rollout started or ended
      * @param seed differs between processes and their restarts
      */
     RegistryReplica(
@@ -382,6 +382,7 @@
                 .with("status", rollout.status())
                 .with("index", applied)
                 .write();
+        changed.run();
     }
 
     private void runApplied() {
--- a/siskintrail.wire.test/tst/io/siskintrail/wire/registry/RegistryCodecTest.java
+++ b/siskintrail.wire.test/tst/io/siskintrail/wire/registry/RegistryCodecTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.siskintrail.internal.generation.Fingerprint;
+import io.siskintrail.internal.rollout.RolloutOrder;
+import io.siskintrail.internal.rollout.RolloutRecord;
 import io.siskintrail.internal.traffic.admission.WaitingRequest;
 import io.siskintrail.internal.traffic.crash.CrashSignature;
 import io.siskintrail.internal.traffic.crash.CrashSuspect;
@@ -42,6 +44,13 @@
     private static final Set<PromptPart> PARTS =
             Set.of(new PromptPart("one"), new PromptPart("two"));
 
+    private static final RolloutRecord ROLLOUT =
+            new RolloutRecord(
+                    new RolloutOrder(SERVICE, new EndpointVersion("v2"), 12_000),
+                    3,
+                    1_700,
+                    RolloutRecord.Status.ROLLED_BACK);
+
     static Stream<RegistryMessage> messages() {
         return Stream.of(
                 new RegistryMessage.Death(HOST, ENDPOINT, List.of()),
@@ -54,6 +63,8 @@
                 new RegistryMessage.Refusal(new CrashSignature.OfContent(CONTENT), 600),
                 new RegistryMessage.Refusal(new CrashSignature.OfParts(PARTS), 0),
                 new RegistryMessage.Draining(HOST, 6_800),
+                new RegistryMessage.Status(7, true, List.of(HOST), 3, List.of()),
+                new RegistryMessage.Status(7, true, List.of(HOST), 3, List.of(ROLLOUT)),
                 new RegistryMessage.Endpoints(
                         List.of(record(EndpointVersion.NONE), record(new EndpointVersion("v2")))),
                 new RegistryMessage.Loads(List.of(RegistryMessage.HostLoads.nothing(HOST))),
--- a/siskintrail.wire/idl/registry.thrift
+++ b/siskintrail.wire/idl/registry.thrift
@@ -1,6 +1,8 @@
 /** Messages among registries, and between them and the edges that follow them. */
 namespace java io.siskintrail.wire.gen.registry
 
+include "rollout.thrift"
+
 struct EndpointRecordData {
   1: required string id,
   /** Unix milliseconds of the start; 0 when unknown. */
@@ -25,7 +27,9 @@
   1: required i64 version,
   2: required bool current,
   3: required list<string> registries,
-  4: required i32 edges
+  4: required i32 edges,
+  /** The newest rollout of each service; not set if there was none. */
+  5: optional rollout.RolloutListData rollouts
 }
 
 struct ContentData {
--- a/siskintrail.wire/idl/rollout.thrift
+++ b/siskintrail.wire/idl/rollout.thrift
@@ -23,6 +23,10 @@
   2: RolloutEndData finish
 }
 
+struct RolloutListData {
+  1: required list<RolloutData> rollouts
+}
+
 /** A snapshot of a log that has rollouts. */
 struct RegistryImageData {
   /** The command that set the configuration. */
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/registry/StatusData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/registry/StatusData.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField CURRENT_FIELD_DESC = new org.apache.thrift.protocol.TField("current", org.apache.thrift.protocol.TType.BOOL, (short)2);
   private static final org.apache.thrift.protocol.TField REGISTRIES_FIELD_DESC = new org.apache.thrift.protocol.TField("registries", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField EDGES_FIELD_DESC = new org.apache.thrift.protocol.TField("edges", org.apache.thrift.protocol.TType.I32, (short)4);
+  private static final org.apache.thrift.protocol.TField ROLLOUTS_FIELD_DESC = new org.apache.thrift.protocol.TField("rollouts", org.apache.thrift.protocol.TType.STRUCT, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new StatusDataStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new StatusDataTupleSchemeFactory();
@@ -22,13 +23,21 @@
   public boolean current; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> registries; // required
   public int edges; // required
+  /**
+   * The newest rollout of each service; not set if there was none.
+   */
+  public @org.apache.thrift.annotation.Nullable io.siskintrail.wire.gen.rollout.RolloutListData rollouts; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     VERSION((short)1, "version"),
     CURRENT((short)2, "current"),
     REGISTRIES((short)3, "registries"),
-    EDGES((short)4, "edges");
+    EDGES((short)4, "edges"),
+    /**
+     * The newest rollout of each service; not set if there was none.
+     */
+    ROLLOUTS((short)5, "rollouts");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +61,8 @@
           return REGISTRIES;
         case 4: // EDGES
           return EDGES;
+        case 5: // ROLLOUTS
+          return ROLLOUTS;
         default:
           return null;
       }
@@ -99,6 +110,7 @@
   private static final int __CURRENT_ISSET_ID = 1;
   private static final int __EDGES_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.ROLLOUTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -111,6 +123,8 @@
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     tmpMap.put(_Fields.EDGES, new org.apache.thrift.meta_data.FieldMetaData("edges", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.ROLLOUTS, new org.apache.thrift.meta_data.FieldMetaData("rollouts", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, io.siskintrail.wire.gen.rollout.RolloutListData.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(StatusData.class, metaDataMap);
   }
@@ -146,6 +160,9 @@
       this.registries = __this__registries;
     }
     this.edges = other.edges;
+    if (other.isSetRollouts()) {
+      this.rollouts = new io.siskintrail.wire.gen.rollout.RolloutListData(other.rollouts);
+    }
   }
 
   @Override
@@ -162,6 +179,7 @@
     this.registries = null;
     setEdgesIsSet(false);
     this.edges = 0;
+    this.rollouts = null;
   }
 
   public long getVersion() {
@@ -274,6 +292,37 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EDGES_ISSET_ID, value);
   }
 
+  /**
+   * The newest rollout of each service; not set if there was none.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public io.siskintrail.wire.gen.rollout.RolloutListData getRollouts() {
+    return this.rollouts;
+  }
+
+  /**
+   * The newest rollout of each service; not set if there was none.
+   */
+  public StatusData setRollouts(@org.apache.thrift.annotation.Nullable io.siskintrail.wire.gen.rollout.RolloutListData rollouts) {
+    this.rollouts = rollouts;
+    return this;
+  }
+
+  public void unsetRollouts() {
+    this.rollouts = null;
+  }
+
+  /** Returns true if field rollouts is set (has been assigned a value) and false otherwise */
+  public boolean isSetRollouts() {
+    return this.rollouts != null;
+  }
+
+  public void setRolloutsIsSet(boolean value) {
+    if (!value) {
+      this.rollouts = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -309,6 +358,14 @@
       }
       break;
 
+    case ROLLOUTS:
+      if (value == null) {
+        unsetRollouts();
+      } else {
+        setRollouts((io.siskintrail.wire.gen.rollout.RolloutListData)value);
+      }
+      break;
+
     }
   }
 
@@ -328,6 +385,9 @@
     case EDGES:
       return getEdges();
 
+    case ROLLOUTS:
+      return getRollouts();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -348,6 +408,8 @@
       return isSetRegistries();
     case EDGES:
       return isSetEdges();
+    case ROLLOUTS:
+      return isSetRollouts();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -401,6 +463,15 @@
         return false;
     }
 
+    boolean this_present_rollouts = true && this.isSetRollouts();
+    boolean that_present_rollouts = true && that.isSetRollouts();
+    if (this_present_rollouts || that_present_rollouts) {
+      if (!(this_present_rollouts && that_present_rollouts))
+        return false;
+      if (!this.rollouts.equals(that.rollouts))
+        return false;
+    }
+
     return true;
   }
 
@@ -418,6 +489,10 @@
 
     hashCode = hashCode * 8191 + edges;
 
+    hashCode = hashCode * 8191 + ((isSetRollouts()) ? 131071 : 524287);
+    if (isSetRollouts())
+      hashCode = hashCode * 8191 + rollouts.hashCode();
+
     return hashCode;
   }
 
@@ -469,6 +544,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetRollouts(), other.isSetRollouts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRollouts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rollouts, other.rollouts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -512,6 +597,16 @@
     sb.append("edges:");
     sb.append(this.edges);
     first = false;
+    if (isSetRollouts()) {
+      if (!first) sb.append(", ");
+      sb.append("rollouts:");
+      if (this.rollouts == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.rollouts);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -525,6 +620,9 @@
     }
     // alas, we cannot check 'edges' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
+    if (rollouts != null) {
+      rollouts.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -607,6 +705,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // ROLLOUTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.rollouts = new io.siskintrail.wire.gen.rollout.RolloutListData();
+              struct.rollouts.read(iprot);
+              struct.setRolloutsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -653,6 +760,13 @@
       oprot.writeFieldBegin(EDGES_FIELD_DESC);
       oprot.writeI32(struct.edges);
       oprot.writeFieldEnd();
+      if (struct.rollouts != null) {
+        if (struct.isSetRollouts()) {
+          oprot.writeFieldBegin(ROLLOUTS_FIELD_DESC);
+          struct.rollouts.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -681,6 +795,14 @@
         }
       }
       oprot.writeI32(struct.edges);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetRollouts()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetRollouts()) {
+        struct.rollouts.write(oprot);
+      }
     }
 
     @Override
@@ -703,6 +825,12 @@
       struct.setRegistriesIsSet(true);
       struct.edges = iprot.readI32();
       struct.setEdgesIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.rollouts = new io.siskintrail.wire.gen.rollout.RolloutListData();
+        struct.rollouts.read(iprot);
+        struct.setRolloutsIsSet(true);
+      }
     }
   }
 
--- a/siskintrail.wire/src/io/siskintrail/wire/gen/rollout/RegistryImageData.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/gen/rollout/RegistryImageData.java
@@ -460,14 +460,14 @@
           case 2: // ROLLOUTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
-                struct.rollouts = new java.util.ArrayList<RolloutData>(_list0.size);
-                @org.apache.thrift.annotation.Nullable RolloutData _elem1;
-                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
+                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
+                struct.rollouts = new java.util.ArrayList<RolloutData>(_list8.size);
+                @org.apache.thrift.annotation.Nullable RolloutData _elem9;
+                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
                 {
-                  _elem1 = new RolloutData();
-                  _elem1.read(iprot);
-                  struct.rollouts.add(_elem1);
+                  _elem9 = new RolloutData();
+                  _elem9.read(iprot);
+                  struct.rollouts.add(_elem9);
                 }
                 iprot.readListEnd();
               }
@@ -501,9 +501,9 @@
         oprot.writeFieldBegin(ROLLOUTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.rollouts.size()));
-          for (RolloutData _iter3 : struct.rollouts)
+          for (RolloutData _iter11 : struct.rollouts)
           {
-            _iter3.write(oprot);
+            _iter11.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -530,9 +530,9 @@
       oprot.writeBinary(struct.configuration);
       {
         oprot.writeI32(struct.rollouts.size());
-        for (RolloutData _iter4 : struct.rollouts)
+        for (RolloutData _iter12 : struct.rollouts)
         {
-          _iter4.write(oprot);
+          _iter12.write(oprot);
         }
       }
     }
@@ -543,14 +543,14 @@
       struct.configuration = iprot.readBinary();
       struct.setConfigurationIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.rollouts = new java.util.ArrayList<RolloutData>(_list5.size);
-        @org.apache.thrift.annotation.Nullable RolloutData _elem6;
-        for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+        org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.rollouts = new java.util.ArrayList<RolloutData>(_list13.size);
+        @org.apache.thrift.annotation.Nullable RolloutData _elem14;
+        for (int _i15 = 0; _i15 < _list13.size; ++_i15)
         {
-          _elem6 = new RolloutData();
-          _elem6.read(iprot);
-          struct.rollouts.add(_elem6);
+          _elem14 = new RolloutData();
+          _elem14.read(iprot);
+          struct.rollouts.add(_elem14);
         }
       }
       struct.setRolloutsIsSet(true);
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
@@ -62,7 +62,11 @@
         }
         if (message instanceof RegistryMessage.Status s) {
             List<String> hosts = s.registries().stream().map(HostId::value).toList();
-            return RegistryBody.status(new StatusData(s.version(), s.current(), hosts, s.edges()));
+            StatusData data = new StatusData(s.version(), s.current(), hosts, s.edges());
+            if (!s.rollouts().isEmpty()) {
+                data.setRollouts(RolloutCodec.listData(s.rollouts()));
+            }
+            return RegistryBody.status(data);
         }
         if (message instanceof RegistryMessage.FetchAbove f) {
             return RegistryBody.fetchAbove(f.version());
@@ -148,7 +152,8 @@
                 data.getVersion(),
                 data.isCurrent(),
                 data.getRegistries().stream().map(HostId::new).toList(),
-                data.getEdges());
+                data.getEdges(),
+                data.isSetRollouts() ? RolloutCodec.readRollouts(data.getRollouts()) : List.of());
     }
 
     private static EndpointRecordData data(EndpointRecord r) {
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryMessage.java
@@ -1,5 +1,6 @@
 package io.siskintrail.wire.registry;
 
+import io.siskintrail.internal.rollout.RolloutRecord;
 import io.siskintrail.internal.traffic.admission.WaitingRequest;
 import io.siskintrail.internal.traffic.crash.CrashSignature;
 import io.siskintrail.internal.traffic.crash.CrashSuspect;
@@ -27,8 +28,14 @@
      * @param current whether it was lately confirmed that there is no newer one
      * @param registries the hosts that run registries
      * @param edges how many edges follow it
+     * @param rollouts the newest rollout of each service that it holds
      */
-    record Status(long version, boolean current, List<HostId> registries, int edges)
+    record Status(
+            long version,
+            boolean current,
+            List<HostId> registries,
+            int edges,
+            List<RolloutRecord> rollouts)
             implements RegistryMessage {}
 
     /** Asks for the newest configuration if its version is above {@code version}. */
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RolloutCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RolloutCodec.java
@@ -10,7 +10,9 @@
 import io.siskintrail.wire.gen.rollout.RolloutCommandData;
 import io.siskintrail.wire.gen.rollout.RolloutData;
 import io.siskintrail.wire.gen.rollout.RolloutEndData;
+import io.siskintrail.wire.gen.rollout.RolloutListData;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.List;
 import org.apache.thrift.TException;
 
@@ -86,6 +88,24 @@
         }
     }
 
+    static RolloutListData listData(List<RolloutRecord> rollouts) {
+        return new RolloutListData(rollouts.stream().map(RolloutCodec::data).toList());
+    }
+
+    /** Returns the rollouts, without those that have a value which this build does not know. */
+    static List<RolloutRecord> readRollouts(RolloutListData list) {
+        List<RolloutRecord> rollouts = new ArrayList<>();
+        for (RolloutData data : list.getRollouts()) {
+            try {
+                rollouts.add(rollout(data));
+            } catch (IllegalArgumentException e) {
+                // A later build sent it; the other rollouts are valid.
+                continue;
+            }
+        }
+        return rollouts;
+    }
+
     private static RolloutData data(RolloutRecord r) {
         RolloutOrder order = r.order();
         return new RolloutData(
