Test that the end of a rollout is durable and final

RolloutDesk.end commits the change of a rollout's state; Registry makes it available to the decision, which is not built yet. RolloutOrdersTest ends a rollout at one registry, restarts all and orders the next; its test of a restart now ends the registries without handing leadership on.

--- a/siskintrail.platform.test/tst/io/siskintrail/registry/internal/LoopbackRegistries.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/registry/internal/LoopbackRegistries.java
@@ -29,6 +29,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
 /**
@@ -234,6 +236,16 @@
         return send(number, service, HttpRequest.newBuilder().GET());
     }
 
+    /** Ends a rollout at one registry; returns whether that is confirmed. */
+    boolean endRollout(int number, RolloutRecord rollout, RolloutRecord.Status status)
+            throws Exception {
+        CompletableFuture<Boolean> ended = new CompletableFuture<>();
+        long deadline = EventLoop.nowMillis() + RECOVERY_MILLIS;
+        RolloutDesk desk = registries.get(number).rollouts();
+        loops.get(number).execute(() -> desk.end(rollout, status, deadline, ended::complete));
+        return ended.get(2 * RECOVERY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private HttpResponse<String> send(int number, String path, HttpRequest.Builder builder)
             throws IOException, InterruptedException {
         HttpRequest request =
--- a/siskintrail.platform.test/tst/io/siskintrail/registry/internal/RolloutOrdersTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/registry/internal/RolloutOrdersTest.java
@@ -2,6 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.siskintrail.internal.rollout.RolloutOrder;
+import io.siskintrail.internal.rollout.RolloutRecord;
+import io.siskintrail.lib.EndpointVersion;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
 import java.io.IOException;
@@ -53,7 +56,9 @@
             awaitRollout(i);
         }
 
-        registries.stop(() -> {});
+        for (int i = LoopbackRegistries.COUNT - 1; i >= 0; i--) {
+            registries.kill(i);
+        }
         startAll();
 
         for (int i = 0; i < LoopbackRegistries.COUNT; i++) {
@@ -105,6 +110,27 @@
         assertThat(registries.rollout(0, SERVICE).body()).isEqualTo(RUNNING);
     }
 
+    /** Guards against an end that is lost, told twice, or undone by the same order. */
+    @Test
+    void endOfARolloutIsFinalAndAnotherOrderStartsTheNext() throws Exception {
+        awaitOrder(0);
+        RolloutOrder order =
+                new RolloutOrder(LoopbackRegistries.SERVICE, new EndpointVersion("v2"), 12_000);
+        RolloutRecord rollout = new RolloutRecord(order, 1, 0, RolloutRecord.Status.RUNNING);
+        assertThat(registries.endRollout(1, rollout, RolloutRecord.Status.ROLLED_BACK)).isTrue();
+        assertThat(registries.endRollout(2, rollout, RolloutRecord.Status.ROLLED_BACK)).isTrue();
+        assertThat(registries.endRollout(0, rollout, RolloutRecord.Status.COMPLETED)).isFalse();
+
+        registries.stop(() -> {});
+        startAll();
+
+        await(() -> registries.order(0, SERVICE, ORDER).statusCode() == 200);
+        await(() -> registries.rollout(0, SERVICE).body().equals("{\"ROLLED_BACK\":\"v2\"}"));
+        await(() -> registries.order(1, SERVICE, "v3 12000").statusCode() == 200);
+        await(() -> registries.rollout(0, SERVICE).body().equals("{\"RUNNING\":\"v3\"}"));
+        assertThat(registries.endRollout(2, rollout, RolloutRecord.Status.ROLLED_BACK)).isFalse();
+    }
+
     @Test
     void unknownServiceIsRefused() throws Exception {
         HttpResponse<String> response = registries.order(0, "other", ORDER);
--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -169,6 +169,11 @@
         return ended.get();
     }
 
+    /** Returns what takes and ends rollouts; to be used on the event loop. */
+    RolloutDesk rollouts() {
+        return rollouts;
+    }
+
     /** Lets go of the data folder; to be called when the event loop has ended. */
     public void closeDisk() {
         replica.closeDisk();
