Accept a repeated order after the next rollout started

An order that was accepted must not be refused when its caller sends it again. RolloutTable remembered only the newest rollout of a service, so a repetition was refused with 409 if the rollout had been rolled back and another one ordered within the 5 s for which callers repeat. It now remembers all orders of the last 10 s.

RolloutTableTest shows this; RolloutOrdersTest, ReplicatedStateTest, FullDiskTest and DamagedDisksTest pass.

--- a/siskintrail.test/tst/io/siskintrail/internal/rollout/RolloutTableTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/rollout/RolloutTableTest.java
@@ -112,6 +112,17 @@
         assertThat(table.judge(order(service, to), millis)).isEqualTo(expected);
     }
 
+    /** Guards against an accepted order that is refused because the next rollout has started. */
+    @Test
+    void repeatedOrderIsAcceptedAfterTheNextRolloutStarted() {
+        table.apply(start("s", "v2", 1), 0);
+        table.apply(end("s", 1, Status.ROLLED_BACK), 0);
+        table.apply(start("s", "v3", 2), 4_000);
+
+        assertThat(table.judge(order("s", "v2"), 9_999)).isEqualTo(Verdict.ACCEPTED);
+        assertThat(table.judge(order("s", "v2"), 10_000)).isEqualTo(Verdict.CONFLICT);
+    }
+
     @Test
     void startCommandHasTheNextNumber() {
         LOG.forEach(c -> table.apply(c, 0));
--- a/siskintrail/src/io/siskintrail/internal/rollout/RolloutTable.java
+++ b/siskintrail/src/io/siskintrail/internal/rollout/RolloutTable.java
@@ -1,7 +1,9 @@
 package io.siskintrail.internal.rollout;
 
 import io.siskintrail.lib.ServiceName;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -18,21 +20,21 @@
      */
     static final long REPEAT_MILLIS = 10_000;
 
-    private final TreeMap<ServiceName, Entry> entries = new TreeMap<>();
+    private final TreeMap<ServiceName, RolloutRecord> newest = new TreeMap<>();
+
+    /** When this host learned that an order had started a rollout, in monotonic milliseconds. */
+    private final Map<RolloutOrder, Long> acceptedAt = new HashMap<>();
 
     /** How an order relates to the rollouts so far. */
     public enum Verdict {
         /** No rollout of the service runs; the order can start one. */
         STARTABLE,
-        /** The order has already started the newest rollout of the service. */
+        /** The order started the running rollout of the service, or another one recently. */
         ACCEPTED,
         /** Another rollout of the service runs. */
         CONFLICT
     }
 
-    /** A rollout, and when this host first held it, in monotonic milliseconds. */
-    private record Entry(RolloutRecord rollout, long heldSinceMillis) {}
-
     /**
      * Applies a committed command.
      *
@@ -42,21 +44,22 @@
     public Optional<RolloutRecord> apply(RolloutCommand command, long nowMillis) {
         if (command instanceof RolloutCommand.Start s) {
             RolloutRecord next = s.rollout();
-            Entry held = entries.get(next.order().service());
+            RolloutRecord held = newest.get(next.order().service());
             boolean startable =
                     held == null
                             ? next.number() == 1
-                            : !held.rollout.isRunning()
-                                    && next.number() == held.rollout.number() + 1;
+                            : !held.isRunning() && next.number() == held.number() + 1;
             return startable && next.isRunning() ? put(next, nowMillis) : Optional.empty();
         }
         RolloutCommand.End end = (RolloutCommand.End) command;
-        Entry held = entries.get(end.service());
-        boolean endable =
-                held != null && held.rollout.isRunning() && held.rollout.number() == end.number();
-        return endable && end.status() != RolloutRecord.Status.RUNNING
-                ? put(held.rollout.with(end.status()), held.heldSinceMillis)
-                : Optional.empty();
+        RolloutRecord held = newest.get(end.service());
+        boolean endable = held != null && held.isRunning() && held.number() == end.number();
+        if (!endable || end.status() == RolloutRecord.Status.RUNNING) {
+            return Optional.empty();
+        }
+        RolloutRecord ended = held.with(end.status());
+        newest.put(end.service(), ended);
+        return Optional.of(ended);
     }
 
     /**
@@ -76,26 +79,25 @@
 
     /** Returns the newest rollout of a service, empty if there was none. */
     public Optional<RolloutRecord> get(ServiceName service) {
-        return Optional.ofNullable(entries.get(service)).map(Entry::rollout);
+        return Optional.ofNullable(newest.get(service));
     }
 
     /** Returns the newest rollout of each service, ordered by service. */
     public List<RolloutRecord> rollouts() {
-        return entries.values().stream().map(Entry::rollout).toList();
+        return List.copyOf(newest.values());
     }
 
     /** Returns how {@code order} relates to the rollouts held at the monotonic time given. */
     public Verdict judge(RolloutOrder order, long nowMillis) {
-        Entry held = entries.get(order.service());
-        if (held == null) {
-            return Verdict.STARTABLE;
+        Long accepted = acceptedAt.get(order);
+        if (accepted != null && nowMillis - accepted < REPEAT_MILLIS) {
+            return Verdict.ACCEPTED;
         }
-        boolean isSame = held.rollout.order().equals(order);
-        if (held.rollout.isRunning()) {
-            return isSame ? Verdict.ACCEPTED : Verdict.CONFLICT;
+        RolloutRecord held = newest.get(order.service());
+        if (held == null || !held.isRunning()) {
+            return Verdict.STARTABLE;
         }
-        boolean isRecent = nowMillis - held.heldSinceMillis < REPEAT_MILLIS;
-        return isSame && isRecent ? Verdict.ACCEPTED : Verdict.STARTABLE;
+        return held.order().equals(order) ? Verdict.ACCEPTED : Verdict.CONFLICT;
     }
 
     /**
@@ -109,8 +111,10 @@
                 new RolloutRecord(order, number, unixMillis, RolloutRecord.Status.RUNNING));
     }
 
-    private Optional<RolloutRecord> put(RolloutRecord rollout, long heldSinceMillis) {
-        entries.put(rollout.order().service(), new Entry(rollout, heldSinceMillis));
+    private Optional<RolloutRecord> put(RolloutRecord rollout, long nowMillis) {
+        newest.put(rollout.order().service(), rollout);
+        acceptedAt.values().removeIf(accepted -> nowMillis - accepted >= REPEAT_MILLIS);
+        acceptedAt.put(rollout.order(), nowMillis);
         return Optional.of(rollout);
     }
 }
