--- a/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
+++ b/siskintrail.registry/src/io/siskintrail/registry/internal/Registry.java
@@ -61,6 +61,7 @@
     private final RegistryPeers peers;
     private final RegistryReplica replica;
     private final LogAccess log;
+    private final RolloutDesk rollouts;
     private final EdgeFeed feed = new EdgeFeed();
     private final RefusalMemory refusals = new RefusalMemory();
     private final LoadRelay relay;
@@ -98,6 +99,7 @@
                         this::tellStatus,
                         new SecureRandom().nextLong());
         log = new LogAccess(loop, replica, peers);
+        rollouts = new RolloutDesk(protocol, replica, log);
         relay = new LoadRelay(loop, feed);
         endpoints = new Endpoints(settings.heartbeatMillis(), peers, feed);
         calls =
@@ -105,7 +107,7 @@
                         loop,
                         Addresses.parse(settings.callAddress()),
                         MAX_CALL_BYTES,
-                        new CallDesk(protocol, replica, log, endpoints));
+                        new CallDesk(protocol, replica, log, endpoints, rollouts));
         metrics =
                 new HttpService(
                         loop,
@@ -167,6 +169,11 @@
         return ended.get();
     }
 
+    /** Returns what takes and ends rollouts; to be used on the event loop. */
+    RolloutDesk rollouts() {
+        return rollouts;
+    }
+
     /** Lets go of the data folder; to be called when the event loop has ended. */
     public void closeDisk() {
         replica.closeDisk();
@@ -276,7 +283,8 @@
                 replica.configuration().version(),
                 replica.isCurrent(),
                 new ArrayList<>(hosts),
-                feed.count());
+                feed.count(),
+                replica.rollouts().rollouts());
     }
 
     private void answerMetrics(HttpService.Call call, Consumer<HttpService.Answer> answer) {
--- a/siskintrail.wire.test/tst/io/siskintrail/wire/registry/RegistryCodecTest.java
+++ b/siskintrail.wire.test/tst/io/siskintrail/wire/registry/RegistryCodecTest.java
@@ -4,14 +4,20 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.siskintrail.internal.generation.Fingerprint;
+import io.siskintrail.internal.rollout.RolloutOrder;
+import io.siskintrail.internal.rollout.RolloutRecord;
 import io.siskintrail.internal.traffic.admission.RetryUsage;
 import io.siskintrail.internal.traffic.admission.WaitingRequest;
 import io.siskintrail.internal.traffic.crash.CrashSignature;
 import io.siskintrail.internal.traffic.crash.CrashSuspect;
+import io.siskintrail.internal.traffic.endpoint.EndpointRecord;
+import io.siskintrail.internal.traffic.endpoint.EndpointState;
 import io.siskintrail.internal.traffic.endpoint.PlacedLoad;
 import io.siskintrail.internal.traffic.placement.EngineSpeed;
 import io.siskintrail.internal.traffic.placement.PromptPart;
 import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.EndpointVersion;
+import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.ServiceName;
 import io.siskintrail.wire.ThriftCodec;
@@ -39,6 +45,13 @@
     private static final Set<PromptPart> PARTS =
             Set.of(new PromptPart("one"), new PromptPart("two"));
 
+    private static final RolloutRecord ROLLOUT =
+            new RolloutRecord(
+                    new RolloutOrder(SERVICE, new EndpointVersion("v2"), 12_000),
+                    3,
+                    1_700,
+                    RolloutRecord.Status.ROLLED_BACK);
+
     static Stream<RegistryMessage> messages() {
         return Stream.of(
                 new RegistryMessage.Death(HOST, ENDPOINT, List.of()),
@@ -51,6 +64,10 @@
                 new RegistryMessage.Refusal(new CrashSignature.OfContent(CONTENT), 600),
                 new RegistryMessage.Refusal(new CrashSignature.OfParts(PARTS), 0),
                 new RegistryMessage.Draining(HOST, 6_800),
+                new RegistryMessage.Status(7, true, List.of(HOST), 3, List.of()),
+                new RegistryMessage.Status(7, true, List.of(HOST), 3, List.of(ROLLOUT)),
+                new RegistryMessage.Endpoints(
+                        List.of(record(EndpointVersion.NONE), record(new EndpointVersion("v2")))),
                 new RegistryMessage.Loads(List.of(RegistryMessage.HostLoads.nothing(HOST))),
                 loads(Optional.empty()),
                 loads(
@@ -62,6 +79,20 @@
                         HOST, Map.of(new PromptPart("one"), 7L, new PromptPart("two"), 0L)));
     }
 
+    private static EndpointRecord record(EndpointVersion version) {
+        return new EndpointRecord(
+                ENDPOINT,
+                1,
+                2,
+                SERVICE,
+                "10.0.0.1:80",
+                new FailureDomain("a"),
+                4,
+                0,
+                EndpointState.READY,
+                version);
+    }
+
     private static RegistryMessage loads(Optional<List<WaitingRequest>> waiting) {
         return new RegistryMessage.Loads(
                 List.of(
--- a/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
+++ b/siskintrail.wire/src/io/siskintrail/wire/registry/RegistryCodec.java
@@ -7,6 +7,7 @@
 import io.siskintrail.internal.traffic.placement.PrefilledPrompt;
 import io.siskintrail.internal.traffic.placement.PromptId;
 import io.siskintrail.lib.EndpointId;
+import io.siskintrail.lib.EndpointVersion;
 import io.siskintrail.lib.FailureDomain;
 import io.siskintrail.lib.HostId;
 import io.siskintrail.lib.ServiceName;
@@ -61,7 +62,11 @@
         }
         if (message instanceof RegistryMessage.Status s) {
             List<String> hosts = s.registries().stream().map(HostId::value).toList();
-            return RegistryBody.status(new StatusData(s.version(), s.current(), hosts, s.edges()));
+            StatusData data = new StatusData(s.version(), s.current(), hosts, s.edges());
+            if (!s.rollouts().isEmpty()) {
+                data.setRollouts(RolloutCodec.listData(s.rollouts()));
+            }
+            return RegistryBody.status(data);
         }
         if (message instanceof RegistryMessage.FetchAbove f) {
             return RegistryBody.fetchAbove(f.version());
@@ -147,20 +152,26 @@
                 data.getVersion(),
                 data.isCurrent(),
                 data.getRegistries().stream().map(HostId::new).toList(),
-                data.getEdges());
+                data.getEdges(),
+                data.isSetRollouts() ? RolloutCodec.readRollouts(data.getRollouts()) : List.of());
     }
 
     private static EndpointRecordData data(EndpointRecord r) {
-        return new EndpointRecordData(
-                r.id().value(),
-                r.incarnation(),
-                r.sequence(),
-                r.service().value(),
-                r.address(),
-                r.domain().value(),
-                r.slots(),
-                r.coldMillis(),
-                r.state().ordinal());
+        EndpointRecordData data =
+                new EndpointRecordData(
+                        r.id().value(),
+                        r.incarnation(),
+                        r.sequence(),
+                        r.service().value(),
+                        r.address(),
+                        r.domain().value(),
+                        r.slots(),
+                        r.coldMillis(),
+                        r.state().ordinal());
+        if (!r.version().isNone()) {
+            data.setVersion(r.version().value());
+        }
+        return data;
     }
 
     /** Returns the record, empty if it names no endpoint to use; the others of its message hold. */
@@ -190,7 +201,8 @@
                 new FailureDomain(d.getDomain()),
                 d.getSlots(),
                 d.getColdMillis(),
-                states[d.getState()]);
+                states[d.getState()],
+                d.isSetVersion() ? new EndpointVersion(d.getVersion()) : EndpointVersion.NONE);
     }
 
     private static LoadsData data(RegistryMessage.HostLoads h) {
