--- a/siskintrail/src/io/siskintrail/internal/rollout/RolloutController.java
+++ b/siskintrail/src/io/siskintrail/internal/rollout/RolloutController.java
@@ -12,13 +12,13 @@
  * <p>A version may turn bad at any time, so the requests that it gets are bounded at every moment,
  * not on average. Let {@code N} be the requests to the service since the order, {@code X} those to
  * the new version, {@code r} the rate, {@code D} the duration, {@code a} the exposure share and
- * {@code b} 0.9 of the exposure slack. The rest of the slack covers requests that are sent between
- * two reports. All traffic must go to the new version for {@code C} = {@link #CLOSING_MILLIS}
- * before the deadline, in which the old version finishes what it runs, and the state becomes
- * durable. Hence up to then at most {@code B = a (N + r (time left)) + b - r C} requests may go to
- * the new version. For 156 requests per second and 12 s, {@code B} = 187 + 40 - 156 = 71. A rollout
- * with {@code a D + b / r < C} cannot keep the bound if the version turns bad in the last {@code
- * C}; all other kinds still keep it.
+ * {@code b} 0.75 of the exposure slack. The rest of the slack covers requests that are sent between
+ * two reports. All traffic must go to the new version for {@code C} = {@link #CLOSING_MILLIS} less
+ * 200 ms of delivery before the deadline, in which the old version finishes what it runs, and the
+ * state becomes durable. Hence up to then at most {@code B = a (N + r (time left)) + b - r C}
+ * requests may go to the new version. For 156 requests per second and 12 s, {@code B} = 187 + 37 -
+ * 172 = 52. A rollout with {@code a D + b / r < C} cannot keep the bound if the version turns bad
+ * in the last {@code C}; all other kinds still keep it.
  *
  * <ul>
  *   <li>Probing: {@link #PROBE_PART} of {@code B}, granted evenly over time, one request at a time,
@@ -68,7 +68,7 @@
     private static final double PROBE_PART = 0.85;
 
     /** The part of the slack that is granted. */
-    private static final double SLACK_PART = 0.9;
+    private static final double SLACK_PART = 0.75;
 
     /** Smallest part of the share and slack that is used to probe when closing needs the rest. */
     private static final double MIN_PROBE_PART = 0.2;
@@ -110,7 +110,10 @@
     private Phase phase = Phase.PROBING;
     private long phaseSince;
     private long windowSince;
+
+    /** Whether what was sent before is known; at once if no earlier leader can have granted. */
     private boolean allHeard;
+
     private int newEndpoints;
 
     /** Requests to the new version of incarnations that ended, as far as hosts reported them. */
@@ -138,6 +141,7 @@
         this.orderMillis = orderMillis;
         this.grantsFromMillis = grantsFromMillis;
         windowSince = orderMillis;
+        allHeard = grantsFromMillis + LEASE_MILLIS <= orderMillis;
     }
 
     /**
@@ -203,11 +207,11 @@
         if (phase == Phase.CLOSING
                 && nowMillis >= phaseSince + MIN_CLOSING_MILLIS
                 && newEndpoints > 0
-                && evidence.suspicion() < RolloutEvidence.HOLD
+                && !evidence.isDoubtful()
                 && isDrained(nowMillis, contacts, late, oldEndpoints)) {
             evidence.closeWindow(newEndpoints);
             evidence.setOpen(sumOpen(), newEndpoints);
-            return evidence.suspicion() >= RolloutEvidence.HOLD
+            return evidence.isDoubtful()
                     ? end(RolloutState.ROLLED_BACK, " reason=in_doubt_at_deadline")
                     : end(RolloutState.COMPLETED, "");
         }
@@ -217,7 +221,7 @@
         if (late && isUnanswered()) {
             return end(RolloutState.ROLLED_BACK, " reason=unanswered");
         }
-        if (late && evidence.suspicion() >= RolloutEvidence.HOLD) {
+        if (late && evidence.isDoubtful()) {
             return end(RolloutState.ROLLED_BACK, " reason=in_doubt_at_deadline");
         }
         return decision;
@@ -298,13 +302,13 @@
     private double allowedNow(long nowMillis) {
         double slack = SLACK_PART * settings.exposureSlack();
         double hard = settings.exposureShare() * requests() + slack;
+        double share = settings.exposureShare() * expectedRequests(nowMillis) + slack;
+        double probes = Math.max(PROBE_PART * bound(nowMillis), MIN_PROBE_PART * share);
         if (phase != Phase.PROBING) {
-            return hard;
+            return Math.min(hard, Math.max(probes, bound(nowMillis)));
         }
-        double share = settings.exposureShare() * expectedRequests(nowMillis) + slack;
-        double planned = Math.max(PROBE_PART * bound(nowMillis), MIN_PROBE_PART * share);
         double progress = (nowMillis - orderMillis) / (double) (closingAt() - orderMillis);
-        return Math.min(hard, planned * progress);
+        return Math.min(hard, probes * Math.min(1, progress));
     }
 
     /** Returns how many requests may go to the new version before closing. */
@@ -327,7 +331,7 @@
     private void movePhase(long nowMillis) {
         if (phase == Phase.PROBING && nowMillis < closingAt()) {
             double needed = requestsPerMilli(nowMillis) * (closingAt() - nowMillis);
-            boolean calm = evidence.suspicion() < RolloutEvidence.HOLD;
+            boolean calm = !evidence.isDoubtful();
             boolean lasts = needed <= bound(nowMillis) - charged();
             if (calm && lasts && nowMillis > (orderMillis + closingAt()) / 2) {
                 phase = Phase.FULL;
@@ -336,7 +340,7 @@
         }
         if (phase != Phase.CLOSING
                 && nowMillis >= closingAt()
-                && evidence.suspicion() < RolloutEvidence.HOLD
+                && !evidence.isDoubtful()
                 && !isUnanswered()
                 && allHeard
                 && newEndpoints > 0) {
--- a/siskintrail/src/io/siskintrail/internal/rollout/RolloutEvidence.java
+++ b/siskintrail/src/io/siskintrail/internal/rollout/RolloutEvidence.java
@@ -20,17 +20,18 @@
  * of bad answers: a tolerated one, the rate of the old version plus a margin, and a larger one. It
  * restarts at 0 whenever the evidence favours the tolerated rate, so a version that turns bad late
  * is found as fast as one that is bad from the start. There is a set of tests for each route and
- * one for the sum of all routes, so routes with little traffic delay nothing.
+ * one for the sum of all routes, so routes with little traffic delay nothing. Few failures are only
+ * looked for in the sum, which keeps false alarms rare.
  *
  * <p>For each test with {@code n} answers the chance of a false alarm is at most {@code n /
  * e^THRESHOLD} (each answer may start a run, and a run reaches the threshold with a probability of
  * at most {@code e^-THRESHOLD}); the measured rates are far smaller and stand in {@code
  * docs/design/rollouts.md}.
  *
- * <p>One endpoint contributes at most {@code THRESHOLD / 2.5} between two restarts, so at least
- * three must be bad, unless there are fewer. While most requests go to the new version there is no
- * comparison at the same time; the domain with the most evidence in a window then counts at most
- * {@link #ALONE_DOMAIN} more than the others together.
+ * <p>One endpoint contributes at most {@code THRESHOLD / 3.3} between two restarts, so at least
+ * three must be bad, and all when there are fewer than three. While most requests go to the new
+ * version there is no comparison at the same time; the domain with the most evidence in a window
+ * then counts at most {@link #ALONE_DOMAIN} more than the others together.
  *
  * <p>Requests that are still open for longer than a limit already count as slow, until they end.
  */
@@ -39,17 +40,25 @@
     static final long WINDOW_MILLIS = 500;
 
     /** The log-likelihood ratio from which the new version counts as worse. */
-    static final double THRESHOLD = 6.0;
+    static final double THRESHOLD = 7.0;
+
+    /** The part of the threshold from which a rollout is not completed. */
+    private static final double DOUBT_PART = 0.75;
 
     /**
-     * The log-likelihood ratio from which a rollout is not completed. Above the largest
-     * contribution of one endpoint, so that an endpoint that fails alone does not prevent
-     * completion.
+     * The same for the test for few failures over all routes. It has the least evidence for each
+     * answer; one failing endpoint contributes less than this.
      */
-    static final double HOLD = 0.55 * THRESHOLD;
+    private static final double FEW_FAILURES_DOUBT_PART = 0.45;
+
+    /** The largest part of the threshold from one endpoint, when there are many. */
+    private static final double ENDPOINT_PART = 1 / 3.3;
 
-    /** The largest part of the threshold from one endpoint, when there are three or more. */
-    private static final double ENDPOINT_PART = 1 / 2.5;
+    /** The largest part of the threshold from one of three to five endpoints. */
+    private static final double ENDPOINT_PART_OF_FEW = 1 / 2.5;
+
+    /** Number of endpoints from which one counts as one of many. */
+    private static final int MANY_ENDPOINTS = 6;
 
     /** The largest part of the threshold from one of two endpoints. */
     private static final double ENDPOINT_PART_OF_TWO = 1 / 1.6;
@@ -58,10 +67,10 @@
     private static final double ALONE_DOMAIN = 1.0;
 
     /** Weight of the history of the old version, in answers, beside those of the window. */
-    private static final double HISTORY_WEIGHT = 20;
+    private static final double HISTORY_WEIGHT = 10;
 
     /** Weight of the window's rate over all domains beside the counts of one domain. */
-    private static final double WINDOW_WEIGHT = 10;
+    private static final double WINDOW_WEIGHT = 4;
 
     /** Answers of the old version from which a route's latency limits are trusted. */
     private static final long MIN_OLD_ANSWERS = 30;
@@ -71,14 +80,14 @@
 
     /** What counts as bad: failures, or answers above a quantile of the old version's latency. */
     private enum Kind {
-        FAILED(1, 0.006, new double[] {0.04, 0.25}),
+        FAILED(1, 0.007, new double[] {0.04, 0.25}),
         SLOW(0.80, 0.080, new double[] {0.25}),
-        VERY_SLOW(0.95, 0.040, new double[] {0.12, 0.40});
+        VERY_SLOW(0.95, 0.032, new double[] {0.12, 0.40});
 
         /** The quantile of the old version's latency that is the limit; unused for failures. */
         private final double quantile;
 
-        /** The rate of bad answers that is tolerated above 1.2 times that of the old version. */
+        /** The rate of bad answers that is tolerated above 1.35 times that of the old version. */
         private final double margin;
 
         /** The rates above the tolerated one that the tests look for. */
@@ -92,7 +101,7 @@
     }
 
     /** The part of the old version's rate that is added to it as tolerance. */
-    private static final double RELATIVE_MARGIN = 0.2;
+    private static final double RELATIVE_MARGIN = 0.35;
 
     /** Bad answers out of ended requests. */
     private static final class Ratio {
@@ -212,9 +221,18 @@
                 });
     }
 
-    /** Returns the largest cumulative sum. */
-    double suspicion() {
-        return tests.values().stream().mapToDouble(Test::total).max().orElse(0);
+    /** Returns whether a test is too close to the threshold to complete the rollout. */
+    boolean isDoubtful() {
+        return tests.entrySet().stream()
+                .anyMatch(e -> e.getValue().total() >= THRESHOLD * doubtPart(e.getKey()));
+    }
+
+    private static double doubtPart(TestKey key) {
+        return isForFewFailures(key.kind, key.alternative) ? FEW_FAILURES_DOUBT_PART : DOUBT_PART;
+    }
+
+    private static boolean isForFewFailures(Kind kind, int alternative) {
+        return kind == Kind.FAILED && alternative == 0;
     }
 
     /** Returns whether a test reached the threshold, now or before. */
@@ -283,6 +301,9 @@
         double pastRate = past.rateWith(0, 1);
         past.add(window.oldTotal.bad, window.oldTotal.all);
         for (int i = 0; i < key.kind.excesses.length; i++) {
+            if (isForFewFailures(key.kind, i) && !key.route.equals(ALL_ROUTES)) {
+                continue;
+            }
             TestKey testKey = new TestKey(key.route, key.kind, i);
             Test test = tests.computeIfAbsent(testKey, k -> new Test());
             test.sum = Math.max(0, test.sum + evidence(key, i, test, window, pastRate, endpoints));
@@ -331,7 +352,8 @@
         if (ratio <= 0 || endpoints <= 1) {
             return ratio;
         }
-        double most = THRESHOLD * (endpoints == 2 ? ENDPOINT_PART_OF_TWO : ENDPOINT_PART);
+        double part = endpoints < MANY_ENDPOINTS ? ENDPOINT_PART_OF_FEW : ENDPOINT_PART;
+        double most = THRESHOLD * (endpoints == 2 ? ENDPOINT_PART_OF_TWO : part);
         double used = test.positiveByEndpoint.getOrDefault(endpoint, 0.0);
         double counted = Math.min(ratio, most - used);
         test.positiveByEndpoint.put(endpoint, used + counted);
