--- a/siskintrail/src/io/siskintrail/internal/rollout/RolloutEvidence.java
+++ b/siskintrail/src/io/siskintrail/internal/rollout/RolloutEvidence.java
@@ -23,10 +23,10 @@
  * one for the sum of all routes, so routes with little traffic delay nothing. Few failures are only
  * looked for in the sum, which keeps false alarms rare.
  *
- * <p>For each test with {@code n} answers the chance of a false alarm is at most {@code n /
- * e^THRESHOLD} (each answer may start a run, and a run reaches the threshold with a probability of
- * at most {@code e^-THRESHOLD}); the measured rates are far smaller and stand in {@code
- * docs/design/rollouts.md}.
+ * <p>For each test with {@code n} answers the chance that a version at the tolerated rate reaches
+ * the threshold is at most {@code n / e^THRESHOLD}, if the rate of the old version is known
+ * exactly: each answer may start a run, and a run reaches the threshold with a probability of at
+ * most {@code e^-THRESHOLD}. The measured error rates stand in {@code docs/design/rollouts.md}.
  *
  * <p>One endpoint contributes at most {@code THRESHOLD / 3.3} between two restarts, so at least
  * three must be bad, and all when there are fewer than three. While most requests go to the new
