--- a/siskintrail/src/io/siskintrail/internal/rollout/RolloutEvidence.java
+++ b/siskintrail/src/io/siskintrail/internal/rollout/RolloutEvidence.java
@@ -28,10 +28,11 @@
  * exactly: each answer may start a run, and a run reaches the threshold with a probability of at
  * most {@code e^-THRESHOLD}. The measured error rates stand in {@code docs/design/rollouts.md}.
  *
- * <p>One endpoint contributes at most {@code THRESHOLD / 3.3} between two restarts, so at least
- * three must be bad, and all when there are fewer than three. While most requests go to the new
- * version there is no comparison at the same time; the domain with the most evidence in a window
- * then counts at most {@link #ALONE_DOMAIN} more than the others together.
+ * <p>One endpoint contributes at most {@code THRESHOLD / 3.3} between two restarts, so of six or
+ * more endpoints four must be bad to reach the threshold; of three to five, three; of two, both.
+ * Two bad endpoints are enough to prevent completion. While most requests go to the new version
+ * there is no comparison at the same time; the domain with the most evidence in a window then
+ * counts at most {@link #ALONE_DOMAIN} more than the others together.
  *
  * <p>Requests that are still open for longer than a limit already count as slow, until they end.
  */
