Hedge also to endpoints without reports or with failed calls

The limit of a hedge was compared with the cost of an endpoint, which contains penalties for a missing report and for failed calls. Both say nothing of how soon it answers; without a registry no call was hedged any more, which GivenUpAnswerTest shows. The limit now applies to the expected latency alone, and an endpoint in backoff gets no hedge.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -202,37 +202,42 @@
             return;
         }
         if (runningAttempts.size() == 1) {
-            trySendAgain(runningAttempts.get(0).remainingMillis());
+            trySendAgain(
+                    edge.callPlacement()
+                            .chooseSooner(
+                                    EventLoop.nowMillis(),
+                                    edge.endpoints().ofService(service),
+                                    this::isUntried,
+                                    runningAttempts.get(0).remainingMillis()));
         }
         scheduleHedge();
     }
 
     /** Sends the call to another endpoint if a retry is allowed; returns whether it was sent. */
     private boolean trySendAgain() {
-        return trySendAgain(Double.POSITIVE_INFINITY);
-    }
-
-    /** Like {@link #trySendAgain()}, if an answer is expected in less than {@code limitMillis}. */
-    private boolean trySendAgain(double limitMillis) {
-        if (sentAttempts >= call.route().maxAttempts() || edge.crashes().refuses(call)) {
-            return false;
-        }
-        EndpointView nextEndpoint =
+        return trySendAgain(
                 edge.callPlacement()
-                        .chooseSooner(
+                        .choose(
                                 EventLoop.nowMillis(),
                                 edge.endpoints().ofService(service),
-                                candidate ->
-                                        !triedEndpoints.contains(candidate.record().id())
-                                                && hasCapacity(candidate),
-                                limitMillis);
-        if (nextEndpoint == null || !tryTakeRetry()) {
+                                this::isUntried));
+    }
+
+    private boolean trySendAgain(EndpointView nextEndpoint) {
+        if (nextEndpoint == null
+                || sentAttempts >= call.route().maxAttempts()
+                || edge.crashes().refuses(call)
+                || !tryTakeRetry()) {
             return false;
         }
         send(nextEndpoint);
         return true;
     }
 
+    private boolean isUntried(EndpointView candidate) {
+        return !triedEndpoints.contains(candidate.record().id()) && hasCapacity(candidate);
+    }
+
     /**
      * Queues a call that all endpoints rejected as not run, so that it is sent again when one has
      * room; returns whether it waits. The wait is short, as a client that is told to retry comes
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/placement/CallReplay.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/placement/CallReplay.java
@@ -167,8 +167,11 @@
 
         private boolean send(double limit, boolean hedge) {
             EndpointView best =
-                    host.placement.chooseSooner(
-                            (long) now, host.endpoints, e -> !tried.contains(e), limit);
+                    limit == Double.POSITIVE_INFINITY
+                            ? host.placement.choose(
+                                    (long) now, host.endpoints, e -> !tried.contains(e))
+                            : host.placement.chooseSooner(
+                                    (long) now, host.endpoints, e -> !tried.contains(e), limit);
             if (best == null || attempts >= MAX_ATTEMPTS) {
                 return false;
             }
--- a/siskintrail/src/io/siskintrail/internal/traffic/placement/CallPlacement.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/CallPlacement.java
@@ -43,12 +43,26 @@
      */
     public EndpointView choose(
             long nowMillis, Collection<EndpointView> endpoints, Predicate<EndpointView> allowed) {
-        return chooseSooner(nowMillis, endpoints, allowed, Double.POSITIVE_INFINITY);
+        EndpointView best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        FailureShares failures = new FailureShares(nowMillis, endpoints);
+        for (EndpointView e : endpoints) {
+            if (!e.acceptsRequests(nowMillis) || !allowed.test(e)) {
+                continue;
+            }
+            double cost = cost(nowMillis, e, failures.excessShare(nowMillis, e));
+            if (cost < bestCost) {
+                best = e;
+                bestCost = cost;
+            }
+        }
+        return best;
     }
 
     /**
-     * Returns the endpoint with the lowest expected latency, or null when none is usable that is
-     * expected to answer in less than {@code limitMillis}.
+     * Returns the endpoint that {@link #choose} prefers, or null when it is not expected to answer
+     * in less than {@code limitMillis} or is in backoff. A missing report or failed calls make an
+     * endpoint less preferred, but its answers no slower.
      *
      * @param nowMillis monotonic time
      * @param endpoints the endpoints of the service
@@ -61,20 +75,12 @@
             Collection<EndpointView> endpoints,
             Predicate<EndpointView> allowed,
             double limitMillis) {
-        EndpointView best = null;
-        double bestCost = limitMillis;
-        FailureShares failures = new FailureShares(nowMillis, endpoints);
-        for (EndpointView e : endpoints) {
-            if (!e.acceptsRequests(nowMillis) || !allowed.test(e)) {
-                continue;
-            }
-            double cost = cost(nowMillis, e, failures.excessShare(nowMillis, e));
-            if (cost < bestCost) {
-                best = e;
-                bestCost = cost;
-            }
-        }
-        return best;
+        EndpointView best = choose(nowMillis, endpoints, allowed);
+        boolean isSooner =
+                best != null
+                        && !best.health().isInBackoff(nowMillis)
+                        && answerMillis(best) < limitMillis;
+        return isSooner ? best : null;
     }
 
     /**
@@ -94,15 +100,23 @@
         return endpoint.health().latencyMillis(DEFAULT_LATENCY_MILLIS);
     }
 
-    private double cost(long nowMillis, EndpointView e, double excessFailureShare) {
-        double latency = expectedMillis(e);
+    private double answerMillis(EndpointView e) {
+        return loadedMillis(e) + domainPenaltyMillis(e);
+    }
+
+    private static double loadedMillis(EndpointView e) {
         double loadFactor = 1 + (double) e.running() / Math.max(1, e.record().slots());
+        return expectedMillis(e) * loadFactor;
+    }
+
+    private double domainPenaltyMillis(EndpointView e) {
+        return e.record().domain().equals(localDomain) ? 0 : REMOTE_DOMAIN_PENALTY_MILLIS;
+    }
+
+    private double cost(long nowMillis, EndpointView e, double excessFailureShare) {
         double failurePenalty =
                 1 + FAILURE_PENALTY_FACTOR * excessFailureShare * excessFailureShare;
-        double cost = latency * loadFactor * failurePenalty;
-        if (!e.record().domain().equals(localDomain)) {
-            cost += REMOTE_DOMAIN_PENALTY_MILLIS;
-        }
+        double cost = loadedMillis(e) * failurePenalty + domainPenaltyMillis(e);
         if (e.record().state() == EndpointState.SILENT) {
             cost += SILENT_PENALTY_MILLIS;
         }
