Bound the pooled retries, and count places for the size that is placed

Streams that wait for a first engine no longer count as open when shares are computed, full reports repeat the use of retries, calls return the retry of an attempt that could not connect, and pools exist for streams only.

A domain is avoided from two lost engines on, and a repeated report of a dead engine does not prolong it. The shared order compared sizes without the room left for a copy, so that resumptions could wait beside a free engine. New streams leave that room as long as they wait, unless a stream is too large for two to fit.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -69,6 +69,9 @@
     private final RetryBudgets retryBudgets;
     private final DomainLosses domainLosses = new DomainLosses();
 
+    /** Until when an endpoint may be suspected, in monotonic milliseconds. */
+    private long suspicionUntilMillis = Long.MIN_VALUE;
+
     EdgeContext(
             EventLoop loop,
             TrafficProtocol protocol,
@@ -225,7 +228,7 @@
         for (EndpointView e : endpoints.ofService(service)) {
             remote += e.totalLoad(now).running() - e.running();
         }
-        int local = monitor.openStreams(service);
+        int local = monitor.streamsUnderWay(service);
         return local == 0 ? 0 : (double) local / (local + remote);
     }
 
@@ -319,6 +322,9 @@
     Collection<EndpointView> engines(ServiceName service) {
         Collection<EndpointView> all = endpoints.ofService(service);
         long now = EventLoop.nowMillis();
+        if (now >= suspicionUntilMillis) {
+            return all;
+        }
         List<EndpointView> others = all.stream().filter(e -> !e.health().isSuspect(now)).toList();
         return others.isEmpty() ? all : others;
     }
@@ -334,6 +340,7 @@
         EndpointRecord lost = engine.record();
         long now = EventLoop.nowMillis();
         long until = now + domainLosses.recordLoss(lost.domain(), lost.id(), now);
+        suspicionUntilMillis = Math.max(suspicionUntilMillis, until);
         for (EndpointView e : endpoints.ofService(lost.service())) {
             if (e.record().domain().equals(lost.domain())) {
                 e.health().recordSuspicion(until);
@@ -363,10 +370,8 @@
      */
     void handleReportedDeath(EndpointId id) {
         EndpointView view = endpoints.get(id);
-        if (view != null) {
-            recordEngineLoss(view);
-        }
         if (view != null && !view.health().isInBackoff(EventLoop.nowMillis())) {
+            recordEngineLoss(view);
             view.health().recordUnreachable(EventLoop.nowMillis());
             monitor.forEach(stream -> stream.replaceLostCopy(view));
         }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
@@ -178,7 +178,7 @@
                                         promptsToReport,
                                         waiting,
                                         speeds.takeUnreported(now),
-                                        retryBudgets.takeChanges()))));
+                                        retryBudgets.takeReport(isComplete)))));
     }
 
     private void scheduleReport() {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RetryBudgets.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RetryBudgets.java
@@ -59,17 +59,24 @@
         budget(service).recordRequest(EventLoop.nowMillis());
     }
 
+    /** Lets the streams of a service draw on retries of other edges. */
+    void addPooled(ServiceName service) {
+        pools.computeIfAbsent(
+                service, s -> new RetryPool(settings.retryRatio(), settings.retryWindowMillis()));
+    }
+
     /** Takes one retry; returns false when none is left. */
     boolean tryAcquire(ServiceName service) {
         long now = EventLoop.nowMillis();
-        if (budget(service).tryAcquire(now, ownReserve())) {
+        if (hasOwnLeft(service, now)) {
+            budget(service).recordAttempt(now);
             return true;
         }
         if (!mayDraw(service, now)) {
             stats.increment("siskintrail_edge_retries_denied_total", "");
             return false;
         }
-        pool(service).recordDraw(now);
+        pools.get(service).recordDraw(now);
         budget(service).recordAttempt(now);
         stats.increment("siskintrail_edge_retries_drawn_total", "");
         return true;
@@ -78,7 +85,7 @@
     /** Returns whether {@link #tryAcquire} would take a retry. */
     boolean hasLeft(ServiceName service) {
         long now = EventLoop.nowMillis();
-        return budget(service).hasLeft(now, ownReserve()) || mayDraw(service, now);
+        return hasOwnLeft(service, now) || mayDraw(service, now);
     }
 
     /**
@@ -98,18 +105,27 @@
     /** Applies what another edge reports. */
     void applyReport(HostId host, List<RetryUsage> usages) {
         long now = EventLoop.nowMillis();
-        usages.forEach(u -> pool(u.service()).record(host, u, now));
+        for (RetryUsage usage : usages) {
+            RetryPool pool = pools.get(usage.service());
+            if (pool != null) {
+                pool.record(host, usage, now);
+            }
+        }
     }
 
-    /** Returns the usage of the services where it changed since the last call. */
-    List<RetryUsage> takeChanges() {
+    /**
+     * Returns the usage of the services with a pool.
+     *
+     * @param all whether to return those too where it has not changed since the last call
+     */
+    List<RetryUsage> takeReport(boolean all) {
         if (!isPooled()) {
             return List.of();
         }
         List<RetryUsage> changes = new ArrayList<>();
-        for (ServiceName service : budgets.keySet()) {
+        for (ServiceName service : pools.keySet()) {
             RetryUsage usage = usage(service, EventLoop.nowMillis());
-            if (!usage.equals(reported.put(service, usage))) {
+            if (!usage.equals(reported.put(service, usage)) || all) {
                 changes.add(usage);
             }
         }
@@ -121,14 +137,21 @@
         return hasManyEdges.getAsBoolean();
     }
 
+    private boolean hasOwnLeft(ServiceName service, long now) {
+        RetryPool pool = pools.get(service);
+        boolean isShared = isPooled() && pool != null && pool.hasReports(now);
+        return budget(service).hasLeft(now, ownReserve(), isShared ? RetryPool.OWN_SHARE : 1);
+    }
+
     private boolean mayDraw(ServiceName service, long now) {
+        RetryPool pool = pools.get(service);
         return isPooled()
-                && pool(service)
-                        .mayDraw(
-                                now,
-                                settings.retryReserve(),
-                                usage(service, now),
-                                openStreamsShare.applyAsDouble(service));
+                && pool != null
+                && pool.mayDraw(
+                        now,
+                        settings.retryReserve(),
+                        usage(service, now),
+                        openStreamsShare.applyAsDouble(service));
     }
 
     private RetryUsage usage(ServiceName service, long now) {
@@ -145,9 +168,4 @@
         return budgets.computeIfAbsent(
                 service, s -> new RetryBudget(settings.retryRatio(), settings.retryWindowMillis()));
     }
-
-    private RetryPool pool(ServiceName service) {
-        return pools.computeIfAbsent(
-                service, s -> new RetryPool(settings.retryRatio(), settings.retryWindowMillis()));
-    }
 }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/SharedQueues.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/SharedQueues.java
@@ -297,7 +297,8 @@
         int fullPlaces = 0;
         for (AdmissionOrder.Waiting<StreamAdmission> entry :
                 List.copyOf(queue.order.ordered(EventLoop.nowMillis()))) {
-            boolean isKnownFull = entry.maxTokens() >= fullTokens && entry.position() >= fullPlaces;
+            long countedTokens = entry.item().countedTokens(entry.maxTokens());
+            boolean isKnownFull = countedTokens >= fullTokens && entry.position() >= fullPlaces;
             if (isKnownFull || !queue.order.contains(entry)) {
                 continue;
             }
@@ -307,7 +308,7 @@
             }
             int places = countPlaces(entry);
             if (places <= entry.position()) {
-                fullTokens = entry.maxTokens();
+                fullTokens = countedTokens;
                 fullPlaces = places;
             }
         }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAdmission.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAdmission.java
@@ -2,6 +2,7 @@
 
 import io.siskintrail.internal.traffic.admission.AdmissionOrder;
 import io.siskintrail.internal.traffic.configuration.EngineSpec;
+import io.siskintrail.internal.traffic.placement.StreamPlacement;
 import io.siskintrail.internal.traffic.stream.StreamAttempts;
 import io.siskintrail.lib.ServiceName;
 import io.siskintrail.net.EventLoop;
@@ -87,18 +88,26 @@
     }
 
     /**
-     * Returns the memory that an engine must have free for the stream to start there, in tokens.
-     * While a new stream can still wait, it leaves room for the copy of another one: streams
-     * without a copy are prefilled again when a failure domain is lost, which delays all others.
+     * Returns the memory that an engine must have free for the stream to start there, in tokens. A
+     * new stream leaves room for the copy of another one: streams without a copy are prefilled
+     * again when a failure domain is lost, which delays all others.
      */
     long placementTokens() {
-        if (entry == null || entry.request().resumption() || !engine.copiesMemory()) {
-            return tokens;
-        }
-        AdmissionOrder.Request request = entry.request();
-        long halfMillis = (request.latestStartMillis() - request.sinceMillis()) / 2;
-        boolean canWait = EventLoop.nowMillis() < request.sinceMillis() + halfMillis;
-        return canWait ? 2 * tokens : tokens;
+        boolean isNew = entry != null && !entry.request().resumption();
+        boolean leavesRoom =
+                isNew
+                        && engine.copiesMemory()
+                        && StreamPlacement.fitsEmptyEngine(engine, 2 * tokens);
+        return leavesRoom ? 2 * tokens : tokens;
+    }
+
+    /**
+     * Returns the memory for which places are counted, given the largest stream that goes first.
+     */
+    long countedTokens(long maxTokens) {
+        long largest =
+                Math.max(tokens, Math.min(maxTokens, engine.memoryTokens() / MEMORY_DIVISOR));
+        return largest + placementTokens() - tokens;
     }
 
     /** Returns how long a new stream may wait if each edge decides by itself, in milliseconds. */
@@ -166,15 +175,12 @@
      * @param atMost the number from which on more places do not matter
      */
     int countPlaces(long maxTokens, int atMost) {
-        long largest =
-                Math.max(tokens, Math.min(maxTokens, engine.memoryTokens() / MEMORY_DIVISOR));
-        long size = largest + placementTokens() - tokens;
         return edge.streamPlacement()
                 .countPlaces(
                         EventLoop.nowMillis(),
                         edge.engines(service),
                         engine,
-                        size,
+                        countedTokens(maxTokens),
                         maxPrefillMillis(),
                         atMost);
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamExchange.java
@@ -60,6 +60,7 @@
         ServiceSpec spec = call.table().service(service);
         engine = spec == null ? null : spec.engine();
         tokens = (long) call.metadata().promptTokens() + call.metadata().outputTokens();
+        edge.retryBudgets().addPooled(service);
         silenceRule = new SilenceRule(call.route().targetGapMillis());
         attempts = new StreamAttempts(call.route());
         response = new StreamResponse(edge, call, client);
@@ -181,6 +182,11 @@
         return nextCheckAtMillis(nowMillis);
     }
 
+    /** Returns whether the stream has an engine, or lost one and is to go on. */
+    boolean isUnderWay() {
+        return attempt != null || attempts.mayHaveExecuted();
+    }
+
     /** Resumes at another engine, if that is possible, a stream that runs at {@code lostEngine}. */
     void handleEngineLoss(EndpointView lostEngine, String cause) {
         if (attempt != null && attempt.engine() == lostEngine && !attempt.hasEnded()) {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamMonitor.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamMonitor.java
@@ -38,11 +38,11 @@
         open.remove(stream);
     }
 
-    /** Returns the number of open streams of {@code service}. */
-    int openStreams(ServiceName service) {
+    /** Returns the number of streams of {@code service} that run or are to be resumed. */
+    int streamsUnderWay(ServiceName service) {
         int n = 0;
         for (StreamExchange stream : open) {
-            n += stream.service.equals(service) ? 1 : 0;
+            n += stream.service.equals(service) && stream.isUnderWay() ? 1 : 0;
         }
         return n;
     }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -352,6 +352,7 @@
         logAttempt("attempt.not-connected", endedAttempt.attempt.endpoint(), cause);
         sentAttempts--;
         failedConnects++;
+        returnRetry();
         if (failedConnects < MAX_FAILED_CONNECTS && tryPlace()) {
             return;
         }
--- a/siskintrail/src/io/siskintrail/internal/traffic/admission/RetryBudget.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/admission/RetryBudget.java
@@ -53,6 +53,14 @@
         return true;
     }
 
+    /** Returns whether a further attempt fits into a share, from 0 to 1, of what is allowed. */
+    public boolean hasLeft(long nowMillis, double reserve, double share) {
+        int current = advance(nowMillis);
+        int oldest = (current + 1) % requests.length;
+        int countedRequests = requestSum - requests[oldest];
+        return attemptSum + 1 <= share * (ratio * countedRequests + reserve);
+    }
+
     /** Records a further attempt that another budget allowed. */
     public void recordAttempt(long nowMillis) {
         attempts[advance(nowMillis)]++;
@@ -86,10 +94,7 @@
 
     /** Returns whether {@link #tryAcquire} would acquire a further attempt. */
     public boolean hasLeft(long nowMillis, double reserve) {
-        int current = advance(nowMillis);
-        int oldest = (current + 1) % requests.length;
-        int countedRequests = requestSum - requests[oldest];
-        return attemptSum + 1 <= ratio * countedRequests + reserve;
+        return hasLeft(nowMillis, reserve, 1);
     }
 
     /** Clears the buckets that have left the window; returns the index of the current bucket. */
--- a/siskintrail/src/io/siskintrail/internal/traffic/admission/RetryPool.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/admission/RetryPool.java
@@ -9,8 +9,8 @@
 /**
  * Lets a host use retries to a service that the other hosts leave unused. Load: the loss of a
  * failure domain hits a third of all streams at once. A host that sees less than a request per
- * second has a share of two or three retries, while the budget of all hosts together is mostly
- * unused.
+ * second has a share of a few retries in ten seconds, while the budget of all hosts together is
+ * mostly unused.
  *
  * <p>The hosts report their requests and retries of the current window. Each may draw its share, by
  * open streams, of what is left according to the reports; a draw counts against that share until
@@ -18,10 +18,19 @@
  * was left. Not thread-safe.
  */
 public final class RetryPool {
-    /** Share of the common budget that is used; the rest covers retries not reported yet. */
-    private static final double USABLE_SHARE = 0.7;
+    /** Share of the common budget from which hosts draw. */
+    private static final double POOLED_SHARE = 0.7;
 
-    /** Time after which a retry is assumed to be known to all hosts. */
+    /**
+     * Share of its own budget that a host uses without regard to the others while there is a pool:
+     * what is left of the common budget if the pool is used up.
+     */
+    public static final double OWN_SHARE = 1 - POOLED_SHARE;
+
+    /**
+     * Time after which a retry is assumed to be known to all hosts: the longest interval of relays,
+     * and a lost packet on each way.
+     */
     private static final long REPORT_DELAY_MILLIS = 400;
 
     /** Time for which the requests of a report count; hosts repeat their reports more often. */
@@ -49,6 +58,7 @@
 
     /** Stores what another host reports, replacing its earlier report. */
     public void record(HostId host, RetryUsage usage, long nowMillis) {
+        reports.values().removeIf(r -> nowMillis - r.receivedAtMillis > windowMillis);
         reports.put(host, new Report(usage.requests(), usage.retries(), nowMillis));
     }
 
@@ -68,7 +78,7 @@
             requests += isFresh ? r.requests : 0;
             retries += r.retries;
         }
-        return USABLE_SHARE * (ratio * requests + reserve) - retries;
+        return POOLED_SHARE * (ratio * requests + reserve) - retries;
     }
 
     /**
@@ -85,6 +95,12 @@
         return !reports.isEmpty() && recentDraws.size() + 1 <= share * leftAtLastReports;
     }
 
+    /** Returns whether other hosts have reported within the window. */
+    public boolean hasReports(long nowMillis) {
+        return reports.values().stream()
+                .anyMatch(r -> nowMillis - r.receivedAtMillis <= windowMillis);
+    }
+
     /** Records that this host draws a retry. */
     public void recordDraw(long nowMillis) {
         recentDraws.addLast(nowMillis);
--- a/siskintrail/src/io/siskintrail/internal/traffic/placement/DomainLosses.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/DomainLosses.java
@@ -20,11 +20,11 @@
     /** Number of lost engines from which the whole domain counts as lost. */
     private static final int DOMAIN_LOST_ENGINES = 3;
 
-    /**
-     * Avoidance after the loss of single engines: until other hosts could report that they lost
-     * engines of the domain too.
-     */
-    private static final long SINGLE_LOSS_MILLIS = 250;
+    /** Number of lost engines from which the others are avoided; a single one may fail alone. */
+    private static final int SUSPECT_ENGINES = 2;
+
+    /** Avoidance until other hosts could report that they lost engines of the domain too. */
+    private static final long SUSPECT_MILLIS = 250;
 
     /** Avoidance after the loss of the domain: less than the restart of an engine takes. */
     private static final long DOMAIN_LOSS_MILLIS = 1_000;
@@ -35,14 +35,18 @@
      * Records that an engine was lost, as seen by this host or reported by another.
      *
      * @param nowMillis monotonic time
-     * @return for how many milliseconds from now the engines of the domain should be avoided
+     * @return for how many milliseconds from now the engines of the domain should be avoided; 0 if
+     *     they need not be
      */
     public long recordLoss(FailureDomain domain, EndpointId engine, long nowMillis) {
         Map<EndpointId, Long> losses = lostAt.computeIfAbsent(domain, d -> new LinkedHashMap<>());
         losses.remove(engine);
         losses.put(engine, nowMillis);
         removeOldest(losses, nowMillis);
-        return losses.size() >= DOMAIN_LOST_ENGINES ? DOMAIN_LOSS_MILLIS : SINGLE_LOSS_MILLIS;
+        if (losses.size() >= DOMAIN_LOST_ENGINES) {
+            return DOMAIN_LOSS_MILLIS;
+        }
+        return losses.size() >= SUSPECT_ENGINES ? SUSPECT_MILLIS : 0;
     }
 
     private static void removeOldest(Map<EndpointId, Long> losses, long nowMillis) {
--- a/siskintrail/src/io/siskintrail/internal/traffic/placement/StreamPlacement.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/placement/StreamPlacement.java
@@ -287,6 +287,11 @@
                 && !e.hasRejectedRecently(nowMillis);
     }
 
+    /** Returns whether an engine without any load has room for {@code tokens}. */
+    public static boolean fitsEmptyEngine(EngineSpec spec, long tokens) {
+        return tokens <= USABLE_MEMORY_SHARE * spec.memoryTokens();
+    }
+
     private static boolean hasRoom(PlacedLoad load, EngineSpec spec, long tokens) {
         return spec == null
                 || load.running() < spec.slots()
