--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EngineSelection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EngineSelection.java
@@ -63,8 +63,11 @@
                                 candidate != excluded && !failed.contains(candidate.record().id()));
     }
 
-    /** Returns the prefill of the whole prompt. */
+    /** Returns the prefill of the whole prompt; none with few edges, which go by load alone. */
     PromptPrefill prefill() {
+        if (!edge.sharedQueues().isActive()) {
+            return PromptPrefill.NONE;
+        }
         return new PromptPrefill(call.metadata().promptTokens(), speeds(), edge.edgeCount());
     }
 
