--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RetryBudgets.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RetryBudgets.java
@@ -20,7 +20,10 @@
  * draw on what the other edges leave unused. Confined to the event loop.
  */
 final class RetryBudgets {
-    /** Longest wait for a retry: clients leave a stream after a gap of two seconds. */
+    /**
+     * Longest wait for a retry. Clients leave a stream after a gap of two seconds at the earliest,
+     * and a resumption takes some time itself.
+     */
     private static final long MAX_WAIT_MILLIS = 1_500;
 
     private final EdgeSettings settings;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/SharedQueues.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/SharedQueues.java
@@ -319,6 +319,7 @@
         StreamExchange exchange = entry.item().exchange();
         int sent = entry.item().sentAttempts();
         if (entry.request().resumption()) {
+            // A stream that runs goes on while this edge stops; only new ones are turned away.
             exchange.guard(exchange::tryPlace);
         } else {
             exchange.tryPlaceQueued();
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAdmission.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamAdmission.java
@@ -35,7 +35,8 @@
 
     /**
      * Divisor of the memory of an engine up to which places are counted for the size of the
-     * requests that go first: one that fits hardly anywhere must not hold back all others.
+     * requests that go first: a larger one fits beside no other, and must not hold back all that
+     * would fit.
      */
     private static final long MEMORY_DIVISOR = 2;
 
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/StreamKvCacheCopies.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/StreamKvCacheCopies.java
@@ -168,7 +168,7 @@
 
     /**
      * Stops follow-up copying. The engine keeps the copied KV cache for a while unless {@code
-     * frees}.
+     * free}.
      */
     void stop(boolean free) {
         if (followUp != null) {
--- a/siskintrail/src/io/siskintrail/internal/traffic/admission/StartRate.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/admission/StartRate.java
@@ -17,7 +17,10 @@
     /** Observation time below which the rate counts as unknown. */
     private static final long MIN_OBSERVED_MILLIS = 1_000;
 
-    /** Lowest rate that is assumed, in starts per millisecond. */
+    /**
+     * Lowest rate that is assumed, in starts per millisecond, so that a pause of all starts does
+     * not lead to forecasts without bound.
+     */
     private static final double MIN_RATE = 0.004;
 
     private static final int AVERAGES = 4;
