Keep the retry of a call whose connection could not be opened

Found by reading: a call returned its last retry when any of its attempts could not connect, also when a hedge had taken the retry and reached an endpoint, or when the next attempt is then sent without taking one. The service would get more arrivals than the budget counts.

Comments and the description of sharedOrderMinHosts name what was added to them.

--- a/siskintrail.edge/src/io/siskintrail/edge/EdgeSettings.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/EdgeSettings.java
@@ -24,7 +24,8 @@
  *     in addition to {@code retryRatio}
  * @param retryWindowSeconds the length of the retry budget window, in seconds
  * @param sharedOrderMinHosts the number of edges from which on requests that wait for engines are
- *     admitted in one order over all edges; 1 to {@link #MAX_MIN_HOSTS}
+ *     admitted in one order over all edges, retries are pooled, and engines are placed on by their
+ *     speed and with room for copies; 1 to {@link #MAX_MIN_HOSTS}
  */
 public record EdgeSettings(
         String host,
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EdgeContext.java
@@ -221,7 +221,7 @@
         return sharedQueues.isActive();
     }
 
-    /** Returns this edge's share of the open streams of all edges at {@code service}. */
+    /** Returns this edge's share of the streams of all edges that are under way at a service. */
     private double openStreamsShare(ServiceName service) {
         long now = EventLoop.nowMillis();
         int remote = 0;
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/LoadExchange.java
@@ -21,11 +21,11 @@
 
 /**
  * Reports to other edges the load that this edge has placed on engines and which prompts the
- * engines have prefilled, and which requests wait at this edge, and applies the reports of other
- * edges. One registry relays the reports, so that edges need no links among each other. Reports
- * contain only changes, batched for {@link #BATCH_MILLIS}. Since messages can be lost, the full
- * load is reported periodically. When an edge ends, the registry reports on its behalf that the
- * edge has placed nothing.
+ * engines have prefilled and how fast, which requests wait at this edge and how many retries it
+ * used, and applies the reports of other edges. One registry relays the reports, so that edges need
+ * no links among each other. Reports contain only changes, batched for {@link #BATCH_MILLIS}. Since
+ * messages can be lost, the full load is reported periodically. When an edge ends, the registry
+ * reports on its behalf that the edge has placed nothing.
  */
 final class LoadExchange {
     /** Batching time of changes; short compared with the prefill of a prompt. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -352,7 +352,6 @@
         logAttempt("attempt.not-connected", endedAttempt.attempt.endpoint(), cause);
         sentAttempts--;
         failedConnects++;
-        returnRetry();
         if (failedConnects < MAX_FAILED_CONNECTS && tryPlace()) {
             return;
         }
