Show that the first acknowledged configuration can be lost

Cause: the log begins with the three seeds as its only voters, and what two of them hold is acknowledged, although the loss of two disks has to be borne.

--- a/review/standin-2.test/Deployment.java
+++ b/review/standin-2.test/Deployment.java
@@ -26,6 +26,8 @@
 final class Deployment implements AutoCloseable {
     private static final long START_MILLIS = 20_000;
 
+    private static final int CALL_MILLIS = 1_500;
+
     /** More than an interval between heartbeats. */
     private static final long SETTLE_MILLIS = 1_500;
 
@@ -141,6 +143,17 @@
         start("edge-" + i, "edge", settings);
     }
 
+    /** Removes all files of the data folder of a registry, which must not run. */
+    void emptyDisk(int i) throws IOException {
+        deleteAll(folder.resolve("data-" + i));
+    }
+
+    /** Reads the configuration at a registry. */
+    Answer readConfiguration(int i) {
+        String url = "http://" + registryIp(i) + ":" + controlPort + "/api/config";
+        return exchange("GET", url, null, CALL_MILLIS);
+    }
+
     Process process(String name) {
         return processes.get(name);
     }
@@ -194,13 +207,13 @@
 
     /** Returns the status of a call to a registry, 0 without an answer. */
     int call(String method, String ip, String path, String body) {
-        return exchange(method, "http://" + ip + ":" + controlPort + path, body, 1_500).status();
+        return exchange(method, "http://" + ip + ":" + controlPort + path, body, CALL_MILLIS).status();
     }
 
     record Answer(int status, String body) {}
 
     static Answer get(String url) {
-        return exchange("GET", url, null, 1_500);
+        return exchange("GET", url, null, CALL_MILLIS);
     }
 
     static Answer exchange(String method, String url, String body, int millis) {
@@ -234,13 +247,19 @@
                 Thread.currentThread().interrupt();
             }
         }
-        try (Stream<Path> files = Files.walk(folder)) {
-            files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+        try {
+            deleteAll(folder);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
+    private static void deleteAll(Path root) throws IOException {
+        try (Stream<Path> files = Files.walk(root)) {
+            files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+        }
+    }
+
     private void endProcesses() {
         processes.values().forEach(Process::destroyForcibly);
     }
