Show that a second answer fills up a body that was broken off

Cause: bytes up to the announced length count as the body, and a second answer is looked for only inside the head of the first.

Review case 8 shows the known fault of JoinedFirstAnswerTest with the programs of the deploy file.

--- a/review/standin-2.test/Replica.java
+++ b/review/standin-2.test/Replica.java
@@ -48,9 +48,10 @@
         return tenants.get(id);
     }
 
-    /** Records that a request is run. */
-    void recordRun(HttpMessage head) {
+    /** Records that a request is run; returns its number among all that were run here. */
+    int recordRun(HttpMessage head) {
         tenants.put(head.header("X-Request-Id"), String.valueOf(head.header("X-Tenant")));
+        return tenants.size();
     }
 
     /** Answers a request whose head was read. */
