--- a/review/standin-2.test/EarlyAnswerCase.java
+++ b/review/standin-2.test/EarlyAnswerCase.java
@@ -15,6 +15,9 @@
 
     private static final int BROKEN_EVERY = 50;
 
+    /** Time of the sound replica for a request; the faulty one is faster and gets more of them. */
+    private static final long SOUND_WORK_MILLIS = 150;
+
     /** Time after which fewer answers are enough, on a busy machine. */
     private static final int MAX_SECONDS = 70;
 
@@ -31,16 +34,19 @@
     /** Answers at once, and reads the body later; may reset its connection in some answers. */
     private static final class EarlyReplica extends Replica {
         private final boolean mayReset;
+        private final long workMillis;
 
-        EarlyReplica(Recorder recorder, boolean mayReset) throws IOException {
+        EarlyReplica(Recorder recorder, boolean mayReset, long workMillis) throws IOException {
             super(recorder);
             this.mayReset = mayReset;
+            this.workMillis = workMillis;
         }
 
         @Override
         void answer(HttpMessage head, Socket socket) throws IOException {
             boolean resets = recordRun(head) % BROKEN_EVERY == 0 && mayReset;
             String id = head.header("X-Request-Id");
+            Threads.pause(workMillis);
             byte[] body = new byte[ANSWER_BYTES];
             Arrays.fill(body, (byte) 'a');
             OutputStream out = socket.getOutputStream();
@@ -66,8 +72,8 @@
     @Override
     public int run(Recorder recorder, boolean trouble) throws Exception {
         try (Deployment deployment = new Deployment(3, recorder);
-                Replica faulty = new EarlyReplica(recorder, trouble);
-                Replica sound = new EarlyReplica(recorder, false)) {
+                Replica faulty = new EarlyReplica(recorder, trouble, 0);
+                Replica sound = new EarlyReplica(recorder, false, SOUND_WORK_MILLIS)) {
             faulty.start(deployment.replicaIp(0), REPLICA_BUFFER_BYTES);
             sound.start(deployment.replicaIp(1), REPLICA_BUFFER_BYTES);
             try (Heartbeats beats =
--- a/review/standin-2.test/SecondAnswerCase.java
+++ b/review/standin-2.test/SecondAnswerCase.java
@@ -16,6 +16,9 @@
 
     private static final int BROKEN_EVERY = 50;
 
+    /** Time of the sound replica for a request; the faulty one is faster and gets more of them. */
+    private static final long SOUND_WORK_MILLIS = 150;
+
     /** Time after which fewer answers are enough, on a busy machine. */
     private static final int MAX_SECONDS = 70;
 
@@ -28,16 +31,19 @@
     /** May break some answers off and send each of these a second time. */
     private static final class TwiceReplica extends Replica {
         private final boolean mayBreakOff;
+        private final long workMillis;
 
-        TwiceReplica(Recorder recorder, boolean mayBreakOff) throws IOException {
+        TwiceReplica(Recorder recorder, boolean mayBreakOff, long workMillis) throws IOException {
             super(recorder);
             this.mayBreakOff = mayBreakOff;
+            this.workMillis = workMillis;
         }
 
         @Override
         void answer(HttpMessage head, Socket socket) throws IOException {
             head.readBody(socket.getInputStream());
             boolean breaksOff = recordRun(head) % BROKEN_EVERY == 0 && mayBreakOff;
+            Threads.pause(workMillis);
             byte[] answer = wholeAnswer(head);
             OutputStream out = socket.getOutputStream();
             if (!breaksOff) {
@@ -68,8 +74,8 @@
     @Override
     public int run(Recorder recorder, boolean trouble) throws Exception {
         try (Deployment deployment = new Deployment(3, recorder);
-                Replica faulty = new TwiceReplica(recorder, trouble);
-                Replica sound = new TwiceReplica(recorder, false)) {
+                Replica faulty = new TwiceReplica(recorder, trouble, 0);
+                Replica sound = new TwiceReplica(recorder, false, SOUND_WORK_MILLIS)) {
             faulty.start(deployment.replicaIp(0), 0);
             sound.start(deployment.replicaIp(1), 0);
             try (Heartbeats beats =
