Keep an empty list of client accounts apart from a missing one

Cause: the reader made the same empty list of a missing field and an empty one, and the route table took "no account" for "no key needed". What registries store and hand out was right; each edge misread it, so restarts changed nothing.

Change: a configuration says whether requests need an API key (Authentication); only a missing list lets requests in without one.

It works because the two cases are two types now, which no reader of the configuration can mistake for each other.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/Edge.java
@@ -183,7 +183,8 @@
             LogEvent.info(LOG, "configuration.in-force")
                     .with("version", version)
                     .with("routes", ok.value().routes().size())
-                    .with("accounts", ok.value().accounts().size())
+                    .with("api_key", table.requiresApiKey() ? "required" : "not-required")
+                    .with("accounts", ok.value().authentication().accounts().size())
                     .write();
             return;
         }
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/RequestFilters.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/RequestFilters.java
@@ -114,7 +114,7 @@
     }
 
     private Optional<Failure> authenticate(CallContext call) {
-        if (call.route().anonymous() || !call.table().hasAccounts()) {
+        if (call.route().anonymous() || !call.table().requiresApiKey()) {
             return Optional.empty();
         }
         String apiKey = call.metadata().apiKey();
--- a/siskintrail.platform.test/tst/io/siskintrail/registry/internal/LoopbackRegistries.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/registry/internal/LoopbackRegistries.java
@@ -4,6 +4,7 @@
 
 import io.siskintrail.internal.rollout.RolloutOrder;
 import io.siskintrail.internal.rollout.RolloutRecord;
+import io.siskintrail.internal.traffic.configuration.Authentication;
 import io.siskintrail.internal.traffic.configuration.ClientLimits;
 import io.siskintrail.internal.traffic.configuration.ServiceSpec;
 import io.siskintrail.internal.traffic.configuration.TrafficConfiguration;
@@ -161,7 +162,7 @@
                             List.of(),
                             List.of(new ServiceSpec(SERVICE, "/", 1, null)),
                             ClientLimits.DEFAULT,
-                            List.of()));
+                            new Authentication.None()));
         }
 
         @Override
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/configuration/ConfigurationCheckTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/configuration/ConfigurationCheckTest.java
@@ -63,9 +63,10 @@
                 List.of(),
                 List.of(),
                 ClientLimits.DEFAULT,
-                List.of(
-                        new Account(new AccountId("a"), List.of("k1", "k2"), null),
-                        new Account(new AccountId("b"), List.of("k2"), null)));
+                new Authentication.ByApiKey(
+                        List.of(
+                                new Account(new AccountId("a"), List.of("k1", "k2"), null),
+                                new Account(new AccountId("b"), List.of("k2"), null))));
     }
 
     private static TrafficConfiguration with(long version, List<Route> routes) {
@@ -74,7 +75,7 @@
                 routes,
                 List.of(new ServiceSpec(MODEL, "/health", 10, null)),
                 ClientLimits.DEFAULT,
-                List.of());
+                new Authentication.None());
     }
 
     static Route route(String name, String prefix, long timeout, WeightedService... services) {
--- a/siskintrail.test/tst/io/siskintrail/internal/traffic/configuration/RouteTableTest.java
+++ b/siskintrail.test/tst/io/siskintrail/internal/traffic/configuration/RouteTableTest.java
@@ -25,7 +25,7 @@
                                             "long", "/a/b/", 1, MODEL_SERVICE)),
                             List.of(),
                             ClientLimits.DEFAULT,
-                            List.of()));
+                            new Authentication.None()));
 
     /** The route {@code -} stands for no match. */
     @ParameterizedTest
@@ -59,7 +59,7 @@
                                         routeWithTarget("/call/", RouteKind.IDEMPOTENT, 200)),
                                 List.of(),
                                 ClientLimits.DEFAULT,
-                                List.of()));
+                                new Authentication.None()));
 
         assertThat(streams.shortestStreamTargetMillis(MODEL_SERVICE.service())).isEqualTo(4_000);
         assertThat(streams.shortestStreamTargetMillis(new ServiceName("other")))
--- a/siskintrail/src/io/siskintrail/internal/traffic/configuration/ConfigurationCheck.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/configuration/ConfigurationCheck.java
@@ -72,7 +72,7 @@
 
     private static String findAccountError(TrafficConfiguration c) {
         Map<String, AccountId> accountByKey = new HashMap<>();
-        for (Account a : c.accounts()) {
+        for (Account a : c.authentication().accounts()) {
             for (String key : a.keys()) {
                 AccountId other = accountByKey.putIfAbsent(key, a.id());
                 if (other != null && !other.equals(a.id())) {
--- a/siskintrail/src/io/siskintrail/internal/traffic/configuration/RouteTable.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/configuration/RouteTable.java
@@ -31,7 +31,7 @@
                     .forEach(s -> addTarget(r, s.service()));
             routesByHost.computeIfAbsent(r.host(), h -> new HashMap<>()).put(r.pathPrefix(), r);
         }
-        for (Account a : configuration.accounts()) {
+        for (Account a : configuration.authentication().accounts()) {
             a.keys().forEach(k -> accountsByKey.put(k, a));
         }
         configuration.services().forEach(s -> servicesByName.put(s.name(), s));
@@ -55,9 +55,9 @@
         return configuration.limits();
     }
 
-    /** Returns whether the configuration has client accounts, so that requests need an API key. */
-    public boolean hasAccounts() {
-        return !configuration.accounts().isEmpty();
+    /** Returns whether requests on routes that are not anonymous need an API key. */
+    public boolean requiresApiKey() {
+        return configuration.authentication() instanceof Authentication.ByApiKey;
     }
 
     /**
--- a/siskintrail/src/io/siskintrail/internal/traffic/configuration/TrafficConfiguration.java
+++ b/siskintrail/src/io/siskintrail/internal/traffic/configuration/TrafficConfiguration.java
@@ -9,19 +9,18 @@
  * @param routes map requests to services
  * @param services the services that routes refer to
  * @param limits the limits for requests and connections of clients
- * @param accounts the client accounts; when empty, requests need no API key
+ * @param authentication whether requests need an API key, and of which client accounts
  */
 public record TrafficConfiguration(
         long version,
         List<Route> routes,
         List<ServiceSpec> services,
         ClientLimits limits,
-        List<Account> accounts) {
+        Authentication authentication) {
 
     /** Makes the lists immutable. */
     public TrafficConfiguration {
         routes = List.copyOf(routes);
         services = List.copyOf(services);
-        accounts = List.copyOf(accounts);
     }
 }
