Let only the end of input end a response without a length

The client got what had come as a whole, signed answer: half a 200, an empty 200, half a 500; streams ended as complete, resumable ones too.

Cause: the decoder completes such a response when the channel becomes inactive. A reset that a write meets closes the channel without an exception in the pipeline, so that this was taken for the end of the response.

Change: connections to endpoints allow half-closure, which makes the end of input an event of its own. Where the channel becomes inactive in any other way, the attempt fails before the decoder sees it, and the log names the error of the write. The stand-in for early answers moves to the test kit, since the router's tests use it too.

It works because a reset never delivers the end of input: a read that meets it raises an exception, and a write that meets it closes the channel at once.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -17,6 +18,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import io.siskintrail.net.EventLoop;
 import io.siskintrail.service.LogEvent;
 import java.net.InetSocketAddress;
@@ -54,6 +56,7 @@
     private boolean reusable;
     private boolean responseComplete;
     private boolean requestSent;
+    private Throwable sendFailure;
     private boolean headRequested;
     private boolean interim;
     private int interimResponses;
@@ -91,7 +94,12 @@
                         request.headers(),
                         new DefaultHttpHeaders());
         requestSent = false;
-        ctx.writeAndFlush(message).addListener(write -> requestSent = write.isSuccess());
+        ctx.writeAndFlush(message).addListener(this::handleSent);
+    }
+
+    private void handleSent(Future<?> write) {
+        requestSent = write.isSuccess();
+        sendFailure = write.cause();
     }
 
     /** Returns whether {@code next} is the order that the connection carried last, given again. */
@@ -155,10 +163,20 @@
         }
     }
 
+    /**
+     * Closes the connection when the endpoint has closed its side. The decoder has completed a
+     * response that ends there.
+     */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            fail("closed by endpoint");
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.removeClosed(this);
-        failAttempt("closed by endpoint");
     }
 
     @Override
@@ -168,9 +186,9 @@
         ctx.close();
     }
 
-    /** Returns the handler of received bytes, which comes before the decoder. */
-    ChannelInboundHandlerAdapter headLimit() {
-        return new HeadLimit();
+    /** Returns the handler that comes before the decoder. */
+    ChannelInboundHandlerAdapter inputGuard() {
+        return new InputGuard();
     }
 
     /** Returns the decoder of the responses to the requests that are sent here. */
@@ -180,7 +198,7 @@
 
     private void handleMessage(HttpObject message) {
         if (attempt == null) {
-            if (message instanceof HttpResponse response) {
+            if (message instanceof HttpResponse response && ctx.channel().isActive()) {
                 logUnexpected(pool.describeResponse(response));
             }
             ctx.close();
@@ -265,9 +283,9 @@
 
     /**
      * Closes the connection if bytes come that no request waits for, and fails the attempt if its
-     * response has no head within the limit.
+     * response has no head within the limit, or if the connection is lost.
      */
-    private final class HeadLimit extends ChannelInboundHandlerAdapter {
+    private final class InputGuard extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             int count = ((ByteBuf) message).readableBytes();
@@ -288,6 +306,20 @@
             failAttempt("response head exceeds the size limit");
             context.close();
         }
+
+        /**
+         * Fails the attempt before the decoder takes the loss for the end of a response without a
+         * length: that ends only where the endpoint closes its side. A reset that a write meets is
+         * reported in no other way.
+         */
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            failAttempt(
+                    sendFailure == null
+                            ? "connection lost"
+                            : "connection lost while the request was sent: " + sendFailure);
+            context.fireChannelInactive();
+        }
     }
 
     /** Fails the attempt and closes the connection, whose further bytes mean nothing. */
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointPool.java
@@ -196,12 +196,14 @@
         return bootstrap
                 .clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+                // Tells the end of input, which may end a response, from the loss of a connection.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(
                         new ChannelInitializer<SocketChannel>() {
                             @Override
                             protected void initChannel(SocketChannel channel) {
                                 channel.pipeline()
-                                        .addLast(connection.headLimit())
+                                        .addLast(connection.inputGuard())
                                         .addLast(new HttpRequestEncoder())
                                         .addLast(connection.newDecoder())
                                         .addLast(connection);
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/EarlyAnswerTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/EarlyAnswerTest.java
@@ -3,12 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.siskintrail.platform.ScriptedEndpoint.ReceivedRequest;
-import java.io.ByteArrayOutputStream;
+import io.siskintrail.testkit.EarlyEndpoint;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -24,34 +20,25 @@
 /** An endpoint that answers before it has read the body, and reads on later. */
 @Timeout(60)
 class EarlyAnswerTest {
-    private static final int RECEIVE_BUFFER_BYTES = 4 << 10;
-
-    private final List<String> heads = new CopyOnWriteArrayList<>();
     private final List<String> spoiled = new CopyOnWriteArrayList<>();
     @TempDir Path folder;
     private AnswerBench bench;
-    private ServerSocket server;
+    private EarlyEndpoint endpoint;
     private volatile int firstAnswer;
     private volatile int nextAnswer;
 
     @BeforeEach
     void start() throws Exception {
         bench = new AnswerBench(folder);
-        server = new ServerSocket();
-        server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-        server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
-        Thread thread = new Thread(this::accept, "early-endpoint");
-        thread.setDaemon(true);
-        thread.start();
-        String address = "127.0.0.1:" + server.getLocalPort();
-        bench.system().register("early", "app", address, "a");
+        endpoint = new EarlyEndpoint(this::serve);
+        bench.system().register("early", "app", endpoint.address(), "a");
         bench.system().callRegistry("DELETE", "/api/replicas/app-1", "");
         Http.sleep(500);
     }
 
     @AfterEach
     void stop() throws IOException {
-        server.close();
+        endpoint.close();
         bench.close();
     }
 
@@ -85,59 +72,21 @@
             }
             bench.send(path + "next-" + next, next);
         }
-        assertThat(heads.size()).isAtLeast(10);
+        assertThat(endpoint.heads().size()).isAtLeast(10);
         assertThat(spoiled).isEmpty();
         bench.assertNoneWrong();
     }
 
-    private void accept() {
-        while (!server.isClosed()) {
-            try {
-                Socket socket = server.accept();
-                Thread thread = new Thread(() -> serve(socket), "early-connection");
-                thread.setDaemon(true);
-                thread.start();
-            } catch (IOException e) {
-                return;
-            }
-        }
-    }
-
-    private void serve(Socket socket) {
-        try (socket) {
-            InputStream in = socket.getInputStream();
-            String head = readHead(in);
-            while (head != null) {
-                heads.add(head);
-                ReceivedRequest request = new ReceivedRequest(head, "");
-                boolean isFirst = head.contains("/first-");
-                byte[] answer = bench.answer(request, isFirst ? firstAnswer : nextAnswer);
-                socket.getOutputStream().write(answer);
-                Http.sleep(isFirst ? 5 * AnswerBench.READ_MILLIS : 0);
-                String length = request.header("Content-Length");
-                byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
-                String text = new String(body, StandardCharsets.US_ASCII);
-                if (isFirst && !text.matches("b*")) {
-                    spoiled.add(text.replaceAll("b{9,}", "b..b"));
-                }
-                head = readHead(in);
-            }
-        } catch (IOException e) {
-            // The edge closed the connection; the test checks the edge's response to its client.
-            return;
-        }
-    }
-
-    private static String readHead(InputStream in) throws IOException {
-        ByteArrayOutputStream head = new ByteArrayOutputStream();
-        int octet = in.read();
-        while (octet >= 0) {
-            head.write(octet);
-            if (octet == '\n' && head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
-                return head.toString(StandardCharsets.US_ASCII);
-            }
-            octet = in.read();
+    private boolean serve(int number, String head, Socket socket) throws IOException {
+        boolean isFirst = head.contains("/first-");
+        ReceivedRequest request = new ReceivedRequest(head, "");
+        socket.getOutputStream().write(bench.answer(request, isFirst ? firstAnswer : nextAnswer));
+        Http.sleep(isFirst ? 5 * AnswerBench.READ_MILLIS : 0);
+        byte[] body = EarlyEndpoint.readBody(head, socket);
+        String text = new String(body, StandardCharsets.US_ASCII);
+        if (isFirst && !text.matches("b*")) {
+            spoiled.add(text.replaceAll("b{9,}", "b..b"));
         }
-        return null;
+        return true;
     }
 }
--- a/siskintrail.platform.test/tst/io/siskintrail/platform/Http.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/Http.java
@@ -8,12 +8,19 @@
 
 /** Builds client requests and writes event streams of engines as raw HTTP/1.1. */
 final class Http {
+    private static final int DEADLINE_MILLIS = 2_000;
+
     private Http() {}
 
     /** Returns a request with API key {@code key}; an empty key leaves out the header. */
     static String request(String method, String path, String key, String body) {
+        return request(method, path, key, DEADLINE_MILLIS, body);
+    }
+
+    /** Returns a request whose client waits {@code deadlineMillis}. */
+    static String request(String method, String path, String key, int deadlineMillis, String body) {
         return "%s %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n".formatted(method, path)
-                + "X-Request-Deadline-Ms: 2000\r\nConnection: close\r\n"
+                + "X-Request-Deadline-Ms: %d\r\nConnection: close\r\n".formatted(deadlineMillis)
                 + (key.isEmpty() ? "" : "Authorization: Bearer " + key + "\r\n")
                 + "Content-Length: %d\r\n\r\n%s".formatted(body.length(), body);
     }
