Take a response without a valid status for no response

What callers saw: an endpoint in trouble sent a whole answer with the status 000, and the client got it as an answer; 001, 099, 20, 600, 999 and 2000 as well, and +200 as a success. Where such an answer said "not run", a call that may have run was refused with 503.

Cause: the decoder takes any integer for a status, and what is neither 1xx, 2xx nor 500 and above counted as a final answer.

A head that was cut and joined with such a one is recognised too.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -205,7 +205,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            fail("response is not valid HTTP");
+            fail("response is not valid HTTP: " + message.decoderResult().cause().getMessage());
             return;
         }
         if (message instanceof HttpResponse response) {
--- a/siskintrail.edge/src/io/siskintrail/edge/internal/JoinedHeads.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/JoinedHeads.java
@@ -13,7 +13,9 @@
  * ID.
  */
 final class JoinedHeads {
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]\\b");
+    /** A valid status, or a number that ends like one: an endpoint may send an invalid status. */
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/1\\.[01] (?:[1-5][0-9][0-9]\\b|[+-]?[0-9]+(?: |$))");
 
     private JoinedHeads() {}
 
