Take a response without a valid status for broken in the router

What callers saw: the product's own router recorded and passed on answers of plain services with the status 000, 099, 20, 600, 2000 or +200, and took the output of an engine behind 000, 001, 099, 20, +200 or 0200 for a success.

Cause: as at the edge, the decoder of its HTTP library takes any integer for a status.

Change: all clients for endpoints come from one place, which puts a check of status lines before the decoder. An order whose answer has no valid status has an unknown outcome, a call that may be repeated goes to another endpoint, an attempt at an engine is broken.

--- /dev/null
+++ b/siskintrail.router/src/io/siskintrail/router/internal/client/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP clients of the router for endpoints. */
+package io.siskintrail.router.internal.client;
--- a/siskintrail.router/src/io/siskintrail/router/internal/endpoint/EngineClient.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/endpoint/EngineClient.java
@@ -9,9 +9,10 @@
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.MediaType;
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
-import io.micronaut.http.client.sse.SseClient;
+import io.micronaut.http.client.netty.DefaultHttpClient;
 import io.micronaut.http.sse.Event;
 import io.siskintrail.lib.Rank;
+import io.siskintrail.router.internal.client.EndpointClients;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,15 +31,14 @@
     private static final int PRIORITY_BULK = 1;
     private static final String DONE = "[DONE]";
 
-    private final SseClient client;
+    private final DefaultHttpClient client;
 
     /** Opens the client. */
     public EngineClient() {
         DefaultHttpClientConfiguration config = new DefaultHttpClientConfiguration();
         config.setConnectTimeout(CONNECT_TIMEOUT);
         config.setReadTimeout(READ_TIMEOUT);
-        config.getConnectionPoolConfiguration().setEnabled(false);
-        client = SseClient.create(null, config);
+        client = EndpointClients.create(config);
     }
 
     /**
@@ -61,13 +61,7 @@
 
     @Override
     public void close() {
-        if (client instanceof AutoCloseable closeable) {
-            try {
-                closeable.close();
-            } catch (Exception e) {
-                throw new IllegalStateException("engine client cannot be closed", e);
-            }
-        }
+        client.close();
     }
 
     private static String body(EngineCall call) {
--- a/siskintrail.router/src/io/siskintrail/router/internal/membership/EndpointStatusClient.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/membership/EndpointStatusClient.java
@@ -6,6 +6,7 @@
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
 import io.micronaut.http.client.HttpClient;
+import io.siskintrail.router.internal.client.EndpointClients;
 import java.time.Duration;
 import java.util.function.Consumer;
 import reactor.core.publisher.Mono;
@@ -32,8 +33,7 @@
         DefaultHttpClientConfiguration config = new DefaultHttpClientConfiguration();
         config.setConnectTimeout(TIMEOUT);
         config.setReadTimeout(TIMEOUT);
-        config.getConnectionPoolConfiguration().setEnabled(false);
-        client = HttpClient.create(null, config);
+        client = EndpointClients.create(config);
     }
 
     /** Asks {@code address}; calls {@code onStatus} on any thread, or not at all on a failure. */
--- a/siskintrail.router/src/io/siskintrail/router/internal/order/ServiceClient.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/order/ServiceClient.java
@@ -8,6 +8,7 @@
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
 import io.micronaut.http.client.HttpClient;
 import io.siskintrail.internal.ledger.StoredAnswer;
+import io.siskintrail.router.internal.client.EndpointClients;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -39,8 +40,7 @@
         config.setMaxContentLength(MAX_ANSWER_BYTES);
         config.setExceptionOnErrorStatus(false);
         config.setFollowRedirects(false);
-        config.getConnectionPoolConfiguration().setEnabled(false);
-        client = HttpClient.create(null, config);
+        client = EndpointClients.create(config);
     }
 
     /** Sends {@code call} to {@code address}; the stage never fails. */
