Move the attempts of a unary call into a class of their own

Change: UnaryAttempt buffers a response and accounts for its place, as StreamAttempt does for streams; the exchange decides what follows. No change of behaviour is intended.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/UnaryExchange.java
@@ -1,12 +1,9 @@
 package io.siskintrail.edge.internal;
 
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import io.siskintrail.edge.EndpointResponse;
 import io.siskintrail.internal.traffic.configuration.RouteKind;
 import io.siskintrail.internal.traffic.endpoint.EndpointView;
-import io.siskintrail.internal.traffic.placement.CallPlacement;
 import io.siskintrail.lib.EndpointId;
 import io.siskintrail.lib.ResultCode;
 import io.siskintrail.net.EventLoop;
@@ -26,9 +23,6 @@
     /** Number of failed connection attempts after which a call is not tried elsewhere. */
     private static final int MAX_FAILED_CONNECTS = 3;
 
-    /** Maximum size of a buffered response body. */
-    private static final int MAX_RESPONSE_BYTES = 8 << 20;
-
     /** Fraction of the target latency after which an idempotent call is hedged. */
     private static final double HEDGE_DELAY_FRACTION = 0.5;
 
@@ -38,13 +32,6 @@
      */
     private static final double MAX_QUEUE_TIME_FRACTION = 0.5;
 
-    /**
-     * Fraction of the target latency after which a call goes to another endpoint because no
-     * connection is open. Nothing was sent by then, so that this is no further attempt. Leaves the
-     * other endpoint more than half of the target.
-     */
-    private static final double CONNECT_WAIT_FRACTION = 0.4;
-
     /** Retry-After for an endpoint that rejected the call although it seemed to have capacity. */
     private static final long REJECTED_RETRY_MILLIS = 80;
 
@@ -64,11 +51,8 @@
     /** Whether the call waits to be sent again, which takes a retry from the budget. */
     private boolean wasRejected;
 
-    private BufferedResponse lastErrorResponse;
-
-    /** Response that was received completely by the attempt {@code source}. */
-    private record BufferedResponse(
-            int status, HttpHeaders headers, byte[] body, UnaryAttempt source) {}
+    /** Attempt that received the last complete error response; null if there was none. */
+    private UnaryAttempt lastErrorResponse;
 
     UnaryExchange(
             EdgeContext edge, CallContext call, ClientResponse client, Consumer<Exchange> onEnd) {
@@ -113,8 +97,7 @@
     protected void endRefused() {
         if (lastErrorResponse != null) {
             deliver(lastErrorResponse);
-        } else if (outcomeUnknown
-                || runningAttempts.stream().anyMatch(a -> a.attempt.isWritten())) {
+        } else if (outcomeUnknown || runningAttempts.stream().anyMatch(UnaryAttempt::isWritten)) {
             reject(ResultCode.CALL_OUTCOME_UNKNOWN, CRASHED_ENDPOINTS, 0);
         } else {
             rejectRefused();
@@ -144,11 +127,7 @@
         }
         runningAttempts.forEach(
                 runningAttempt ->
-                        runningAttempt
-                                .attempt
-                                .endpoint()
-                                .health()
-                                .recordFailure(EventLoop.nowMillis()));
+                        runningAttempt.endpoint().health().recordFailure(EventLoop.nowMillis()));
         reject(ResultCode.CALL_TIMED_OUT, "attempts=%d".formatted(sentAttempts), 0);
     }
 
@@ -183,7 +162,10 @@
         triedEndpoints.add(endpoint.record().id());
         sentAttempts++;
         logAttempt("attempt.sent", endpoint, "attempt=" + sentAttempts);
-        UnaryAttempt newAttempt = new UnaryAttempt(endpoint, sentAttempts);
+        // Event ID, copy target, copy source and weight version apply only to streams.
+        EndpointRequest request = buildForwardedRequest(endpoint, -1, null, null, -1);
+        UnaryAttempt newAttempt =
+                new UnaryAttempt(edge, this, endpoint, request, call, sentAttempts);
         runningAttempts.add(newAttempt);
         newAttempt.start();
         if (isIdempotent() && hedgeTimer == null) {
@@ -266,11 +248,11 @@
      * Sends a call to another endpoint if the connection to the first is not open yet. A dead
      * endpoint or a lost packet then delays it by less than its target latency.
      */
-    private void leaveUnconnected(UnaryAttempt unconnected) {
+    void leaveUnconnected(UnaryAttempt unconnected) {
         boolean isOnlyAttempt =
                 runningAttempts.size() == 1 && runningAttempts.contains(unconnected);
         if (!isOnlyAttempt
-                || unconnected.attempt.isWritten()
+                || unconnected.isWritten()
                 || failedConnects + 1 >= MAX_FAILED_CONNECTS) {
             return;
         }
@@ -290,66 +272,74 @@
         }
     }
 
-    private void handleResponse(
-            UnaryAttempt endedAttempt,
-            BufferedResponse response,
-            EndpointResponse endpointResponse) {
-        long now = EventLoop.nowMillis();
-        if (endpointResponse.notRun()) {
-            recordFailure(endedAttempt, endpointResponse);
-            edge.recordDiverted(endpointResponse);
-            logEnd(
-                    "attempt.not-run",
-                    endedAttempt,
-                    "status=%d".formatted(endpointResponse.status()));
-            endUnlessRetrying(trySendAgain() || tryQueueRejected());
-            return;
+    /** Processes the end of an attempt; {@code wasFull} says that it never had a place. */
+    void handleEnd(UnaryAttempt endedAttempt, boolean wasFull) {
+        runningAttempts.remove(endedAttempt);
+        if (!wasFull) {
+            edge.queues().releaseOne(service);
         }
-        if (!endpointResponse.signed()) {
-            outcomeUnknown = true;
-            handleFailure(
-                    endedAttempt,
-                    "unsigned response, status=%d".formatted(endpointResponse.status()));
-            return;
+    }
+
+    /** Records that an endpoint has begun to answer. */
+    void recordAnswered() {
+        if (!answered) {
+            answered = true;
+            edge.crashes().recordAnswered(call);
         }
-        if (endpointResponse.isServerError()) {
-            lastErrorResponse = response;
-            recordFailure(endedAttempt, endpointResponse);
-            logEnd(
-                    "attempt.failed",
-                    endedAttempt,
-                    "status=%d".formatted(endpointResponse.status()));
+    }
+
+    /** Processes a complete response. */
+    void handleResponse(UnaryAttempt endedAttempt) {
+        EndpointResponse response = endedAttempt.endpointResponse();
+        String status = "status=%d".formatted(response.status());
+        if (response.notRun()) {
+            recordFailure(endedAttempt, response);
+            edge.recordDiverted(response);
+            logEnd("attempt.not-run", endedAttempt, status);
+            endUnlessRetrying(trySendAgain() || tryQueueRejected());
+        } else if (!response.signed()) {
+            outcomeUnknown = true;
+            handleFailure(endedAttempt, "unsigned response, " + status);
+        } else if (response.isServerError()) {
+            lastErrorResponse = endedAttempt;
+            recordFailure(endedAttempt, response);
+            logEnd("attempt.failed", endedAttempt, status);
             endUnlessRetrying(isIdempotent() && trySendAgain());
-            return;
+        } else {
+            long now = EventLoop.nowMillis();
+            long tookMillis = now - endedAttempt.startedAtMillis();
+            endedAttempt.endpoint().health().recordSuccess(now, tookMillis);
+            deliver(endedAttempt);
         }
-        endedAttempt
-                .attempt
-                .endpoint()
-                .health()
-                .recordSuccess(now, now - endedAttempt.startedAtMillis);
-        deliver(response);
+    }
+
+    /** Processes an attempt whose response cannot be completed. */
+    void handleBreak(UnaryAttempt endedAttempt, String cause) {
+        outcomeUnknown = true;
+        handleFailure(endedAttempt, cause);
     }
 
     /** Logs how an attempt ended, with the connection by which its endpoint knows it. */
     private void logEnd(String event, UnaryAttempt ended, String detail) {
-        logAttempt(event, ended.attempt.endpoint(), detail + " " + ended.describe());
+        logAttempt(event, ended.endpoint(), detail + " " + ended.describe());
     }
 
     private static void recordFailure(UnaryAttempt endedAttempt, EndpointResponse response) {
         if (!response.pushesBack()) {
-            endedAttempt.attempt.endpoint().health().recordFailure(EventLoop.nowMillis());
+            endedAttempt.endpoint().health().recordFailure(EventLoop.nowMillis());
         }
     }
 
     private void handleFailure(UnaryAttempt endedAttempt, String cause) {
-        endedAttempt.attempt.endpoint().health().recordFailure(EventLoop.nowMillis());
+        endedAttempt.endpoint().health().recordFailure(EventLoop.nowMillis());
         logEnd("attempt.broken", endedAttempt, cause);
         endUnlessRetrying(isIdempotent() && trySendAgain());
     }
 
-    private void handleConnectFailure(UnaryAttempt endedAttempt, String cause) {
-        endedAttempt.attempt.endpoint().health().recordUnreachable(EventLoop.nowMillis());
-        logAttempt("attempt.not-connected", endedAttempt.attempt.endpoint(), cause);
+    /** Processes a failed connection attempt. */
+    void handleConnectFailure(UnaryAttempt endedAttempt, String cause) {
+        endedAttempt.endpoint().health().recordUnreachable(EventLoop.nowMillis());
+        logAttempt("attempt.not-connected", endedAttempt.endpoint(), cause);
         sentAttempts--;
         failedConnects++;
         if (failedConnects < MAX_FAILED_CONNECTS && tryPlace()) {
@@ -383,146 +373,21 @@
         }
     }
 
-    private void deliver(BufferedResponse response) {
+    /** Delivers the complete response that {@code source} received. */
+    private void deliver(UnaryAttempt source) {
         releaseResources();
-        UnaryAttempt source = response.source();
+        int status = source.endpointResponse().status();
         end(
                 "answered",
                 0,
                 "status="
-                        + response.status()
+                        + status
                         + " attempts="
                         + sentAttempts
                         + " endpoint="
-                        + source.attempt.endpoint().record().id().value()
+                        + source.endpoint().record().id().value()
                         + ' '
                         + source.describe());
-        client.sendResponse(response.status(), response.headers(), response.body());
-    }
-
-    /** Transmission of the call to one endpoint; buffers the response. */
-    private final class UnaryAttempt implements AttemptListener {
-        private final int number;
-        private final Attempt attempt;
-        private final RunningAttempt evidence;
-        private final long startedAtMillis = EventLoop.nowMillis();
-        private final ResponseBuffer body =
-                new ResponseBuffer(edge.responseMemory(), MAX_RESPONSE_BYTES);
-        private final double expectedMillis;
-        private Future<?> connectTimer;
-        private EndpointResponse endpointResponse;
-        private HttpHeaders headers;
-
-        UnaryAttempt(EndpointView endpoint, int number) {
-            expectedMillis = CallPlacement.expectedMillis(endpoint);
-            this.number = number;
-            // Event ID, copy target, copy source and weight version apply only to streams.
-            EndpointRequest request = buildForwardedRequest(endpoint, -1, null, null, -1);
-            attempt = new Attempt(endpoint, request, call.requestId(), this);
-            evidence = new RunningAttempt(attempt, call);
-        }
-
-        void start() {
-            attempt.endpoint().beginRequest(0);
-            edge.crashes().recordSent(evidence);
-            long waitMillis = (long) (CONNECT_WAIT_FRACTION * call.route().targetLatencyMillis());
-            connectTimer = after(Math.max(1, waitMillis), () -> leaveUnconnected(this));
-            edge.pool().send(attempt);
-        }
-
-        /** Returns how long the answer is still expected to take, in milliseconds. */
-        double remainingMillis() {
-            return CallPlacement.remainingMillis(
-                    expectedMillis, EventLoop.nowMillis() - startedAtMillis);
-        }
-
-        /** Returns the number of the attempt and its connection, for the log. */
-        String describe() {
-            return "attempt=" + number + " connection=" + attempt.describeConnection();
-        }
-
-        void stop() {
-            if (runningAttempts.remove(this)) {
-                attempt.cancel();
-                releaseEndpoint();
-            }
-        }
-
-        @Override
-        public void onConnectFailure(String cause) {
-            guard(
-                    () -> {
-                        finishAttempt();
-                        UnaryExchange.this.handleConnectFailure(this, cause);
-                    });
-        }
-
-        @Override
-        public void onHead(HttpResponse response) {
-            endpointResponse = edge.protocol().readResponse(response);
-            headers = HopByHopHeaders.strip(response.headers());
-            edge.recordSignals(attempt.endpoint(), endpointResponse, call.requestId());
-            recordProgress();
-        }
-
-        private void recordProgress() {
-            if (endpointResponse.signed() || endpointResponse.notRun()) {
-                evidence.markAnswered();
-            }
-            if (endpointResponse.signed() && !endpointResponse.notRun() && !answered) {
-                answered = true;
-                edge.crashes().recordAnswered(call);
-            }
-        }
-
-        @Override
-        public void onBody(byte[] bytes) {
-            if (!body.tryAdd(bytes)) {
-                attempt.cancel();
-                onFailure("response exceeds the size limit");
-            }
-        }
-
-        @Override
-        public void onComplete() {
-            guard(this::handleEnd);
-        }
-
-        private void handleEnd() {
-            finishAttempt();
-            handleResponse(
-                    this,
-                    new BufferedResponse(
-                            endpointResponse.status(), headers, body.toByteArray(), this),
-                    endpointResponse);
-        }
-
-        @Override
-        public void onFailure(String cause) {
-            guard(() -> handleBreak(cause));
-        }
-
-        private void handleBreak(String cause) {
-            finishAttempt();
-            edge.crashes().recordFailure(evidence);
-            outcomeUnknown = true;
-            handleFailure(this, cause);
-        }
-
-        private void finishAttempt() {
-            runningAttempts.remove(this);
-            releaseEndpoint();
-        }
-
-        private void releaseEndpoint() {
-            body.release();
-            connectTimer.cancel(false);
-            attempt.endpoint().endRequest(0);
-            edge.crashes().recordEnded(evidence);
-            boolean wasFull = endpointResponse != null && endpointResponse.notRun();
-            if (!wasFull) {
-                edge.queues().releaseOne(service);
-            }
-        }
+        client.sendResponse(status, source.headers(), source.body());
     }
 }
