--- a/siskintrail.platform.test/tst/io/siskintrail/platform/ApiKeyRequirementTest.java
+++ b/siskintrail.platform.test/tst/io/siskintrail/platform/ApiKeyRequirementTest.java
@@ -22,8 +22,9 @@
             {"version":%d,"routes":[
              {"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe",
               "timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":"app","maxAttempts":1},
-             {"name":"open","host":"h.example","pathPrefix":"/open/","kind":"safe","timeoutMs":3000,
-              "targetLatencyMs":1000,"priority":1,"service":"app","maxAttempts":1,"anonymous":true}],
+             {"name":"open","host":"h.example","pathPrefix":"/open/","kind":"safe",
+              "timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":"app",
+              "maxAttempts":1,"anonymous":true}],
              "services":[{"name":"app"}]%s}
             """;
 
