Report an invalid status line once, in plain steps

Cause: the guard told by the text that it had kept whether the failure was reported, which a reader had to work out.

Change: it looks whether the line was invalid before the read; the part that reads a head is a method. The field for a failed write says when it is null.

--- a/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
+++ b/siskintrail.edge/src/io/siskintrail/edge/internal/EndpointConnection.java
@@ -56,7 +56,10 @@
     private boolean reusable;
     private boolean responseComplete;
     private boolean requestSent;
+
+    /** Why the request could not be written; null if it was, or may still be. */
     private Throwable sendFailure;
+
     private boolean headRequested;
     private boolean interim;
     private int interimResponses;
--- a/siskintrail.router/src/io/siskintrail/router/internal/client/StatusLineGuard.java
+++ b/siskintrail.router/src/io/siskintrail/router/internal/client/StatusLineGuard.java
@@ -39,24 +39,30 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        ByteBuf bytes = (ByteBuf) message;
-        int end = bytes.writerIndex();
-        for (int i = bytes.readerIndex(); i < end && part.compareTo(Part.BODY) < 0; i++) {
-            accept((char) bytes.getUnsignedByte(i));
-        }
+        boolean wasInvalid = part == Part.INVALID;
+        readHead((ByteBuf) message);
         if (part != Part.INVALID) {
             context.fireChannelRead(message);
             return;
         }
         ReferenceCountUtil.release(message);
-        if (!line.isEmpty()) {
-            DecoderException cause = new DecoderException("invalid status line: " + line);
-            line.setLength(0);
-            context.fireExceptionCaught(cause);
+        if (!wasInvalid) {
+            context.fireExceptionCaught(new DecoderException("invalid status line: " + line));
             context.close();
         }
     }
 
+    private void readHead(ByteBuf bytes) {
+        int end = bytes.writerIndex();
+        for (int i = bytes.readerIndex(); i < end && isInHead(); i++) {
+            accept((char) bytes.getUnsignedByte(i));
+        }
+    }
+
+    private boolean isInHead() {
+        return part == Part.STATUS_LINE || part == Part.FIELDS;
+    }
+
     private void accept(char octet) {
         if (part == Part.STATUS_LINE) {
             acceptStatus(octet);
